--- /dev/null
+++ b/src/messages.h
@@ -0,0 +1,264 @@
+// One-way messages between processes. Each may be lost, doubled, delayed or reordered, so every
+// handler is idempotent and every sender that needs an answer repeats from a timer.
+
+#pragma once
+
+#include "records.h"
+#include "types.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cactuscove {
+
+// Names one task of one job.
+struct TaskRef
+{
+    JobKey key;
+    std::uint16_t index = 0;
+    auto operator<=>(const TaskRef &) const = default;
+};
+
+// Entry -> agent: log records in order, or a snapshot if the agent is too far behind.
+struct Feed
+{
+    std::vector<LogRecord> records;
+    std::optional<SnapshotRecord> snapshot;
+    LogOffset next; // first offset after the records
+};
+
+struct FeedAck
+{
+    LogOffset next; // the agent's ledger has applied every offset below
+};
+
+struct Probe
+{};
+
+struct ProbeAck
+{};
+
+// Entry -> home. Repeated by the entry until answered; the home deduplicates by key.
+struct SubmitJob
+{
+    JobSpec spec;
+    Epoch epoch;
+    Duration remaining{}; // until the deadline, at the time of sending
+    TraceContext trace;
+};
+
+struct JobAccepted
+{
+    JobKey key;
+    Epoch epoch;
+};
+
+struct JobAnswer
+{
+    JobKey key;
+    Epoch epoch;
+    Answer answer;
+};
+
+enum class SubmitRefusal {
+    NotHome,         // another process is the home, or the epoch differs
+    Moving,          // the shard is being transferred; come back shortly
+    ContentMismatch, // another job under the same id
+};
+
+struct SubmitRefused
+{
+    JobKey key;
+    SubmitRefusal reason = SubmitRefusal::NotHome;
+    Epoch homeEpoch;
+};
+
+struct CancelJob
+{
+    JobKey key;
+    Epoch epoch;
+};
+
+// Entry -> home: asks for the answer of a job whose specification the entry does not have.
+struct QueryJob
+{
+    JobKey key;
+    Epoch epoch;
+};
+
+// The home knows its shard completely and has never seen the key, or has forgotten it.
+struct JobNotFound
+{
+    JobKey key;
+    Epoch epoch;
+};
+
+// Home -> executor. Safe to repeat: the executor starts a task reference once.
+struct StartTask
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0; // rises each time the home places the task again
+    Epoch epoch;               // of the shard of the job key
+    TaskSpec task;
+    std::string team;
+    std::string jobClass;
+    std::string upstream;
+    bool idempotent = false;
+    bool isOfferReply = false; // binds the task to a slot that the executor offered
+    Duration remaining{};      // the task must not start later than this
+    TraceContext trace;
+};
+
+struct TaskAccepted
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+};
+
+// No free slot. The executor keeps a reservation and offers the slot when one frees.
+struct TaskBusy
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+};
+
+enum class TaskRefusal { StaleEpoch, NoUpstream, Draining, CannotRun, DeadlinePassed, Tombstone };
+
+// Proof that this attempt did not and will not start here.
+struct TaskRefused
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+    TaskRefusal reason = TaskRefusal::NoUpstream;
+    Epoch fence;
+};
+
+// Repeated by the executor until acknowledged.
+struct TaskDone
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+    TaskResult result;
+};
+
+struct TaskDoneAck
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+};
+
+// Stops a running task, or leaves a tombstone so that a late start is refused.
+struct CancelTask
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+    Epoch epoch;
+};
+
+// The answer to CancelTask if the task had not started; a started one answers TaskDone or
+// TaskAccepted.
+struct TaskNotStarted
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+};
+
+// Executor -> home: a slot is free for the reservation of this task.
+struct SlotOffer
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+};
+
+struct OfferDeclined
+{
+    TaskRef ref;
+    std::uint32_t attempt = 0;
+};
+
+// New home -> every registered incarnation.
+struct Raise
+{
+    std::vector<ShardClaim> claims;
+};
+
+struct WitnessedTask
+{
+    std::uint16_t index = 0;
+    TaskResult result; // Unknown while the task is running
+};
+
+struct WitnessedJob
+{
+    KeyHash key;
+    std::uint64_t contentHash = 0;    // 0 if the witness does not know it
+    std::uint16_t taskCount = 0;      // 0 if the witness does not know it
+    std::vector<WitnessedTask> tasks; // empty from entries
+};
+
+// What one incarnation knows of the shards with an epoch lower than the claimed one. `subject` is
+// the incarnation whose memory this is: the sender, or a process that it is the heir of.
+struct Witness
+{
+    Incarnation subject;
+    std::vector<ShardClaim> claims;
+    std::vector<WitnessedJob> jobs;
+};
+
+// A finished or not yet forgotten job, as handed to the next home of its shard.
+struct TransferredJob
+{
+    JobKey key;
+    std::uint64_t contentHash = 0;
+    Answer answer;
+    Duration age{}; // since the answer
+};
+
+struct TransferShard
+{
+    ShardClaim claim; // the epoch that the receiver will have
+    std::vector<TransferredJob> jobs;
+};
+
+struct TransferAck
+{
+    ShardClaim claim;
+};
+
+// The memory of a process that leaves, for its heir to answer with.
+struct AdoptedJob
+{
+    WitnessedJob job;
+    Epoch epoch; // lowest epoch at which the subject saw the job
+    Duration age{};
+};
+
+struct AdoptWitness
+{
+    Incarnation subject;
+    std::vector<AdoptedJob> jobs;
+};
+
+struct AdoptAck
+{
+    Incarnation subject;
+};
+
+using Message
+    = std::variant<Feed, FeedAck, Probe, ProbeAck, SubmitJob, JobAccepted, JobAnswer, SubmitRefused,
+                   CancelJob, QueryJob, JobNotFound, StartTask, TaskAccepted, TaskBusy, TaskRefused,
+                   TaskDone, TaskDoneAck, CancelTask, TaskNotStarted, SlotOffer, OfferDeclined,
+                   Raise, Witness, TransferShard, TransferAck, AdoptWitness, AdoptAck>;
+
+// All messages that one process sends to another in one turn of its loop.
+struct Envelope
+{
+    Incarnation from;
+    Incarnation to;
+    std::vector<LoadDigest> loads;
+    std::vector<Message> messages;
+};
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/workerhealth.h
@@ -0,0 +1,39 @@
+// Failure rate per agent and ejection of workers that fail what they start.
+
+#pragma once
+
+#include "types.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace cactuscove {
+
+class WorkerHealth
+{
+public:
+    // Commands
+    void configure(std::string_view upstream, double ejectionThreshold, double maxEjectedFraction);
+    void setAgent(Incarnation agent, std::string_view upstream);
+    void removeAgent(Incarnation agent);
+    void succeeded(Incarnation agent, Duration runTime, TimePoint now);
+    void failed(Incarnation agent, TimePoint now); // not for tasks that can run nowhere
+
+    // Queries
+    // Weight for placement in [0, 1]: 0 is ejected; an ejected agent gets single probes.
+    double weight(Incarnation agent, TimePoint now) const;
+    bool isEjected(Incarnation agent, TimePoint now) const;
+    bool mayProbe(Incarnation agent, TimePoint now) const;
+
+private:
+    struct State
+    {
+        std::string upstream;
+        double failureRate = 0; // exponentially weighted, in [0, 1]
+        TimePoint lastProbe{};
+    };
+    std::map<Incarnation, State> m_agents;
+};
+
+} // namespace cactuscove
