messagecodec: envelopes as JSON for every message

One list of names and members per structure serves both directions, so a field cannot be written and not read. Integers of 64 bits stay integers, hashes are hex digits, and strings that are not UTF-8 travel as hex, because jsoncpp replaces invalid bytes. Decoding checks types, ranges and presence and returns the path of the wrong field; it never throws. Log records inside a feed use the same lists until the record codec of the ledger exists.

--- /dev/null
+++ b/src/messagecodec.cpp
@@ -0,0 +1,406 @@
+// Envelopes as JSON, generated from the field lists of messagefields.h.
+
+#include "messagecodec.h"
+
+#include "messagefields.h"
+
+#include <json/json.h>
+
+#include <charconv>
+#include <concepts>
+#include <limits>
+
+namespace cactuscove {
+
+namespace {
+
+template <typename T>
+concept Described = requires
+{
+    fieldsOf(Tag<T>{});
+};
+
+template <typename T>
+concept Enumeration = std::is_enum_v<T>;
+
+template <typename T>
+concept Integer = std::integral<T> && !std::same_as<T, bool>;
+
+// Sums with any clock value stay far from the limits of 64 bits.
+constexpr std::int64_t MaxDurationUs = std::int64_t{1} << 53;
+
+// jsoncpp replaces invalid UTF-8 while writing, so such strings travel as {"hex": "..."}.
+constexpr char HexKey[] = "hex";
+constexpr char TypeKey[] = "type";
+constexpr char HexDigits[] = "0123456789abcdef";
+
+bool isUtf8(std::string_view text)
+{
+    for (std::size_t i = 0; i < text.size();) {
+        const auto byte = [&](std::size_t n) { return static_cast<unsigned char>(text[i + n]); };
+        const unsigned char lead = byte(0);
+        const std::size_t n = lead < 0x80                   ? 1
+                              : lead >= 0xc2 && lead < 0xe0 ? 2
+                              : lead >= 0xe0 && lead < 0xf0 ? 3
+                              : lead >= 0xf0 && lead < 0xf5 ? 4
+                                                            : 0;
+        if (n == 0 || i + n > text.size())
+            return false;
+        for (std::size_t k = 1; k < n; ++k)
+            if ((byte(k) & 0xc0) != 0x80)
+                return false;
+        if (n == 3 && ((lead == 0xe0 && byte(1) < 0xa0) || (lead == 0xed && byte(1) >= 0xa0)))
+            return false; // overlong, or a surrogate
+        if (n == 4 && ((lead == 0xf0 && byte(1) < 0x90) || (lead == 0xf4 && byte(1) >= 0x90)))
+            return false; // overlong, or above U+10FFFF
+        i += n;
+    }
+    return true;
+}
+
+std::string toHex(std::string_view bytes)
+{
+    std::string hex;
+    hex.reserve(bytes.size() * 2);
+    for (const unsigned char it : bytes) {
+        hex += HexDigits[it >> 4];
+        hex += HexDigits[it & 15];
+    }
+    return hex;
+}
+
+bool fromHex(std::string_view hex, std::string &bytes)
+{
+    if (hex.size() % 2 != 0)
+        return false;
+    bytes.resize(hex.size() / 2);
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        unsigned char byte = 0;
+        const char *begin = hex.data() + 2 * i;
+        const auto [end, ec] = std::from_chars(begin, begin + 2, byte, 16);
+        if (ec != std::errc() || end != begin + 2)
+            return false;
+        bytes[i] = static_cast<char>(byte);
+    }
+    return true;
+}
+
+std::string hex64(std::uint64_t value)
+{
+    std::string hex(16, '0');
+    for (std::size_t i = 16; i-- > 0; value >>= 4)
+        hex[i] = HexDigits[value & 15];
+    return hex;
+}
+
+bool parseHex64(std::string_view hex, std::uint64_t &value)
+{
+    const auto [end, ec] = std::from_chars(hex.data(), hex.data() + hex.size(), value, 16);
+    return hex.size() == 16 && ec == std::errc() && end == hex.data() + hex.size();
+}
+
+class Encoder
+{
+public:
+    static Json::Value of(bool value) { return value; }
+    static Json::Value of(const std::string &value)
+    {
+        if (isUtf8(value))
+            return value;
+        Json::Value json;
+        json[HexKey] = toHex(value);
+        return json;
+    }
+    static Json::Value of(Duration value) { return Json::Int64{value.count()}; }
+    static Json::Value of(const JobKey &value) { return of(value.value); }
+    static Json::Value of(const KeyHash &value) { return hex64(value.high) + hex64(value.low); }
+
+    template <Integer T>
+    static Json::Value of(T value)
+    {
+        if constexpr (std::is_signed_v<T>)
+            return Json::Int64{value};
+        else
+            return Json::UInt64{value};
+    }
+
+    template <Enumeration T>
+    static Json::Value of(T value)
+    {
+        return static_cast<int>(value);
+    }
+
+    template <typename Tag, typename Rep>
+    static Json::Value of(const StrongId<Tag, Rep> &value)
+    {
+        return of(value.value);
+    }
+
+    template <typename T>
+    static Json::Value of(const std::optional<T> &value)
+    {
+        return value ? of(*value) : Json::Value();
+    }
+
+    template <typename T>
+    static Json::Value of(const std::vector<T> &values)
+    {
+        Json::Value json(Json::arrayValue);
+        for (const T &it : values)
+            json.append(of(it));
+        return json;
+    }
+
+    template <Described T>
+    static Json::Value of(const T &value)
+    {
+        Json::Value json(Json::objectValue);
+        std::apply([&](const auto &...field) { (put(json, value, field), ...); },
+                   fieldsOf(Tag<T>{}));
+        return json;
+    }
+
+    static Json::Value of(const Message &message) { return ofVariant(message, MessageNames); }
+
+    static Json::Value of(const LogRecord &record)
+    {
+        Json::Value json = ofVariant(record.record.body, RecordNames);
+        json["offset"] = of(record.offset);
+        json["append_id"] = of(record.record.appendId);
+        return json;
+    }
+
+private:
+    template <typename Owner, typename Value>
+    static void put(Json::Value &json, const Owner &owner, const Field<Owner, Value> &field)
+    {
+        const Value &value = owner.*field.member;
+        if (field.presence == Presence::Optional && isDefault(value))
+            return;
+        json[field.name] = of(value);
+    }
+
+    template <typename T>
+    static bool isDefault(const T &value)
+    {
+        if constexpr (requires { value.empty(); })
+            return value.empty();
+        else if constexpr (requires { value.has_value(); })
+            return !value.has_value();
+        else if constexpr (std::equality_comparable<T>)
+            return value == T{};
+        else
+            return false;
+    }
+
+    template <typename Variant, typename Names>
+    static Json::Value ofVariant(const Variant &value, const Names &names)
+    {
+        Json::Value json = std::visit([](const auto &it) { return of(it); }, value);
+        json[TypeKey] = names[value.index()];
+        return json;
+    }
+};
+
+class Decoder
+{
+public:
+    const std::string &error() const { return m_error; }
+
+    bool read(const Json::Value &json, bool &value)
+    {
+        if (!json.isBool())
+            return fail("expected a boolean");
+        value = json.asBool();
+        return true;
+    }
+
+    bool read(const Json::Value &json, std::string &value)
+    {
+        if (json.isString()) {
+            value = json.asString();
+            return true;
+        }
+        if (!json.isObject() || !json[HexKey].isString())
+            return fail("expected a string");
+        return fromHex(json[HexKey].asString(), value) || fail("expected hex digits");
+    }
+
+    bool read(const Json::Value &json, Duration &value)
+    {
+        std::int64_t n = 0;
+        if (!read(json, n))
+            return false;
+        if (n < -MaxDurationUs || n > MaxDurationUs)
+            return fail("duration out of range");
+        value = Duration(n);
+        return true;
+    }
+
+    bool read(const Json::Value &json, JobKey &value) { return read(json, value.value); }
+
+    bool read(const Json::Value &json, KeyHash &value)
+    {
+        const std::string hex = json.isString() ? json.asString() : std::string();
+        const std::string_view digits(hex);
+        return (digits.size() == 32 && parseHex64(digits.substr(0, 16), value.high)
+                && parseHex64(digits.substr(16), value.low))
+               || fail("expected 32 hex digits");
+    }
+
+    template <Integer T>
+    bool read(const Json::Value &json, T &value)
+    {
+        // Numbers with a fraction or an exponent are refused, because they may have lost digits.
+        if (json.type() != Json::intValue && json.type() != Json::uintValue)
+            return fail("expected an integer");
+        using Wide = std::conditional_t<std::is_signed_v<T>, std::int64_t, std::uint64_t>;
+        const bool fits = std::is_signed_v<T> ? json.isInt64() : json.isUInt64();
+        if (!fits)
+            return fail("integer out of range");
+        Wide wide{};
+        if constexpr (std::is_signed_v<T>)
+            wide = json.asInt64();
+        else
+            wide = json.asUInt64();
+        if (wide < Wide{std::numeric_limits<T>::min()}
+            || wide > Wide{std::numeric_limits<T>::max()})
+            return fail("integer out of range");
+        value = static_cast<T>(wide);
+        return true;
+    }
+
+    template <Enumeration T>
+    bool read(const Json::Value &json, T &value)
+    {
+        int n = 0;
+        if (!read(json, n))
+            return false;
+        if (n < 0 || n > static_cast<int>(lastOf(Tag<T>{})))
+            return fail("unknown enumerator");
+        value = static_cast<T>(n);
+        return true;
+    }
+
+    template <typename Tag, typename Rep>
+    bool read(const Json::Value &json, StrongId<Tag, Rep> &value)
+    {
+        if (!read(json, value.value))
+            return false;
+        // Receivers index arrays with shards.
+        if constexpr (std::same_as<StrongId<Tag, Rep>, ShardId>)
+            return value.value < ShardCount || fail("shard out of range");
+        return true;
+    }
+
+    template <typename T>
+    bool read(const Json::Value &json, std::optional<T> &value)
+    {
+        if (json.isNull()) {
+            value.reset();
+            return true;
+        }
+        return read(json, value.emplace());
+    }
+
+    template <typename T>
+    bool read(const Json::Value &json, std::vector<T> &values)
+    {
+        if (!json.isArray())
+            return fail("expected an array");
+        values.clear();
+        values.reserve(json.size());
+        for (Json::ArrayIndex i = 0; i < json.size(); ++i)
+            if (!read(json[i], values.emplace_back()))
+                return within('[' + std::to_string(i) + ']');
+        return true;
+    }
+
+    template <Described T>
+    bool read(const Json::Value &json, T &value)
+    {
+        if (!json.isObject())
+            return fail("expected an object");
+        return std::apply([&](const auto &...field) { return (get(json, value, field) && ...); },
+                          fieldsOf(Tag<T>{}));
+    }
+
+    bool read(const Json::Value &json, Message &message)
+    {
+        return readVariant(json, message, MessageNames);
+    }
+
+    bool read(const Json::Value &json, LogRecord &record)
+    {
+        return readVariant(json, record.record.body, RecordNames)
+               && (read(json["offset"], record.offset) || within("offset"))
+               && (read(json["append_id"], record.record.appendId) || within("append_id"));
+    }
+
+private:
+    bool fail(std::string_view reason)
+    {
+        m_error = ": ";
+        m_error += reason;
+        return false;
+    }
+
+    // Prefixes the path of the error on the way out of a field.
+    bool within(std::string_view part)
+    {
+        const bool joins = !m_error.empty() && m_error.front() != ':' && m_error.front() != '[';
+        m_error.insert(0, joins ? std::string(part) + '.' : std::string(part));
+        return false;
+    }
+
+    template <typename Owner, typename Value>
+    bool get(const Json::Value &json, Owner &owner, const Field<Owner, Value> &field)
+    {
+        const Json::Value &value = json[field.name];
+        if (value.isNull() && field.presence == Presence::Optional)
+            return true;
+        return read(value, owner.*field.member) || within(field.name);
+    }
+
+    template <typename Variant, typename Names>
+    bool readVariant(const Json::Value &json, Variant &value, const Names &names)
+    {
+        if (!json.isObject() || !json[TypeKey].isString())
+            return fail("expected an object with a type");
+        const std::string type = json[TypeKey].asString();
+        return [&]<std::size_t... I>(std::index_sequence<I...>)
+        {
+            bool isKnown = false;
+            const bool isRead
+                = ((type == names[I] ? (isKnown = true, read(json, value.template emplace<I>()))
+                                     : false)
+                   || ...);
+            return isRead || (isKnown ? false : fail("unknown type"));
+        }
+        (std::make_index_sequence<std::variant_size_v<Variant>>());
+    }
+
+    std::string m_error;
+};
+
+} // namespace
+
+Json::Value encodeEnvelope(const Envelope &envelope)
+{
+    return Encoder::of(envelope);
+}
+
+Result<Envelope, CodecError> decodeEnvelope(const Json::Value &json)
+{
+    Decoder decoder;
+    Envelope envelope;
+    try {
+        if (decoder.read(json, envelope))
+            return envelope;
+    } catch (const std::exception &ex) { // jsoncpp throws on values that it cannot convert
+        return CodecError{ex.what()};
+    }
+    return CodecError{decoder.error()};
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/messagecodec.h
@@ -0,0 +1,25 @@
+// Envelopes as JSON: the parameters of the JSON-RPC call `deliver`.
+
+#pragma once
+
+#include "messages.h"
+#include "result.h"
+
+#include <json/forwards.h>
+
+#include <string>
+
+namespace cactuscove {
+
+struct CodecError
+{
+    std::string reason; // with the path of the field, for example "messages[2].ref.index: ..."
+};
+
+Json::Value encodeEnvelope(const Envelope &envelope);
+
+// Checks types, ranges and presence of every field. Never throws; unknown fields are ignored, so
+// that a newer process may add some.
+Result<Envelope, CodecError> decodeEnvelope(const Json::Value &json);
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/messagefields.h
@@ -0,0 +1,402 @@
+// Names and members of every structure that travels between processes, in one list for both
+// directions of the message codec.
+
+#pragma once
+
+#include "messages.h"
+
+#include <array>
+#include <tuple>
+#include <variant>
+
+namespace cactuscove {
+
+template <typename T>
+struct Tag
+{};
+
+enum class Presence {
+    Required,
+    Optional, // not written at its default value, and left at the default when missing
+};
+
+template <typename Owner, typename Value>
+struct Field
+{
+    const char *name;
+    Value Owner::*member;
+    Presence presence;
+};
+
+template <typename Owner, typename Value>
+constexpr Field<Owner, Value> required(const char *name, Value Owner::*member)
+{
+    return {name, member, Presence::Required};
+}
+
+template <typename Owner, typename Value>
+constexpr Field<Owner, Value> optional(const char *name, Value Owner::*member)
+{
+    return {name, member, Presence::Optional};
+}
+
+// Names on the wire, in the order of the variant's alternatives.
+inline constexpr std::array MessageNames{
+    "Feed",           "FeedAck",       "Probe",         "ProbeAck", "SubmitJob",   "JobAccepted",
+    "JobAnswer",      "SubmitRefused", "CancelJob",     "QueryJob", "JobNotFound", "StartTask",
+    "TaskAccepted",   "TaskBusy",      "TaskRefused",   "TaskDone", "TaskDoneAck", "CancelTask",
+    "TaskNotStarted", "SlotOffer",     "OfferDeclined", "Raise",    "Witness",     "TransferShard",
+    "TransferAck",    "AdoptWitness",  "AdoptAck"};
+static_assert(MessageNames.size() == std::variant_size_v<Message>);
+
+inline constexpr std::array RecordNames{"RegisterRecord", "SuspectRecord", "ClearRecord",
+                                        "LeaveRecord",    "RetireRecord",  "ClaimRecord",
+                                        "ConfigRecord",   "SnapshotRecord"};
+static_assert(RecordNames.size() == std::variant_size_v<RecordBody>);
+
+constexpr auto fieldsOf(Tag<TraceContext>)
+{
+    return std::tuple{required("trace", &TraceContext::traceId),
+                      required("span", &TraceContext::spanId)};
+}
+
+constexpr auto fieldsOf(Tag<TaskNeeds>)
+{
+    return std::tuple{optional("accelerators", &TaskNeeds::accelerators),
+                      optional("memory_mb", &TaskNeeds::memoryMb)};
+}
+
+constexpr auto fieldsOf(Tag<TaskSpec>)
+{
+    return std::tuple{required("id", &TaskSpec::id), required("payload", &TaskSpec::payload),
+                      optional("declared", &TaskSpec::declared),
+                      optional("needs", &TaskSpec::needs)};
+}
+
+constexpr auto fieldsOf(Tag<JobSpec>)
+{
+    return std::tuple{required("key", &JobSpec::key),
+                      required("team", &JobSpec::team),
+                      required("class", &JobSpec::jobClass),
+                      required("upstream", &JobSpec::upstream),
+                      required("deadline", &JobSpec::deadline),
+                      optional("idempotent", &JobSpec::idempotent),
+                      required("content", &JobSpec::contentHash),
+                      required("tasks", &JobSpec::tasks)};
+}
+
+constexpr auto fieldsOf(Tag<TaskResult>)
+{
+    return std::tuple{
+        required("status", &TaskResult::status), optional("http", &TaskResult::httpStatus),
+        optional("body", &TaskResult::body), optional("run_time", &TaskResult::runTime)};
+}
+
+constexpr auto fieldsOf(Tag<TaskAnswer>)
+{
+    return std::tuple{required("id", &TaskAnswer::id), required("http", &TaskAnswer::httpStatus),
+                      required("body", &TaskAnswer::body)};
+}
+
+constexpr auto fieldsOf(Tag<Answer>)
+{
+    return std::tuple{required("outcome", &Answer::outcome), optional("reason", &Answer::reason),
+                      optional("retry_after", &Answer::retryAfter),
+                      optional("tasks", &Answer::tasks)};
+}
+
+constexpr auto fieldsOf(Tag<Member>)
+{
+    return std::tuple{required("incarnation", &Member::incarnation),
+                      required("role", &Member::role),
+                      required("address", &Member::address),
+                      required("data_centre", &Member::dataCentre),
+                      required("rack", &Member::rack),
+                      required("office", &Member::office)};
+}
+
+constexpr auto fieldsOf(Tag<LoadDigest>)
+{
+    return std::tuple{
+        required("agent", &LoadDigest::agent),       optional("upstream", &LoadDigest::upstream),
+        optional("free", &LoadDigest::freeSlots),    optional("slots", &LoadDigest::slots),
+        optional("queued", &LoadDigest::queued),     optional("capacity", &LoadDigest::capacity),
+        optional("draining", &LoadDigest::draining), optional("age", &LoadDigest::age)};
+}
+
+constexpr auto fieldsOf(Tag<TaskRef>)
+{
+    return std::tuple{required("key", &TaskRef::key), required("index", &TaskRef::index)};
+}
+
+constexpr auto fieldsOf(Tag<ShardClaim>)
+{
+    return std::tuple{required("shard", &ShardClaim::shard), required("epoch", &ShardClaim::epoch)};
+}
+
+constexpr auto fieldsOf(Tag<Feed>)
+{
+    return std::tuple{optional("records", &Feed::records), optional("snapshot", &Feed::snapshot),
+                      required("next", &Feed::next)};
+}
+
+constexpr auto fieldsOf(Tag<FeedAck>)
+{
+    return std::tuple{required("next", &FeedAck::next)};
+}
+
+constexpr auto fieldsOf(Tag<Probe>)
+{
+    return std::tuple{};
+}
+
+constexpr auto fieldsOf(Tag<ProbeAck>)
+{
+    return std::tuple{};
+}
+
+constexpr auto fieldsOf(Tag<SubmitJob>)
+{
+    return std::tuple{required("spec", &SubmitJob::spec), required("epoch", &SubmitJob::epoch),
+                      required("remaining", &SubmitJob::remaining),
+                      optional("trace", &SubmitJob::trace)};
+}
+
+constexpr auto fieldsOf(Tag<JobAccepted>)
+{
+    return std::tuple{required("key", &JobAccepted::key), required("epoch", &JobAccepted::epoch)};
+}
+
+constexpr auto fieldsOf(Tag<JobAnswer>)
+{
+    return std::tuple{required("key", &JobAnswer::key), required("epoch", &JobAnswer::epoch),
+                      required("answer", &JobAnswer::answer)};
+}
+
+constexpr auto fieldsOf(Tag<SubmitRefused>)
+{
+    return std::tuple{required("key", &SubmitRefused::key),
+                      required("reason", &SubmitRefused::reason),
+                      required("home_epoch", &SubmitRefused::homeEpoch)};
+}
+
+constexpr auto fieldsOf(Tag<CancelJob>)
+{
+    return std::tuple{required("key", &CancelJob::key), required("epoch", &CancelJob::epoch)};
+}
+
+constexpr auto fieldsOf(Tag<QueryJob>)
+{
+    return std::tuple{required("key", &QueryJob::key), required("epoch", &QueryJob::epoch)};
+}
+
+constexpr auto fieldsOf(Tag<JobNotFound>)
+{
+    return std::tuple{required("key", &JobNotFound::key), required("epoch", &JobNotFound::epoch)};
+}
+
+constexpr auto fieldsOf(Tag<StartTask>)
+{
+    return std::tuple{required("ref", &StartTask::ref),
+                      required("attempt", &StartTask::attempt),
+                      required("epoch", &StartTask::epoch),
+                      required("task", &StartTask::task),
+                      required("team", &StartTask::team),
+                      required("class", &StartTask::jobClass),
+                      required("upstream", &StartTask::upstream),
+                      optional("idempotent", &StartTask::idempotent),
+                      optional("offer_reply", &StartTask::isOfferReply),
+                      required("remaining", &StartTask::remaining),
+                      optional("trace", &StartTask::trace)};
+}
+
+constexpr auto fieldsOf(Tag<TaskAccepted>)
+{
+    return std::tuple{required("ref", &TaskAccepted::ref),
+                      required("attempt", &TaskAccepted::attempt)};
+}
+
+constexpr auto fieldsOf(Tag<TaskBusy>)
+{
+    return std::tuple{required("ref", &TaskBusy::ref), required("attempt", &TaskBusy::attempt)};
+}
+
+constexpr auto fieldsOf(Tag<TaskDoneAck>)
+{
+    return std::tuple{required("ref", &TaskDoneAck::ref),
+                      required("attempt", &TaskDoneAck::attempt)};
+}
+
+constexpr auto fieldsOf(Tag<TaskNotStarted>)
+{
+    return std::tuple{required("ref", &TaskNotStarted::ref),
+                      required("attempt", &TaskNotStarted::attempt)};
+}
+
+constexpr auto fieldsOf(Tag<SlotOffer>)
+{
+    return std::tuple{required("ref", &SlotOffer::ref), required("attempt", &SlotOffer::attempt)};
+}
+
+constexpr auto fieldsOf(Tag<OfferDeclined>)
+{
+    return std::tuple{required("ref", &OfferDeclined::ref),
+                      required("attempt", &OfferDeclined::attempt)};
+}
+
+constexpr auto fieldsOf(Tag<TaskRefused>)
+{
+    return std::tuple{
+        required("ref", &TaskRefused::ref), required("attempt", &TaskRefused::attempt),
+        required("reason", &TaskRefused::reason), required("fence", &TaskRefused::fence)};
+}
+
+constexpr auto fieldsOf(Tag<TaskDone>)
+{
+    return std::tuple{required("ref", &TaskDone::ref), required("attempt", &TaskDone::attempt),
+                      required("result", &TaskDone::result)};
+}
+
+constexpr auto fieldsOf(Tag<CancelTask>)
+{
+    return std::tuple{required("ref", &CancelTask::ref), required("attempt", &CancelTask::attempt),
+                      required("epoch", &CancelTask::epoch)};
+}
+
+constexpr auto fieldsOf(Tag<Raise>)
+{
+    return std::tuple{required("claims", &Raise::claims)};
+}
+
+constexpr auto fieldsOf(Tag<WitnessedTask>)
+{
+    return std::tuple{required("index", &WitnessedTask::index),
+                      required("result", &WitnessedTask::result)};
+}
+
+constexpr auto fieldsOf(Tag<WitnessedJob>)
+{
+    return std::tuple{
+        required("key", &WitnessedJob::key), optional("content", &WitnessedJob::contentHash),
+        optional("task_count", &WitnessedJob::taskCount), optional("tasks", &WitnessedJob::tasks)};
+}
+
+constexpr auto fieldsOf(Tag<Witness>)
+{
+    return std::tuple{required("subject", &Witness::subject), required("claims", &Witness::claims),
+                      optional("jobs", &Witness::jobs)};
+}
+
+constexpr auto fieldsOf(Tag<TransferredJob>)
+{
+    return std::tuple{
+        required("key", &TransferredJob::key), required("content", &TransferredJob::contentHash),
+        required("answer", &TransferredJob::answer), required("age", &TransferredJob::age)};
+}
+
+constexpr auto fieldsOf(Tag<TransferShard>)
+{
+    return std::tuple{required("claim", &TransferShard::claim),
+                      optional("jobs", &TransferShard::jobs)};
+}
+
+constexpr auto fieldsOf(Tag<TransferAck>)
+{
+    return std::tuple{required("claim", &TransferAck::claim)};
+}
+
+constexpr auto fieldsOf(Tag<AdoptedJob>)
+{
+    return std::tuple{required("job", &AdoptedJob::job), required("epoch", &AdoptedJob::epoch),
+                      required("age", &AdoptedJob::age)};
+}
+
+constexpr auto fieldsOf(Tag<AdoptWitness>)
+{
+    return std::tuple{required("subject", &AdoptWitness::subject),
+                      optional("jobs", &AdoptWitness::jobs)};
+}
+
+constexpr auto fieldsOf(Tag<AdoptAck>)
+{
+    return std::tuple{required("subject", &AdoptAck::subject)};
+}
+
+constexpr auto fieldsOf(Tag<RegisterRecord>)
+{
+    return std::tuple{required("member", &RegisterRecord::member)};
+}
+
+constexpr auto fieldsOf(Tag<SuspectRecord>)
+{
+    return std::tuple{required("by", &SuspectRecord::by),
+                      required("incarnation", &SuspectRecord::incarnation)};
+}
+
+constexpr auto fieldsOf(Tag<ClearRecord>)
+{
+    return std::tuple{required("by", &ClearRecord::by),
+                      required("incarnation", &ClearRecord::incarnation)};
+}
+
+constexpr auto fieldsOf(Tag<LeaveRecord>)
+{
+    return std::tuple{required("incarnation", &LeaveRecord::incarnation),
+                      optional("heir", &LeaveRecord::heir)};
+}
+
+constexpr auto fieldsOf(Tag<RetireRecord>)
+{
+    return std::tuple{required("incarnation", &RetireRecord::incarnation)};
+}
+
+constexpr auto fieldsOf(Tag<ClaimRecord>)
+{
+    return std::tuple{required("home", &ClaimRecord::home),
+                      required("claims", &ClaimRecord::claims),
+                      optional("transferred", &ClaimRecord::transferred)};
+}
+
+constexpr auto fieldsOf(Tag<ConfigRecord>)
+{
+    return std::tuple{required("base", &ConfigRecord::base), required("text", &ConfigRecord::text),
+                      required("office", &ConfigRecord::office),
+                      required("author", &ConfigRecord::author)};
+}
+
+constexpr auto fieldsOf(Tag<Envelope>)
+{
+    return std::tuple{required("from", &Envelope::from), required("to", &Envelope::to),
+                      optional("loads", &Envelope::loads),
+                      required("messages", &Envelope::messages)};
+}
+
+constexpr auto fieldsOf(Tag<SnapshotRecord>)
+{
+    return std::tuple{required("as_of", &SnapshotRecord::asOf),
+                      required("state", &SnapshotRecord::state)};
+}
+
+// Highest enumerator, for the range check of the decoder.
+constexpr TaskStatus lastOf(Tag<TaskStatus>)
+{
+    return TaskStatus::Unknown;
+}
+constexpr Outcome lastOf(Tag<Outcome>)
+{
+    return Outcome::Unknown;
+}
+constexpr Role lastOf(Tag<Role>)
+{
+    return Role::Agent;
+}
+constexpr SubmitRefusal lastOf(Tag<SubmitRefusal>)
+{
+    return SubmitRefusal::ContentMismatch;
+}
+constexpr TaskRefusal lastOf(Tag<TaskRefusal>)
+{
+    return TaskRefusal::Tombstone;
+}
+
+} // namespace cactuscove
