--- a/src/ledger.h
+++ b/src/ledger.h
@@ -8,6 +8,8 @@
 #include "result.h"
 #include "types.h"
 
+#include <json/forwards.h>
+
 #include <array>
 #include <deque>
 #include <map>
@@ -23,8 +25,8 @@
 struct MemberState
 {
     Member member;
-    LogOffset registeredAt; // of the first registration of this incarnation
-    std::set<Incarnation> suspectedBy;
+    LogOffset registeredAt;            // of the first registration of this incarnation
+    std::set<Incarnation> suspectedBy; // up entries only
     bool isDown = false;
     bool hasLeft = false;
     Incarnation heir; // answers for its memory once it has left
@@ -114,6 +116,20 @@
     bool hasAppend(const std::string &appendId) const;
 
 private:
+    bool rememberAppend(const std::string &appendId); // false if it is a repeated append
+    void applyBody(const RegisterRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const SuspectRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const ClearRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const LeaveRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const RetireRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const ClaimRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const ConfigRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const SnapshotRecord &body, LogOffset offset, LedgerChanges &changes);
+    void restore(const Json::Value &json);
+    void dropVotesOf(Incarnation voter);
+    void declareDown();
+    Incarnation answererFor(Incarnation subject) const; // 0 if its memory is lost
+
     LogOffset m_next;
     std::map<Incarnation, MemberState> m_members;
     std::array<ShardState, ShardCount> m_shards{};
