--- /dev/null
+++ b/src/httpserver.cpp
@@ -0,0 +1,333 @@
+// libmicrohttpd in external epoll mode: its epoll descriptor is watched by the event loop.
+
+#include "httpserver.h"
+
+#include <microhttpd.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <optional>
+#include <unordered_map>
+
+namespace cactuscove {
+
+bool splitAddress(std::string_view address, std::string &ip, std::uint16_t &port)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+        return false;
+    const std::string_view digits = address.substr(colon + 1);
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    ip = address.substr(0, colon);
+    return ec == std::errc() && end == digits.data() + digits.size() && !ip.empty();
+}
+
+class HttpServer::Impl
+{
+public:
+    Impl(EventLoop &loop, HttpServerLimits limits, Handler handler, ClosedHandler onClosed)
+        : m_loop(loop)
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+        , m_onClosed(std::move(onClosed))
+        , m_timer(loop, [this] { runDaemon(); })
+    {}
+
+    ~Impl()
+    {
+        m_stopping = true;
+        // The daemon must not be stopped while connections are suspended.
+        for (auto &[id, exchange] : m_exchanges)
+            if (exchange->suspended)
+                MHD_resume_connection(exchange->connection);
+        m_watcher.reset();
+        if (m_daemon)
+            MHD_stop_daemon(m_daemon);
+    }
+
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
+    std::optional<HttpServerError> start(std::string_view address);
+    void respond(RequestId id, HttpResponse response);
+    void stopAccepting();
+
+    std::string ip;
+    std::uint16_t port = 0;
+    std::size_t openRequests() const { return m_exchanges.size(); }
+
+private:
+    // One request from its first header to its last response byte.
+    struct Exchange
+    {
+        RequestId id;
+        MHD_Connection *connection = nullptr;
+        HttpRequest request;
+        std::optional<HttpResponse> response;
+        bool dispatched = false;
+        bool suspended = false;
+        bool tooLarge = false;
+    };
+
+    static MHD_Result onAccess(void *self, MHD_Connection *connection, const char *url,
+                               const char *method, const char *version, const char *data,
+                               std::size_t *dataSize, void **state);
+    static void onCompleted(void *self, MHD_Connection *connection, void **state,
+                            MHD_RequestTerminationCode code);
+
+    Exchange *beginExchange(MHD_Connection *connection, const char *url, const char *method);
+    MHD_Result onBody(Exchange &exchange, const char *data, std::size_t *dataSize);
+    MHD_Result finish(Exchange &exchange);
+    void runDaemon();
+    void scheduleRun();
+
+    EventLoop &m_loop;
+    HttpServerLimits m_limits;
+    Handler m_handler;
+    ClosedHandler m_onClosed;
+    MHD_Daemon *m_daemon = nullptr;
+    std::unique_ptr<IoWatcher> m_watcher;
+    Timer m_timer;
+    std::unordered_map<RequestId, std::unique_ptr<Exchange>> m_exchanges;
+    std::uint64_t m_lastId = 0;
+    bool m_running = false;   // inside MHD_run
+    bool m_scheduled = false; // a run is posted
+    bool m_stopping = false;
+};
+
+namespace {
+
+std::string lowerCase(std::string_view text)
+{
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+MHD_Result collectHeader(void *map, MHD_ValueKind, const char *key, const char *value)
+{
+    auto &headers = *static_cast<std::map<std::string, std::string> *>(map);
+    headers[lowerCase(key)] = value ? value : "";
+    return MHD_YES;
+}
+
+MHD_Result collectQuery(void *map, MHD_ValueKind, const char *key, const char *value)
+{
+    auto &query = *static_cast<std::map<std::string, std::string> *>(map);
+    query[key] = value ? value : "";
+    return MHD_YES;
+}
+
+} // namespace
+
+std::optional<HttpServerError> HttpServer::Impl::start(std::string_view address)
+{
+    sockaddr_in bindAddress{};
+    bindAddress.sin_family = AF_INET;
+    if (!splitAddress(address, ip, port)
+        || inet_pton(AF_INET, ip.c_str(), &bindAddress.sin_addr) != 1)
+        return HttpServerError{"not an IPv4 address with a port: " + std::string(address)};
+    bindAddress.sin_port = htons(port);
+
+    m_daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, nullptr, nullptr, &Impl::onAccess, this,
+        MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&bindAddress),
+        MHD_OPTION_CONNECTION_LIMIT, m_limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this, MHD_OPTION_END);
+    if (!m_daemon)
+        return HttpServerError{"cannot listen on " + std::string(address)};
+
+    port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+    const int fd = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    m_watcher = std::make_unique<IoWatcher>(m_loop, fd, [this](int) { runDaemon(); });
+    m_watcher->watch(IoWatcher::Readable);
+    return std::nullopt;
+}
+
+void HttpServer::Impl::runDaemon()
+{
+    if (m_running)
+        return;
+    m_running = true;
+    MHD_run(m_daemon);
+    m_running = false;
+
+    MHD_UNSIGNED_LONG_LONG milliseconds = 0;
+    if (MHD_get_timeout(m_daemon, &milliseconds) == MHD_YES)
+        m_timer.startIn(std::chrono::milliseconds(milliseconds));
+    else
+        m_timer.stop();
+}
+
+// Resumed connections are not reported by epoll, so the daemon is run in the next turn.
+void HttpServer::Impl::scheduleRun()
+{
+    if (m_scheduled)
+        return;
+    m_scheduled = true;
+    m_loop.post([this] {
+        m_scheduled = false;
+        runDaemon();
+    });
+}
+
+HttpServer::Impl::Exchange *HttpServer::Impl::beginExchange(MHD_Connection *connection,
+                                                            const char *url, const char *method)
+{
+    auto exchange = std::make_unique<Exchange>();
+    exchange->id = RequestId{++m_lastId};
+    exchange->connection = connection;
+    exchange->request.method = method;
+    exchange->request.path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectHeader,
+                              &exchange->request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery,
+                              &exchange->request.query);
+    const auto length = exchange->request.headers.find("content-length");
+    if (length != exchange->request.headers.end()) {
+        std::size_t bytes = 0;
+        const std::string &text = length->second;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), bytes);
+        exchange->tooLarge = ec != std::errc() || bytes > m_limits.maxBodyBytes;
+    }
+    return m_exchanges.emplace(exchange->id, std::move(exchange)).first->second.get();
+}
+
+MHD_Result HttpServer::Impl::onAccess(void *self, MHD_Connection *connection, const char *url,
+                                      const char *method, const char *, const char *data,
+                                      std::size_t *dataSize, void **state)
+{
+    auto &impl = *static_cast<Impl *>(self);
+    if (!*state) {
+        Exchange *begun = impl.beginExchange(connection, url, method);
+        *state = begun;
+        // A declared length over the limit is refused before the body is read.
+        return begun->tooLarge ? impl.finish(*begun) : MHD_YES;
+    }
+    auto &exchange = *static_cast<Exchange *>(*state);
+    if (*dataSize > 0)
+        return impl.onBody(exchange, data, dataSize);
+    return impl.finish(exchange);
+}
+
+MHD_Result HttpServer::Impl::onBody(Exchange &exchange, const char *data, std::size_t *dataSize)
+{
+    if (exchange.request.body.size() + *dataSize > m_limits.maxBodyBytes) {
+        exchange.tooLarge = true;
+        exchange.request.body.clear();
+    }
+    if (!exchange.tooLarge)
+        exchange.request.body.append(data, *dataSize);
+    *dataSize = 0;
+    return MHD_YES;
+}
+
+MHD_Result HttpServer::Impl::finish(Exchange &exchange)
+{
+    if (m_stopping)
+        return MHD_NO;
+    if (exchange.tooLarge && !exchange.response) {
+        exchange.response = HttpResponse{413, R"({"error":"body_too_large","limit":)"
+                                                  + std::to_string(m_limits.maxBodyBytes) + "}\n"};
+        exchange.response->headers["Connection"] = "close";
+    } else if (!exchange.dispatched) {
+        exchange.dispatched = true;
+        m_handler(exchange.id, std::move(exchange.request));
+    }
+    if (!exchange.response) {
+        exchange.suspended = true;
+        MHD_suspend_connection(exchange.connection);
+        return MHD_YES;
+    }
+
+    const HttpResponse &response = *exchange.response;
+    MHD_Response *raw = MHD_create_response_from_buffer(
+        response.body.size(), const_cast<char *>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(raw, MHD_HTTP_HEADER_CONTENT_TYPE, response.contentType.c_str());
+    for (const auto &[name, value] : response.headers)
+        MHD_add_response_header(raw, name.c_str(), value.c_str());
+    const MHD_Result result
+        = MHD_queue_response(exchange.connection, static_cast<unsigned>(response.status), raw);
+    MHD_destroy_response(raw);
+    return result;
+}
+
+void HttpServer::Impl::onCompleted(void *self, MHD_Connection *, void **state,
+                                   MHD_RequestTerminationCode)
+{
+    if (!*state)
+        return;
+    auto &impl = *static_cast<Impl *>(self);
+    const RequestId id = static_cast<Exchange *>(*state)->id;
+    const bool dispatched = static_cast<Exchange *>(*state)->dispatched;
+    *state = nullptr;
+    impl.m_exchanges.erase(id);
+    if (dispatched && impl.m_onClosed && !impl.m_stopping)
+        impl.m_onClosed(id);
+}
+
+void HttpServer::Impl::respond(RequestId id, HttpResponse response)
+{
+    const auto it = m_exchanges.find(id);
+    if (it == m_exchanges.end() || it->second->response)
+        return;
+    Exchange &exchange = *it->second;
+    exchange.response = std::move(response);
+    if (!exchange.suspended)
+        return; // still inside the handler
+    exchange.suspended = false;
+    MHD_resume_connection(exchange.connection);
+    scheduleRun();
+}
+
+void HttpServer::Impl::stopAccepting()
+{
+    const MHD_socket fd = MHD_quiesce_daemon(m_daemon);
+    if (fd != MHD_INVALID_SOCKET)
+        close(fd);
+}
+
+HttpServer::HttpServer(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{}
+
+HttpServer::~HttpServer() = default;
+
+Result<std::unique_ptr<HttpServer>, HttpServerError>
+HttpServer::listen(EventLoop &loop, std::string_view address, HttpServerLimits limits,
+                   Handler handler, ClosedHandler onClosed)
+{
+    auto impl = std::make_unique<Impl>(loop, limits, std::move(handler), std::move(onClosed));
+    if (auto error = impl->start(address))
+        return *std::move(error);
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(impl)));
+}
+
+void HttpServer::respond(RequestId id, HttpResponse response)
+{
+    m_impl->respond(id, std::move(response));
+}
+
+void HttpServer::stopAccepting()
+{
+    m_impl->stopAccepting();
+}
+
+std::string HttpServer::address() const
+{
+    return m_impl->ip + ':' + std::to_string(m_impl->port);
+}
+
+std::size_t HttpServer::openRequests() const
+{
+    return m_impl->openRequests();
+}
+
+} // namespace cactuscove
