messages: what a new home needs to prove a job completed

A new home answers completed for a job of a dead home only if executors report every task done, so StartTask now tells the executor the job's content hash and task count, and a witnessed task names its id, because the new home may have no specification of the job. TransferShard carries the keys that witnesses reported to the old home: without them the next home would take such a key as new.

--- a/src/messages.h
+++ b/src/messages.h
@@ -99,8 +99,10 @@
 struct StartTask
 {
     TaskRef ref;
-    std::uint32_t attempt = 0; // rises each time the home places the task again
-    Epoch epoch;               // of the shard of the job key
+    std::uint32_t attempt = 0;     // rises each time the home places the task again
+    Epoch epoch;                   // of the shard of the job key
+    std::uint64_t contentHash = 0; // of the job; witnesses report both of these
+    std::uint16_t taskCount = 0;
     TaskSpec task;
     std::string team;
     std::string jobClass;
@@ -187,6 +189,7 @@
 struct WitnessedTask
 {
     std::uint16_t index = 0;
+    std::string id;    // of the task in its job, for an answer without the specification
     TaskResult result; // Unknown while the task is running
 };
 
@@ -220,6 +223,7 @@
 {
     ShardClaim claim; // the epoch that the receiver will have
     std::vector<TransferredJob> jobs;
+    std::vector<WitnessedJob> witnessed; // seen at earlier epochs and never answered by this home
 };
 
 struct TransferAck
