--- /dev/null
+++ b/src/reservationqueue.cpp
@@ -0,0 +1,152 @@
+// Start-time fair queueing over classes and, within a class, over teams.
+
+#include "reservationqueue.h"
+
+#include <algorithm>
+
+namespace cactuscove {
+
+namespace {
+
+double shareOf(const FleetConfig &config, std::string_view jobClass)
+{
+    const auto it = config.classes.find(std::string(jobClass));
+    return it == config.classes.end() || it->second.share <= 0 ? 1 : it->second.share;
+}
+
+double weightOf(const FleetConfig &config, std::string_view team)
+{
+    const auto it = config.teams.find(std::string(team));
+    return it == config.teams.end() || it->second.weight <= 0 ? 1 : it->second.weight;
+}
+
+} // namespace
+
+void ReservationQueue::add(Reservation reservation)
+{
+    remove(reservation.ref);
+    if (m_index.empty()) {
+        // What was used while nobody waited took nothing from anybody.
+        m_classes.clear();
+        m_lastUsed = 0;
+    }
+    Class &jobClass = m_classes[reservation.jobClass];
+    if (jobClass.waiting == 0)
+        jobClass.used = std::max(jobClass.used, m_lastUsed);
+    Team &team = jobClass.teams[reservation.team];
+    if (team.fifo.empty())
+        team.used = std::max(team.used, jobClass.lastUsed);
+    ++jobClass.waiting;
+    m_index[reservation.ref] = {reservation.jobClass, reservation.team, m_arrivals};
+    m_deadlines.emplace(reservation.deadline, reservation.ref);
+    team.fifo.emplace(m_arrivals++, std::move(reservation));
+}
+
+std::optional<Reservation> ReservationQueue::remove(const TaskRef &ref)
+{
+    const auto it = m_index.find(ref);
+    if (it == m_index.end())
+        return {};
+    return take(it);
+}
+
+std::optional<Reservation> ReservationQueue::takeBest(const std::set<Incarnation> &skippedHomes)
+{
+    Class *bestClass = nullptr;
+    Team *bestTeam = nullptr;
+    const Reservation *best = nullptr;
+    for (auto &[className, jobClass] : m_classes) {
+        if (jobClass.waiting == 0 || (bestClass && jobClass.used >= bestClass->used))
+            continue;
+        Team *classTeam = nullptr;
+        const Reservation *classBest = nullptr;
+        for (auto &[teamName, team] : jobClass.teams) {
+            if (classTeam && team.used >= classTeam->used)
+                continue;
+            const auto it
+                = std::find_if(team.fifo.begin(), team.fifo.end(), [&](const auto &entry) {
+                      return !skippedHomes.contains(entry.second.home);
+                  });
+            if (it != team.fifo.end()) {
+                classTeam = &team;
+                classBest = &it->second;
+            }
+        }
+        if (classBest) {
+            bestClass = &jobClass;
+            bestTeam = classTeam;
+            best = classBest;
+        }
+    }
+    if (!best)
+        return {};
+    m_lastUsed = bestClass->used;
+    bestClass->lastUsed = bestTeam->used;
+    return take(m_index.find(best->ref));
+}
+
+std::vector<Reservation> ReservationQueue::takeAll()
+{
+    std::vector<Reservation> result;
+    while (!m_index.empty())
+        result.push_back(take(m_index.begin()));
+    return result;
+}
+
+std::vector<Reservation> ReservationQueue::takeExpired(TimePoint now)
+{
+    std::vector<Reservation> result;
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now)
+        result.push_back(take(m_index.find(m_deadlines.begin()->second)));
+    return result;
+}
+
+void ReservationQueue::charge(std::string_view jobClass, std::string_view team, Duration slotTime,
+                              const FleetConfig &config)
+{
+    const auto it = m_classes.find(jobClass);
+    if (it == m_classes.end())
+        return;
+    const double seconds = std::chrono::duration<double>(slotTime).count();
+    it->second.used += seconds / shareOf(config, jobClass);
+    const auto member = it->second.teams.find(team);
+    if (member != it->second.teams.end())
+        member->second.used += seconds / weightOf(config, team);
+}
+
+const Reservation *ReservationQueue::find(const TaskRef &ref) const
+{
+    const auto it = m_index.find(ref);
+    if (it == m_index.end())
+        return nullptr;
+    const Class &jobClass = m_classes.find(it->second.jobClass)->second;
+    return &jobClass.teams.find(it->second.team)->second.fifo.at(it->second.arrival);
+}
+
+std::vector<TaskRef> ReservationQueue::refsOf(ShardId shard) const
+{
+    std::vector<TaskRef> result;
+    for (const auto &[ref, place] : m_index) {
+        if (shardOf(ref.key) == shard)
+            result.push_back(ref);
+    }
+    return result;
+}
+
+TimePoint ReservationQueue::nextDeadline() const
+{
+    return m_deadlines.empty() ? NeverTime : m_deadlines.begin()->first;
+}
+
+Reservation ReservationQueue::take(std::map<TaskRef, Place>::iterator place)
+{
+    Class &jobClass = m_classes.find(place->second.jobClass)->second;
+    Team &team = jobClass.teams.find(place->second.team)->second;
+    auto node = team.fifo.extract(place->second.arrival);
+    --jobClass.waiting;
+    m_deadlines.erase({node.mapped().deadline, node.mapped().ref});
+    m_index.erase(place);
+    return std::move(node.mapped());
+}
+
+} // namespace cactuscove
--- a/src/upstreamregistry.h
+++ b/src/upstreamregistry.h
@@ -5,8 +5,10 @@
 #include "outbox.h"
 #include "types.h"
 
+#include <deque>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cactuscove {
 
@@ -24,11 +26,13 @@
 class UpstreamRegistry
 {
 public:
-    enum class Change { None, Appeared, Replaced, Left };
+    // Left: running tasks are finished by the upstream. Replaced and Lapsed: they are lost.
+    enum class Change { None, Appeared, Replaced, Left, Lapsed };
 
     // Commands
     Change announce(const UpstreamAnnouncement &announcement, TimePoint now);
-    Change leave();
+    // Ignored if `incarnation` is not the current one; empty stands for any.
+    Change leave(std::string_view incarnation = {});
     Change onTimer(TimePoint now); // lapses the lease
 
     // Queries
@@ -36,8 +40,13 @@
     TimePoint nextTimer() const;
 
 private:
+    bool isRetired(std::string_view incarnation) const;
+    void retire(const std::string &incarnation);
+
     std::optional<UpstreamAnnouncement> m_current;
     TimePoint m_leaseEnd = NeverTime;
+    // Incarnations that left or were replaced: a late repeat of their announcement is not taken.
+    std::deque<std::string> m_retired;
 };
 
 } // namespace cactuscove
