--- a/src/startmemory.cpp
+++ b/src/startmemory.cpp
@@ -62,14 +62,19 @@
 
 TaskRecord &StartMemory::bury(const TaskRef &ref, const AttemptId &id, TimePoint now)
 {
-    TaskRecord &record = touch(ref, now);
+    TaskRecord &record = touch(ref.key, now).tasks[ref.index];
     record.highest = std::max(record.highest, id);
     return record;
 }
 
-TaskRun &StartMemory::addRun(const TaskRef &ref, TaskRun run, TimePoint now)
+TaskRun &StartMemory::addRun(const StartTask &start, TaskRun run, TimePoint now)
 {
-    TaskRecord &record = bury(ref, run.id, now);
+    Job &job = touch(start.ref.key, now);
+    job.contentHash = start.contentHash;
+    job.taskCount = start.taskCount;
+    TaskRecord &record = job.tasks[start.ref.index];
+    record.id = start.task.id;
+    record.highest = std::max(record.highest, run.id);
     const auto position = std::find_if(record.runs.begin(), record.runs.end(), [&](const auto &it) {
         return it.id.attempt > run.id.attempt;
     });
@@ -78,7 +83,7 @@
 
 void StartMemory::storeResult(const TaskRef &ref, TaskRun &run, TaskResult result, TimePoint now)
 {
-    touch(ref, now);
+    touch(ref.key, now);
     run.isRunning = false;
     run.result = std::move(result);
     m_resultBytes += run.result.body.size();
@@ -128,20 +133,26 @@
     return const_cast<StartMemory *>(this)->find(ref);
 }
 
+std::optional<WitnessedJob> StartMemory::witnessedJob(const JobKey &key, const Job &job,
+                                                      Epoch below)
+{
+    WitnessedJob seen{hashOf(key), job.contentHash, job.taskCount, {}};
+    for (const auto &[index, record] : job.tasks) {
+        if (const TaskRun *run = bestRun(record, below))
+            seen.tasks.push_back({index, record.id, run->result});
+    }
+    // A job of which nothing started here is not reported: for this executor its key is new.
+    if (seen.tasks.empty())
+        return {};
+    return seen;
+}
+
 std::vector<WitnessedJob> StartMemory::witnessed(ShardId shard, Epoch below) const
 {
     std::vector<WitnessedJob> result;
     for (const auto &[key, job] : m_jobs[shard.value]) {
-        WitnessedJob seen;
-        for (const auto &[index, record] : job.tasks) {
-            if (const TaskRun *run = bestRun(record, below))
-                seen.tasks.push_back({index, run->result});
-        }
-        // A job of which nothing started here is not listed: its key stays new.
-        if (seen.tasks.empty())
-            continue;
-        seen.key = hashOf(key);
-        result.push_back(std::move(seen));
+        if (auto seen = witnessedJob(key, job, below))
+            result.push_back(std::move(*seen));
     }
     return result;
 }
@@ -151,21 +162,15 @@
     std::vector<AdoptedJob> result;
     for (const auto &jobs : m_jobs) {
         for (const auto &[key, job] : jobs) {
-            AdoptedJob adopted;
-            adopted.epoch = AnyEpoch;
+            auto seen = witnessedJob(key, job, AnyEpoch);
+            if (!seen)
+                continue;
+            Epoch lowest = AnyEpoch;
             for (const auto &[index, record] : job.tasks) {
-                const TaskRun *run = bestRun(record, AnyEpoch);
-                if (!run)
-                    continue;
-                adopted.job.tasks.push_back({index, run->result});
                 for (const TaskRun &it : record.runs)
-                    adopted.epoch = std::min(adopted.epoch, it.id.epoch);
+                    lowest = std::min(lowest, it.id.epoch);
             }
-            if (adopted.job.tasks.empty())
-                continue;
-            adopted.job.key = hashOf(key);
-            adopted.age = now - job.touched;
-            result.push_back(std::move(adopted));
+            result.push_back({std::move(*seen), lowest, now - job.touched});
         }
     }
     return result;
@@ -176,13 +181,13 @@
     return m_expiry.empty() ? NeverTime : m_expiry.begin()->first;
 }
 
-TaskRecord &StartMemory::touch(const TaskRef &ref, TimePoint now)
+StartMemory::Job &StartMemory::touch(const JobKey &key, TimePoint now)
 {
-    const auto [job, isNew] = m_jobs[shardOf(ref.key).value].try_emplace(ref.key);
+    const auto [job, isNew] = m_jobs[shardOf(key).value].try_emplace(key);
     if (isNew)
-        m_expiry.emplace(roundUp(now + FirstExpiryCheck), ref.key);
+        m_expiry.emplace(roundUp(now + FirstExpiryCheck), key);
     job->second.touched = now;
-    return job->second.tasks[ref.index];
+    return job->second;
 }
 
 TaskRun *StartMemory::findRun(const StoredResult &stored)
--- a/src/startmemory.h
+++ b/src/startmemory.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -51,6 +52,7 @@
     // An attempt up to this one that is not in `runs` never starts: it is a tombstone for all of
     // them.
     AttemptId highest;
+    std::string id;            // of the task in its job; set by the first start
     std::vector<TaskRun> runs; // by rising attempt; attempt numbers are unique
 
     TaskRun *run(std::uint32_t attempt);
@@ -67,7 +69,8 @@
     // Commands
     // Refuses this attempt and all before it from now on, unless already started.
     TaskRecord &bury(const TaskRef &ref, const AttemptId &id, TimePoint now);
-    TaskRun &addRun(const TaskRef &ref, TaskRun run, TimePoint now);
+    // `start` is the message that `run` was made from.
+    TaskRun &addRun(const StartTask &start, TaskRun run, TimePoint now);
     void storeResult(const TaskRef &ref, TaskRun &run, TaskResult result, TimePoint now);
     // Forgets jobs without activity for `idMemory`, except running ones.
     void expire(TimePoint now, Duration idMemory);
@@ -85,6 +88,8 @@
     struct Job
     {
         TimePoint touched{};
+        std::uint64_t contentHash = 0;
+        std::uint16_t taskCount = 0;
         std::map<std::uint16_t, TaskRecord> tasks;
     };
     struct StoredResult
@@ -93,7 +98,8 @@
         std::uint32_t attempt = 0;
     };
 
-    TaskRecord &touch(const TaskRef &ref, TimePoint now);
+    Job &touch(const JobKey &key, TimePoint now);
+    static std::optional<WitnessedJob> witnessedJob(const JobKey &key, const Job &job, Epoch below);
     TaskRun *findRun(const StoredResult &stored);
     void dropOldResults();
 
--- a/src/taskexecutor.cpp
+++ b/src/taskexecutor.cpp
@@ -275,7 +275,7 @@
     // The upstream may stop the task at its deadline, because nobody waits for the result then.
     out.add(StartOnUpstream{msg.ref, msg.attempt, msg.task.payload, msg.task.id, upstream.address,
                             upstream.incarnation, msg.remaining, run.span});
-    m_memory.addRun(msg.ref, std::move(run), now);
+    m_memory.addRun(msg, std::move(run), now);
     out.send(from, TaskAccepted{msg.ref, msg.attempt});
 }
 
