--- /dev/null
+++ b/src/jobhome.cpp
@@ -0,0 +1,603 @@
+// Jobs at their home: acceptance, deduplication, answers and their memory.
+
+#include "jobhome.h"
+
+#include <algorithm>
+#include <bitset>
+#include <cstdio>
+
+namespace cactuscove {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// When the caller should come back after an answer that more time may change.
+constexpr Duration ShortRetry = 1s;
+
+// A home that has just started may not have heard of every agent yet. An upstream without a live
+// agent for longer than this is gone.
+constexpr Duration UpstreamGrace = 2s;
+
+// Attempt numbers of one epoch lie above those of the epoch before, because an executor looks
+// attempts up by number. A task gets far fewer attempts than this from one home.
+constexpr std::uint32_t AttemptsPerEpoch = 4096;
+
+constexpr Duration StalledJobCheck = 1s;
+
+bool mentions(const std::vector<Incarnation> &list, Incarnation incarnation)
+{
+    return std::ranges::find(list, incarnation) != list.end();
+}
+
+Answer notRun(std::string reason, std::optional<Duration> retryAfter)
+{
+    return {Outcome::NotRun, std::move(reason), retryAfter, {}};
+}
+
+Answer unknown(std::string reason, std::optional<Duration> retryAfter)
+{
+    return {Outcome::Unknown, std::move(reason), retryAfter, {}};
+}
+
+std::string_view nameOf(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Completed:
+        return "completed";
+    case Outcome::NotRun:
+        return "not_run";
+    case Outcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+JobHome::JobHome(Incarnation self, JobHomeParts parts, std::uint64_t seed)
+    : m_self(self)
+    , m_parts(parts)
+    , m_random(seed)
+{}
+
+JobHome::~JobHome() = default;
+
+void JobHome::onMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out)
+{
+    if (const auto *submit = std::get_if<SubmitJob>(&message)) {
+        onSubmit(from, *submit, now, out);
+    } else if (const auto *cancel = std::get_if<CancelJob>(&message)) {
+        onCancel(from, *cancel, now, out);
+    } else if (const auto *query = std::get_if<QueryJob>(&message)) {
+        onQuery(from, *query, now, out);
+    } else if (const auto *raise = std::get_if<Raise>(&message)) {
+        for (const ShardClaim &claim : raise->claims) {
+            Epoch &raised = m_raised[claim.shard.value];
+            raised = std::max(raised, claim.epoch);
+        }
+    } else {
+        onTaskMessage(from, message, now, out);
+    }
+}
+
+void JobHome::onLedgerChange(const LedgerChanges &changes, TimePoint now, Outbox &out)
+{
+    loseOldEpochs(changes.shards, now);
+    m_homeShare = static_cast<double>(m_parts.ledger.shardsOf(m_self).size()) / ShardCount;
+    m_parts.admission.setHomeShare(m_homeShare);
+    if (changes.config)
+        configure();
+    if (changes.members)
+        syncAgents(now, out);
+}
+
+void JobHome::onKnowledgeChange(TimePoint now, Outbox &out)
+{
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        Job *job = (it++)->second; // decide() may remove it from the map
+        decide(*job, now, out);
+    }
+}
+
+void JobHome::onLoad(const LoadDigest &digest, TimePoint now)
+{
+    if (!m_agents.contains(digest.agent))
+        return;
+    m_parts.placement.observe(digest, now);
+    const KnownLoad load{digest.upstream, digest.draining ? 0 : digest.slots};
+    const auto [it, isNew] = m_loadKnown.try_emplace(digest.agent);
+    if (!isNew && it->second == load)
+        return;
+    const KnownLoad before = std::exchange(it->second, load);
+    for (const std::string &upstream : {before.upstream, load.upstream}) {
+        if (!upstream.empty())
+            m_parts.admission.setUpstreamSlots(upstream, m_parts.placement.totalSlots(upstream));
+    }
+    if (!load.upstream.empty())
+        m_parts.health.setAgent(digest.agent, load.upstream);
+}
+
+void JobHome::onTimer(TimePoint now, Outbox &out)
+{
+    while (!m_timers.empty() && m_timers.begin()->first <= now) {
+        Job *job = m_bySerial.at(m_timers.begin()->second);
+        m_timers.erase(m_timers.begin());
+        job->wake = NeverTime;
+        onJobTimer(*job, now, out);
+    }
+    if (m_nextHousekeeping <= now) {
+        m_nextHousekeeping = now + 1s;
+        for (const auto &[agent, load] : m_loadKnown)
+            updateWeight(agent, now);
+        const Duration memory = m_parts.ledger.fleetConfig().idMemory;
+        std::erase_if(m_former, [&](const Former &it) { return it.since + memory <= now; });
+    }
+    placeQueued(now, out);
+}
+
+void JobHome::adopt(const ArrivedTable &table, TimePoint now)
+{
+    for (const TransferredJob &it : table.jobs) {
+        auto [place, isNew] = m_jobs.try_emplace(it.key);
+        if (!isNew)
+            continue;
+        place->second = std::make_unique<Job>();
+        Job &job = *place->second;
+        job.serial = ++m_lastSerial;
+        m_bySerial[job.serial] = &job;
+        job.spec.key = it.key;
+        job.spec.contentHash = it.contentHash;
+        job.epoch = table.claim.epoch;
+        job.taskCount = static_cast<std::uint16_t>(it.answer.tasks.size());
+        job.state = JobState::Answered;
+        job.answer = it.answer;
+        job.answeredAt = table.arrivedAt - it.age;
+        wakeAt(job, std::max(now, forgetAt(job)));
+    }
+}
+
+TimePoint JobHome::nextTimer() const
+{
+    const TimePoint job = m_timers.empty() ? NeverTime : m_timers.begin()->first;
+    return std::min({job, m_nextHousekeeping, m_nextPlacement});
+}
+
+bool JobHome::hasJobsInProgress(ShardId shard) const
+{
+    return m_progressOfShard[shard.value] > 0;
+}
+
+std::vector<TransferredJob> JobHome::table(ShardId shard, TimePoint now) const
+{
+    std::vector<TransferredJob> result;
+    for (const auto &[key, job] : m_jobs) {
+        if (job->state == JobState::Answered && shardOf(key) == shard)
+            result.push_back({key, job->spec.contentHash, job->answer, now - job->answeredAt});
+    }
+    return result;
+}
+
+// A job that was answered or accepted here is known to this home even if no task of it started.
+// Without it an executor-side report could be taken as proof that the key is new, although this
+// home's answer may still be on its way to a caller.
+WitnessedJob JobHome::witnessOf(const Job &job)
+{
+    WitnessedJob seen{hashOf(job.spec.key), job.spec.contentHash, job.taskCount, {}};
+    if (job.state != JobState::Answered || job.answer.outcome != Outcome::Completed)
+        return seen;
+    for (std::uint16_t n = 0; n < job.answer.tasks.size(); ++n) {
+        const TaskAnswer &task = job.answer.tasks[n];
+        seen.tasks.push_back(
+            {n, task.id, TaskResult{TaskStatus::Completed, task.httpStatus, task.body, {}}});
+    }
+    return seen;
+}
+
+std::vector<WitnessedJob> JobHome::witnessed(ShardId shard, Epoch below, TimePoint now) const
+{
+    std::vector<WitnessedJob> result;
+    for (const auto &[key, job] : m_jobs) {
+        if (shardOf(key) == shard && job->epoch < below && !isForgotten(*job, now))
+            result.push_back(witnessOf(*job));
+    }
+    for (const Former &it : m_former) {
+        if (shardOf(it.job.key) == shard && it.epoch < below)
+            result.push_back(it.job);
+    }
+    return result;
+}
+
+std::vector<AdoptedJob> JobHome::memory(TimePoint now) const
+{
+    std::vector<AdoptedJob> result;
+    for (const auto &[key, job] : m_jobs) {
+        if (!isForgotten(*job, now))
+            result.push_back({witnessOf(*job), job->epoch, Duration::zero()});
+    }
+    for (const Former &it : m_former)
+        result.push_back({it.job, it.epoch, now - it.since});
+    return result;
+}
+
+void JobHome::onSubmit(Incarnation from, const SubmitJob &message, TimePoint now, Outbox &out)
+{
+    const JobSpec &spec = message.spec;
+    const ShardId shard = shardOf(spec.key);
+    if (!isHome(shard, message.epoch))
+        return refuse(from, spec.key, SubmitRefusal::NotHome, out);
+    Job *known = find(spec.key);
+    if (known != nullptr && !isForgotten(*known, now)) {
+        if (known->spec.contentHash != spec.contentHash)
+            return refuse(from, spec.key, SubmitRefusal::ContentMismatch, out);
+        return reply(from, *known, out);
+    }
+    const ShardKnowledge knowledge = m_parts.shards.knowledge(shard);
+    if (knowledge == ShardKnowledge::Moving)
+        return refuse(from, spec.key, SubmitRefusal::Moving, out);
+    const WitnessedJob *seen = m_parts.shards.witnessed(hashOf(spec.key));
+    if (seen != nullptr && seen->contentHash != 0 && seen->contentHash != spec.contentHash)
+        return refuse(from, spec.key, SubmitRefusal::ContentMismatch, out);
+    Job &job = create(message, now);
+    addEntry(job, from);
+    decide(job, now, out);
+    // Unless it was answered at once or not kept.
+    if (Job *kept = find(spec.key); kept != nullptr && kept->state != JobState::Answered)
+        reply(from, *kept, out);
+}
+
+void JobHome::onCancel(Incarnation from, const CancelJob &message, TimePoint now, Outbox &out)
+{
+    if (!isHome(shardOf(message.key), message.epoch))
+        return refuse(from, message.key, SubmitRefusal::NotHome, out);
+    Job *job = find(message.key);
+    if (job == nullptr)
+        return answerUnseen(from, message.key, out);
+    if (job->state == JobState::Waiting) {
+        // Nothing is known to have run, but the witnesses may know more.
+        reply(from, *job, out);
+    } else if (job->state == JobState::Answered) {
+        reply(from, *job, out);
+    } else {
+        addEntry(*job, from);
+        giveUp(*job, "cancelled", std::nullopt, now, out);
+    }
+}
+
+void JobHome::onQuery(Incarnation from, const QueryJob &message, TimePoint, Outbox &out)
+{
+    if (!isHome(shardOf(message.key), message.epoch))
+        return refuse(from, message.key, SubmitRefusal::NotHome, out);
+    Job *job = find(message.key);
+    if (job == nullptr)
+        return answerUnseen(from, message.key, out);
+    addEntry(*job, from);
+    reply(from, *job, out);
+}
+
+// Answers for a key without a specification that this home has not accepted.
+void JobHome::answerUnseen(Incarnation from, const JobKey &key, Outbox &out) const
+{
+    const ShardId shard = shardOf(key);
+    const Epoch epoch = m_parts.shards.epoch(shard);
+    const ShardKnowledge knowledge = m_parts.shards.knowledge(shard);
+    if (knowledge == ShardKnowledge::Moving)
+        return refuse(from, key, SubmitRefusal::Moving, out);
+    if (const WitnessedJob *seen = m_parts.shards.witnessed(hashOf(key))) {
+        if (const auto answer = provedAnswer(*seen, nullptr))
+            out.send(from, JobAnswer{key, epoch, *answer});
+        else if (m_parts.shards.isRoundOver(shard))
+            out.send(from, JobAnswer{key, epoch, unknown("home_lost", std::nullopt)});
+        return; // else the entry asks again
+    }
+    if (knowledge == ShardKnowledge::Complete)
+        out.send(from, JobNotFound{key, epoch});
+    else if (knowledge == ShardKnowledge::Incomplete)
+        out.send(from, JobAnswer{key, epoch, unknown("witness_missing", spread(key, ShortRetry))});
+}
+
+bool JobHome::isHome(ShardId shard, Epoch epoch) const
+{
+    const Epoch own = m_parts.shards.epoch(shard);
+    return own.value != 0 && own == epoch && m_raised[shard.value] <= own;
+}
+
+JobHome::Job *JobHome::find(const JobKey &key)
+{
+    const auto it = m_jobs.find(key);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+// Rule R7: after the retry time of a not_run answer the key is new again.
+bool JobHome::isForgotten(const Job &job, TimePoint now)
+{
+    return job.state == JobState::Answered && job.answer.outcome == Outcome::NotRun
+           && job.answer.retryAfter && now >= job.answeredAt + *job.answer.retryAfter;
+}
+
+void JobHome::refuse(Incarnation to, const JobKey &key, SubmitRefusal reason, Outbox &out) const
+{
+    const ShardId shard = shardOf(key);
+    const Epoch epoch = std::max(m_parts.ledger.shard(shard).epoch, m_raised[shard.value]);
+    out.send(to, SubmitRefused{key, reason, epoch});
+}
+
+JobHome::Job &JobHome::create(const SubmitJob &message, TimePoint now)
+{
+    const JobKey &key = message.spec.key;
+    const Epoch epoch = m_parts.shards.epoch(shardOf(key));
+    auto &place = m_jobs[key];
+    std::uint32_t attempts = static_cast<std::uint32_t>(epoch.value) * AttemptsPerEpoch;
+    if (place) { // an earlier submission under this id did not run
+        attempts = std::max(attempts, place->attemptBase);
+        forget(*place);
+    }
+    auto &slot = m_jobs[key];
+    slot = std::make_unique<Job>();
+    Job &job = *slot;
+    job.serial = ++m_lastSerial;
+    m_bySerial[job.serial] = &job;
+    job.spec = message.spec;
+    job.epoch = epoch;
+    job.attemptBase = attempts;
+    job.acceptedAt = now;
+    job.deadline = now + message.remaining;
+    job.callerSpanId = message.trace.spanId;
+    job.trace = {message.trace.traceId, nextSpanId()};
+    job.taskCount = static_cast<std::uint16_t>(message.spec.tasks.size());
+    job.tasks.resize(message.spec.tasks.size());
+    for (Task &task : job.tasks)
+        task.attempts = attempts;
+    m_waiting[job.serial] = &job;
+    ++m_progressOfShard[shardOf(key).value];
+    ++m_inProgress;
+    wakeAt(job, job.deadline);
+    return job;
+}
+
+// Decides on a job that waits for the witnesses; leaves it waiting while they may know more.
+void JobHome::decide(Job &job, TimePoint now, Outbox &out)
+{
+    const ShardId shard = shardOf(job.spec.key);
+    const ShardKnowledge knowledge = m_parts.shards.knowledge(shard);
+    if (const WitnessedJob *seen = m_parts.shards.witnessed(hashOf(job.spec.key))) {
+        if (auto answer = provedAnswer(*seen, &job.spec))
+            finish(job, std::move(*answer), now, out);
+        else if (m_parts.shards.isRoundOver(shard))
+            finish(job, unknown("home_lost", std::nullopt), now, out);
+        return;
+    }
+    if (knowledge == ShardKnowledge::Complete) {
+        admit(job, now, out);
+    } else if (knowledge == ShardKnowledge::Incomplete) {
+        // Not kept: once the missing witnesses have answered, the key may prove to be new.
+        finish(job, unknown("witness_missing", spread(job.spec.key, ShortRetry)), now, out);
+        forget(job);
+    }
+}
+
+void JobHome::admit(Job &job, TimePoint now, Outbox &out)
+{
+    m_waiting.erase(job.serial);
+    if (auto refusal = refusalOf(job, now))
+        return finish(job, std::move(*refusal), now, out);
+    job.state = JobState::Running;
+    statsOf(job.spec.upstream);
+    for (std::uint16_t n = 0; n < job.tasks.size(); ++n)
+        queue({&job, n}, now, QueueEnd::Back);
+    wakeAt(job, now + StalledJobCheck);
+    placeQueued(now, out);
+}
+
+// Completed if every task is reported done for this very content.
+std::optional<Answer> JobHome::provedAnswer(const WitnessedJob &seen, const JobSpec *spec)
+{
+    if (seen.taskCount == 0 || seen.tasks.size() != seen.taskCount || seen.contentHash == 0
+        || (spec != nullptr && spec->contentHash != seen.contentHash))
+        return std::nullopt;
+    Answer answer{Outcome::Completed, {}, std::nullopt, {}};
+    answer.tasks.resize(seen.taskCount);
+    for (const WitnessedTask &task : seen.tasks) {
+        if (task.result.status != TaskStatus::Completed || task.index >= seen.taskCount)
+            return std::nullopt;
+        answer.tasks[task.index] = {task.id, task.result.httpStatus, task.result.body};
+    }
+    return answer;
+}
+
+std::optional<Answer> JobHome::refusalOf(const Job &job, TimePoint now)
+{
+    const JobSpec &spec = job.spec;
+    const FleetConfig &config = m_parts.ledger.fleetConfig();
+    const auto agents = m_parts.ledger.upMembers(Role::Agent);
+    const bool knowsAllLoads
+        = std::ranges::all_of(agents, [&](Incarnation it) { return m_loadKnown.contains(it); });
+    const bool isDeclared = config.upstreams.empty() || config.upstreams.contains(spec.upstream);
+    if (spec.tasks.empty() || !isDeclared)
+        return notRun("cannot_run", std::nullopt);
+    if (!m_parts.placement.hasUpstream(spec.upstream))
+        return notRun("no_upstream", spread(spec.key, ShortRetry));
+    const auto canRun = [&](const TaskSpec &task) {
+        return m_parts.placement.canRunSomewhere(spec.upstream, task.needs);
+    };
+    if (!std::ranges::all_of(spec.tasks, canRun))
+        return knowsAllLoads ? notRun("cannot_run", std::nullopt)
+                             : notRun("no_upstream", spread(spec.key, ShortRetry));
+    if (job.deadline <= now)
+        return notRun("deadline", spread(spec.key, ShortRetry));
+    auto refusal
+        = m_parts.admission.admit(spec.team, spec.jobClass, spec.upstream, spec.tasks.size(),
+                                  job.deadline - now, hashOf(spec.key), now);
+    if (refusal)
+        return notRun(refusal->reason, refusal->retryAfter);
+    return std::nullopt;
+}
+
+void JobHome::reply(Incarnation to, Job &job, Outbox &out)
+{
+    if (job.state == JobState::Answered) {
+        out.send(to, JobAnswer{job.spec.key, job.epoch, job.answer});
+        return;
+    }
+    addEntry(job, to);
+    out.send(to, JobAccepted{job.spec.key, job.epoch});
+}
+
+void JobHome::addEntry(Job &job, Incarnation entry)
+{
+    if (job.state != JobState::Answered && !mentions(job.entries, entry))
+        job.entries.push_back(entry);
+}
+
+// The final answer; every entry that asked gets it at once.
+void JobHome::finish(Job &job, Answer answer, TimePoint now, Outbox &out)
+{
+    releaseTasks(job, out);
+    m_waiting.erase(job.serial);
+    --m_progressOfShard[shardOf(job.spec.key).value];
+    --m_inProgress;
+    job.state = JobState::Answered;
+    job.answer = std::move(answer);
+    job.answeredAt = now;
+    for (const Task &task : job.tasks)
+        job.attemptBase = std::max(job.attemptBase, task.attempts);
+    job.tasks.clear();
+    for (const Incarnation entry : job.entries)
+        out.send(entry, JobAnswer{job.spec.key, job.epoch, job.answer});
+    job.entries.clear();
+    job.spec.tasks.clear();
+    const std::string outcome(nameOf(job.answer.outcome));
+    out.add(EmitSpan{
+        "job.home",
+        job.trace,
+        job.callerSpanId,
+        job.acceptedAt,
+        now,
+        {{"job", job.spec.key.value}, {"outcome", outcome}, {"reason", job.answer.reason}}});
+    wakeAt(job, forgetAt(job));
+}
+
+// Leaves no trace of the job; only for answered ones.
+void JobHome::forget(Job &job)
+{
+    if (job.wake != NeverTime)
+        m_timers.erase({job.wake, job.serial});
+    m_bySerial.erase(job.serial);
+    m_jobs.erase(JobKey{job.spec.key});
+}
+
+// After a change of the shard's owner or epoch: unanswered jobs belong to the next home, which
+// learns of them from the witnesses. What is known here stays available to them.
+void JobHome::loseOldEpochs(std::span<const ShardId> shards, TimePoint now)
+{
+    std::bitset<ShardCount> changed;
+    for (const ShardId shard : shards)
+        changed.set(shard.value);
+    std::vector<Job *> lost;
+    for (const auto &[key, job] : m_jobs) {
+        const ShardId shard = shardOf(key);
+        if (changed.test(shard.value) && job->epoch != m_parts.shards.epoch(shard))
+            lost.push_back(job.get());
+    }
+    Outbox unsent; // entries ask the next home, and executors follow its fence
+    for (Job *job : lost) {
+        if (!isForgotten(*job, now))
+            m_former.push_back({witnessOf(*job), job->epoch, now});
+        if (job->state != JobState::Answered)
+            finish(*job, unknown("home_replaced", std::nullopt), now, unsent);
+        forget(*job);
+    }
+}
+
+void JobHome::onJobTimer(Job &job, TimePoint now, Outbox &out)
+{
+    if (job.state == JobState::Answered) {
+        if (forgetAt(job) <= now)
+            forget(job);
+        else
+            wakeAt(job, forgetAt(job));
+        return;
+    }
+    if (job.deadline <= now) {
+        if (job.state == JobState::Waiting) {
+            finish(job, unknown("witness_missing", spread(job.spec.key, ShortRetry)), now, out);
+            return forget(job);
+        }
+        giveUp(job, "deadline", spread(job.spec.key, ShortRetry), now, out);
+        if (job.state == JobState::Answered)
+            return;
+    }
+    if (job.state == JobState::Running && giveUpIfStalled(job, now, out))
+        return;
+    if (job.state == JobState::GivingUp && job.giveUpAt <= now)
+        return finish(job, unknown(job.giveUpReason, std::nullopt), now, out);
+    if (job.state == JobState::GivingUp)
+        wakeAt(job, job.giveUpAt);
+    else
+        wakeAt(job, job.deadline);
+    for (std::uint16_t n = 0; n < job.tasks.size(); ++n) {
+        onTaskTimer({&job, n}, now, out);
+        if (job.state == JobState::Answered)
+            return;
+    }
+}
+
+// A job of which no task has been sent anywhere gets its answer as soon as it is clear that it will
+// not start in time, so that the caller can still use the rest of its time.
+bool JobHome::giveUpIfStalled(Job &job, TimePoint now, Outbox &out)
+{
+    const auto isWaiting = [](Task &task) { return !task.mayHaveStarted && !boundTry(task); };
+    if (!std::ranges::all_of(job.tasks, isWaiting))
+        return false;
+    const JobSpec &spec = job.spec;
+    const auto &classes = m_parts.ledger.fleetConfig().classes;
+    const auto jobClass = classes.find(spec.jobClass);
+    const Duration target = jobClass == classes.end() ? Duration{} : jobClass->second.queueTarget;
+    const Duration retry = spread(spec.key, ShortRetry);
+    if (now >= job.acceptedAt + UpstreamGrace && !m_parts.placement.hasUpstream(spec.upstream))
+        giveUp(job, "no_upstream", retry, now, out);
+    else if (now + m_parts.admission.expectedRunTime(spec.upstream) > job.deadline)
+        giveUp(job, "deadline", retry, now, out);
+    else if (target > Duration::zero() && now >= job.acceptedAt + 2 * target)
+        giveUp(job, "queue_full", retry, now, out);
+    else
+        wakeAt(job, now + StalledJobCheck);
+    return job.state != JobState::Running;
+}
+
+TimePoint JobHome::forgetAt(const Job &job) const
+{
+    const Duration retry = job.answer.retryAfter.value_or(Duration::zero());
+    return job.answeredAt + std::max(m_parts.ledger.fleetConfig().idMemory, retry);
+}
+
+void JobHome::wakeAt(Job &job, TimePoint at)
+{
+    if (at >= job.wake)
+        return;
+    if (job.wake != NeverTime)
+        m_timers.erase({job.wake, job.serial});
+    job.wake = at;
+    m_timers.insert({at, job.serial});
+}
+
+// Between once and twice `base`, so that callers refused together do not come back together.
+Duration JobHome::spread(const JobKey &key, Duration base)
+{
+    const auto part = static_cast<std::int64_t>(hashOf(key).high % 1000);
+    return base + base * part / 1000;
+}
+
+std::string JobHome::nextSpanId()
+{
+    m_random += 0x9e3779b97f4a7c15ULL; // splitmix64
+    std::uint64_t n = m_random;
+    n = (n ^ (n >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    n = (n ^ (n >> 27)) * 0x94d049bb133111ebULL;
+    n ^= n >> 31;
+    char text[17];
+    std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(n));
+    return text;
+}
+
+} // namespace cactuscove
