--- a/src/placement.h
+++ b/src/placement.h
@@ -4,6 +4,8 @@
 
 #include "types.h"
 
+#include <concepts>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -13,11 +15,83 @@
 
 namespace cactuscove {
 
-class Placement
+// Deterministic generator (splitmix64): decisions must repeat under the same seed.
+class Random
+{
+public:
+    explicit Random(std::uint64_t seed)
+        : m_state(seed)
+    {}
+    std::uint64_t next();
+    std::size_t below(std::size_t n) { return static_cast<std::size_t>(next() % n); } // n > 0
+    double fraction();                                                                // in [0, 1)
+
+private:
+    std::uint64_t m_state;
+};
+
+// One agent that could run the task, as the home believes it to be now.
+struct Candidate
+{
+    Incarnation agent;
+    bool near = false;    // in the home's own data centre
+    double weight = 1;    // > 0
+    double free = 0;      // slots; digest less own sends that the digest cannot contain
+    double queued = 0;    // reservations; digest plus own reservations since
+    double slots = 1;     // > 0
+    double staleFree = 0; // slots by the digest alone
+};
+
+// A rule that picks one of several candidates. `pickFree` may return none if all look busy.
+template <typename T>
+concept PlacementPolicy = requires(T policy, std::span<const Candidate> candidates, Random &random)
+{
+    {
+        policy.pickFree(candidates, random)
+        } -> std::same_as<std::optional<std::size_t>>;
+    {
+        policy.pickForReservation(candidates, random)
+        } -> std::same_as<std::optional<std::size_t>>;
+};
+
+// The policy in use: free slots net of own sends, near data centres first.
+struct DigestPolicy
+{
+    std::optional<std::size_t> pickFree(std::span<const Candidate> candidates, Random &random);
+    std::optional<std::size_t> pickForReservation(std::span<const Candidate> candidates,
+                                                  Random &random);
+};
+
+// Baselines. Each sends without regard to whether the agent is believed busy.
+struct RandomPolicy
+{
+    std::optional<std::size_t> pickFree(std::span<const Candidate> candidates, Random &random);
+    std::optional<std::size_t> pickForReservation(std::span<const Candidate> candidates,
+                                                  Random &random);
+};
+
+struct RoundRobinPolicy
+{
+    std::optional<std::size_t> pickFree(std::span<const Candidate> candidates, Random &random);
+    std::optional<std::size_t> pickForReservation(std::span<const Candidate> candidates,
+                                                  Random &random);
+    Incarnation last; // agent of the previous pick
+};
+
+// Two random agents, the less loaded by its last digest; own sends are not counted.
+struct StaleTwoChoicesPolicy
+{
+    std::optional<std::size_t> pickFree(std::span<const Candidate> candidates, Random &random);
+    std::optional<std::size_t> pickForReservation(std::span<const Candidate> candidates,
+                                                  Random &random);
+};
+
+template <PlacementPolicy Policy>
+class BasicPlacement
 {
 public:
     // `dataCentre` is the home's own; near agents are preferred.
-    explicit Placement(std::string dataCentre, std::uint64_t seed);
+    explicit BasicPlacement(std::string dataCentre, std::uint64_t seed);
 
     // Commands
     void setAgent(Incarnation agent, std::string_view dataCentre);
@@ -45,14 +119,27 @@
     {
         std::string dataCentre;
         LoadDigest load;
-        TimePoint observedAt{};
-        std::uint32_t sentSince = 0; // starts sent after the observation
+        TimePoint observedAt = TimePoint::min();
+        std::deque<TimePoint> sends;        // that the digest may not contain; in time order
+        std::deque<TimePoint> reservations; // likewise
         double weight = 1;
     };
 
+    std::vector<Candidate> candidates(std::string_view upstream, const TaskNeeds &needs,
+                                      std::span<const Incarnation> excluded) const;
+
     std::string m_dataCentre;
-    std::uint64_t m_random; // state of a deterministic generator
+    Random m_random;
+    Policy m_policy;
+    TimePoint m_now{}; // latest time seen; times the commands that carry none
     std::map<Incarnation, Agent> m_agents;
 };
 
+using Placement = BasicPlacement<DigestPolicy>;
+
+extern template class BasicPlacement<DigestPolicy>;
+extern template class BasicPlacement<RandomPolicy>;
+extern template class BasicPlacement<RoundRobinPolicy>;
+extern template class BasicPlacement<StaleTwoChoicesPolicy>;
+
 } // namespace cactuscove
--- a/src/workerhealth.h
+++ b/src/workerhealth.h
@@ -19,6 +19,8 @@
     void removeAgent(Incarnation agent);
     void succeeded(Incarnation agent, Duration runTime, TimePoint now);
     void failed(Incarnation agent, TimePoint now); // not for tasks that can run nowhere
+    // A task was sent to an ejected agent; the next probe waits for its result or the interval.
+    void probeSent(Incarnation agent, TimePoint now);
 
     // Queries
     // Weight for placement in [0, 1]: 0 is ejected; an ejected agent gets single probes.
@@ -27,12 +29,25 @@
     bool mayProbe(Incarnation agent, TimePoint now) const;
 
 private:
+    struct Limits
+    {
+        double ejectionThreshold = 0.5;
+        double maxEjectedFraction = 0.5;
+    };
     struct State
     {
         std::string upstream;
         double failureRate = 0; // exponentially weighted, in [0, 1]
-        TimePoint lastProbe{};
+        bool ejected = false;
+        bool probing = false;
+        Duration probeInterval{}; // doubles with each failed probe
+        TimePoint nextProbe{};
     };
+
+    const Limits &limitsOf(const std::string &upstream) const;
+    bool mayEjectOneMore(const std::string &upstream) const;
+
+    std::map<std::string, Limits, std::less<>> m_limits;
     std::map<Incarnation, State> m_agents;
 };
 
