admission: a task that could not be placed keeps its place by age

pushFront() gave returned tasks ever lower order numbers, which reversed the order of tasks that come back from several agents. QueuedTask now carries the order number that push() gave it.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -112,7 +112,8 @@
 void Admission::push(QueuedTask task, TimePoint now)
 {
     m_now = std::max(m_now, now);
-    insert(std::move(task), m_nextBack++);
+    task.order = m_nextOrder++;
+    insert(std::move(task));
 }
 
 std::optional<QueuedTask> Admission::pop(std::string_view upstream, TimePoint now)
@@ -157,7 +158,7 @@
     const std::string upstream = task.upstream;
     const std::string jobClass = task.jobClass;
     const std::string team = task.team;
-    insert(std::move(task), m_nextFront--);
+    insert(std::move(task));
     UpstreamQueue &target = m_upstreams[upstream];
     ClassQueue &inClass = target.classes[jobClass];
     TeamQueue &queue = inClass.teams[team];
@@ -363,7 +364,7 @@
     return best;
 }
 
-void Admission::insert(QueuedTask task, std::int64_t order)
+void Admission::insert(QueuedTask task)
 {
     UpstreamQueue &target = m_upstreams[task.upstream];
     ClassQueue &inClass = target.classes[task.jobClass];
@@ -377,8 +378,8 @@
     queue.backlog += taskCost(target, queue);
     ++inClass.queued;
     ++target.queued;
-    m_locations[task.token] = {task.upstream, task.jobClass, task.team, order};
-    queue.tasks.emplace(order, std::move(task));
+    m_locations[task.token] = {task.upstream, task.jobClass, task.team, task.order};
+    queue.tasks.emplace(task.order, std::move(task));
 }
 
 // Takes a task out of its queue. `location` may lie inside m_locations.
--- a/src/admission.h
+++ b/src/admission.h
@@ -32,6 +32,7 @@
     std::string upstream;
     Duration expectedRunTime{}; // the declared one; used only until one has been learned
     TimePoint deadline;
+    std::int64_t order = 0; // set by push(); a task that comes back keeps its place by age
 };
 
 class Admission
@@ -78,7 +79,7 @@
     // The tasks of one team in one class for one upstream, oldest first.
     struct TeamQueue
     {
-        std::map<std::int64_t, QueuedTask> tasks; // by order number; returned tasks get lower ones
+        std::map<std::int64_t, QueuedTask> tasks; // by order number
         double tag = 0;                           // virtual start time, in slot-seconds / weight
         double backlog = 0;                       // expected slot-seconds queued
         double running = 0;                       // tasks started and not ended
@@ -133,7 +134,7 @@
     void refill(Quota &quota, double startsPerSecond, TimePoint now) const;
     std::map<std::string, TeamQueue, std::less<>>::iterator
     nextTeam(ClassQueue &queue, std::set<std::string, std::less<>> &blocked, TimePoint now);
-    void insert(QueuedTask task, std::int64_t order);
+    void insert(QueuedTask task);
     void take(const Location &location);
     Duration retryAfter(TeamQueue &queue, double wait, double work, double slots,
                         const KeyHash &key, TimePoint now) const;
@@ -141,9 +142,8 @@
     std::uint64_t m_seed; // of the hash that spreads retry times
     FleetConfig m_config;
     double m_homeShare = 1;
-    TimePoint m_now{};           // latest time seen; times the commands that carry none
-    std::int64_t m_nextBack = 0; // order numbers
-    std::int64_t m_nextFront = -1;
+    TimePoint m_now{}; // latest time seen; times the commands that carry none
+    std::int64_t m_nextOrder = 0;
     std::map<std::string, UpstreamQueue, std::less<>> m_upstreams;
     std::map<std::string, Quota, std::less<>> m_quotas;
     std::unordered_map<std::uint64_t, Location> m_locations; // every queued task by token
--- a/src/retrybudget.cpp
+++ b/src/retrybudget.cpp
@@ -6,6 +6,13 @@
 
 namespace cactuscove {
 
+namespace {
+
+// Ten times 0.1 falls short of 1 by rounding.
+constexpr double Rounding = 1e-9;
+
+} // namespace
+
 RetryBudget RetryBudget::create(double perSuccess, double burst)
 {
     return {std::max(0.0, perSuccess), std::max(1.0, burst)};
@@ -25,8 +32,6 @@
 
 bool RetryBudget::tryRetry()
 {
-    // Sums of 0.1 fall short of 1 by rounding.
-    constexpr double Rounding = 1e-9;
     if (m_tokens < 1 - Rounding)
         return false;
     m_tokens = std::max(0.0, m_tokens - 1);
--- a/src/workerhealth.cpp
+++ b/src/workerhealth.cpp
@@ -121,9 +121,9 @@
 
 const WorkerHealth::Limits &WorkerHealth::limitsOf(const std::string &upstream) const
 {
-    static const Limits Defaults;
+    static const Limits defaults;
     const auto it = m_limits.find(upstream);
-    return it == m_limits.end() ? Defaults : it->second;
+    return it == m_limits.end() ? defaults : it->second;
 }
 
 bool WorkerHealth::mayEjectOneMore(const std::string &upstream) const
