--- a/src/types.h
+++ b/src/types.h
@@ -23,7 +23,7 @@
 struct StrongId
 {
     Rep value{};
-    auto operator<=>(const StrongId &) const = default;
+    auto operator<=>(const StrongId &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 using Incarnation = StrongId<struct IncarnationTag>; // one run of one process; 0 is no process
