--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -55,6 +55,7 @@
 
     std::optional<HttpServerError> start(std::string_view address);
     void respond(RequestId id, HttpResponse response);
+    void drop(RequestId id);
     void stopAccepting();
 
     std::string ip;
@@ -72,6 +73,7 @@
         bool dispatched = false;
         bool suspended = false;
         bool tooLarge = false;
+        bool dropped = false;
     };
 
     static MHD_Result onAccess(void *self, MHD_Connection *connection, const char *url,
@@ -85,6 +87,7 @@
     MHD_Result finish(Exchange &exchange);
     void runDaemon();
     void scheduleRun();
+    void resume(Exchange &exchange);
 
     EventLoop &m_loop;
     HttpServerLimits m_limits;
@@ -241,6 +244,8 @@
         exchange.dispatched = true;
         m_handler(exchange.id, std::move(exchange.request));
     }
+    if (exchange.dropped)
+        return MHD_NO;
     if (!exchange.response) {
         exchange.suspended = true;
         MHD_suspend_connection(exchange.connection);
@@ -280,6 +285,20 @@
         return;
     Exchange &exchange = *it->second;
     exchange.response = std::move(response);
+    resume(exchange);
+}
+
+void HttpServer::Impl::drop(RequestId id)
+{
+    const auto it = m_exchanges.find(id);
+    if (it == m_exchanges.end() || it->second->response)
+        return;
+    it->second->dropped = true;
+    resume(*it->second);
+}
+
+void HttpServer::Impl::resume(Exchange &exchange)
+{
     if (!exchange.suspended)
         return; // still inside the handler
     exchange.suspended = false;
@@ -315,6 +334,11 @@
     m_impl->respond(id, std::move(response));
 }
 
+void HttpServer::drop(RequestId id)
+{
+    m_impl->drop(id);
+}
+
 void HttpServer::stopAccepting()
 {
     m_impl->stopAccepting();
