--- a/src/fleetconfig.cpp
+++ b/src/fleetconfig.cpp
@@ -24,8 +24,8 @@
 
 constexpr std::uint64_t FileVersion = 1;
 
-// 100 teams need about 20 KB. The limit bounds what one operator can add to every snapshot.
-constexpr std::size_t MaxFileBytes = 262'144;
+// 100 teams need about 20 KB. Snapshots hold the last 20 files, so this bounds them to a few MB.
+constexpr std::size_t MaxFileBytes = 65'536;
 constexpr std::size_t MaxNameBytes = 64;
 constexpr std::size_t MaxReportedValueBytes = 64;
 
@@ -111,6 +111,9 @@
     static std::string plainText(const YAML::Node &node);
     void addError(const YAML::Node &node, const std::string &path, std::string reason);
 
+    // Reports an empty value at its key, because yaml-cpp places it at the next line.
+    bool checkPresent(const YAML::Node &key, const YAML::Node &value, const std::string &path);
+
     // Calls visit(key, value, path) for each entry and reports what is no map or has a key twice.
     template <typename Visit>
     void readEntries(const YAML::Node &node, const std::string &path, Visit visit);
@@ -175,6 +178,14 @@
     return node.IsScalar() && node.Tag() != "!" ? node.Scalar() : "";
 }
 
+bool ConfigReader::checkPresent(const YAML::Node &key, const YAML::Node &value,
+                                const std::string &path)
+{
+    if (value.IsNull())
+        addError(lineOf(key), path, "(empty)", "a value is missing");
+    return !value.IsNull();
+}
+
 template <typename Visit>
 void ConfigReader::readEntries(const YAML::Node &node, const std::string &path, Visit visit)
 {
@@ -214,7 +225,8 @@
             return;
         }
         present.insert(it->name);
-        it->read(value, at);
+        if (checkPresent(key, value, at))
+            it->read(value, at);
     });
     if (!node.IsMap())
         return;
@@ -237,7 +249,8 @@
                     addError(key, at, "a name must have 1 to 64 characters of a-z, 0-9, '-', '_'");
                     return;
                 }
-                (this->*read)(value, at, target[key.Scalar()]);
+                if (checkPresent(key, value, at))
+                    (this->*read)(value, at, target[key.Scalar()]);
             });
     };
 }
