--- /dev/null
+++ b/tools/fleetmodel.h
@@ -0,0 +1,595 @@
+// Small fakes of homes and executors around the decision objects, in virtual time. Message delays,
+// slots and run times are modelled; ledger, witnesses and faults of the network are not.
+
+#pragma once
+
+#include "admission.h"
+#include "placement.h"
+#include "retrybudget.h"
+#include "workerhealth.h"
+#include "workload.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <numeric>
+#include <queue>
+
+namespace cactuscove::measure {
+
+inline constexpr char Upstream[] = "walk-desk";
+
+inline TimePoint at(double seconds)
+{
+    return TimePoint(Duration(static_cast<std::int64_t>(seconds * 1e6)));
+}
+
+inline Duration span(double seconds)
+{
+    return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+enum class End { None, Completed, Refused, Failed };
+
+struct JobEnd
+{
+    End end = End::None;
+    double response = 0;   // seconds from arrival at the home to the answer
+    double retryAfter = 0; // seconds, if refused
+};
+
+struct Start
+{
+    double time = 0;
+    std::size_t worker = 0;
+    bool isRetry = false;
+};
+
+struct RunResult
+{
+    std::vector<JobEnd> jobs; // as in the workload
+    std::vector<Start> starts;
+    std::uint64_t messages = 0;
+    std::uint64_t wasted = 0;
+};
+
+class Clock
+{
+public:
+    double now() const { return m_now; }
+    void after(double seconds, std::function<void()> action)
+    {
+        m_events.push({m_now + seconds, m_sequence++, std::move(action)});
+    }
+    // Returns when `isFinished` or nothing is left to do.
+    void run(const std::function<bool()> &isFinished)
+    {
+        while (!m_events.empty() && !isFinished()) {
+            // The heap's top is const; the action is moved out just before the pop.
+            Event event = std::move(const_cast<Event &>(m_events.top()));
+            m_events.pop();
+            m_now = event.time;
+            event.action();
+        }
+    }
+
+private:
+    struct Event
+    {
+        double time = 0;
+        std::uint64_t sequence = 0;
+        std::function<void()> action;
+        bool operator<(const Event &other) const
+        {
+            return time != other.time ? time > other.time : sequence > other.sequence;
+        }
+    };
+    double m_now = 0;
+    std::uint64_t m_sequence = 0;
+    std::priority_queue<Event> m_events;
+};
+
+// Shares exceed what each class offers at 80% load, so that a flood takes nothing that is owed.
+inline FleetConfig fleetConfig(const Options &options)
+{
+    FleetConfig config;
+    const auto target
+        = [&options](double seconds) { return span(options.queueTargetScale * seconds); };
+    config.classes["urgent"] = {3, target(2)};
+    config.classes["normal"] = {5, target(5)};
+    config.classes["bulk"] = {2, target(10)};
+    for (const char *team : {"bookings", "billing", "flooder"})
+        config.teams[team].upstreams = {Upstream};
+    config.upstreams[Upstream] = {};
+    return config;
+}
+
+inline QueuedTask queuedTask(const Workload &workload, std::size_t task)
+{
+    const Task &it = workload.tasks[task];
+    const Job &job = workload.jobs[it.job];
+    return {task,     job.team,          job.jobClass,
+            Upstream, span(it.declared), at(job.arrival + job.deadline)};
+}
+
+// The order in which a job's tasks are queued: as submitted, or by falling `key`.
+template <typename Key>
+std::vector<std::size_t> taskOrder(const Job &job, bool sorted, Key key)
+{
+    std::vector<std::size_t> order(job.tasks);
+    std::iota(order.begin(), order.end(), job.firstTask);
+    if (sorted) {
+        std::stable_sort(order.begin(), order.end(),
+                         [&key](std::size_t a, std::size_t b) { return key(a) > key(b); });
+    }
+    return order;
+}
+
+// How a baseline binds a task: at once to the agent that the policy names.
+template <typename Policy>
+inline constexpr bool IsEarlyBinding = !std::is_same_v<Policy, DigestPolicy>;
+
+template <PlacementPolicy Policy>
+class Fleet
+{
+public:
+    Fleet(const Options &options, Workload workload)
+        : m_options(options)
+        , m_workload(std::move(workload))
+        , m_result{std::vector<JobEnd>(m_workload.jobs.size()), {}, 0, 0}
+        , m_open(m_workload.jobs.size())
+        , m_failed(m_workload.jobs.size())
+        , m_executors(options.workers)
+    {
+        for (std::size_t i = 0; i < options.workers; ++i)
+            m_homes.push_back(makeHome(i));
+        for (std::size_t i = 0; i < options.workers; ++i)
+            m_executors[i].free = options.slots;
+    }
+
+    RunResult run()
+    {
+        m_left = m_workload.jobs.size();
+        for (std::size_t i = 0; i < m_workload.jobs.size(); ++i)
+            m_clock.after(m_workload.jobs[i].arrival, [this, i] { submit(i); });
+        feed();
+        m_clock.run([this] { return m_left == 0; });
+        return std::move(m_result);
+    }
+
+private:
+    struct Home
+    {
+        Admission admission;
+        BasicPlacement<Policy> placement;
+        WorkerHealth health;
+        RetryBudget budget;
+        std::vector<LoadDigest> known; // newest digest of each agent and when it was observed
+        std::vector<double> knownAt;
+        std::size_t reservations = 0; // held by executors or being asked for
+        std::size_t asking = 0;       // tasks on their way to ask for a reservation
+    };
+
+    struct Executor
+    {
+        std::uint32_t free = 0;
+        std::deque<std::size_t> reservations; // homes
+        std::deque<std::size_t> queue;        // tasks bound early
+    };
+
+    static Incarnation agentOf(std::size_t i) { return Incarnation{i + 1}; }
+
+    std::unique_ptr<Home> makeHome(std::size_t i)
+    {
+        auto home = std::make_unique<Home>(Home{
+            Admission(m_options.seed + i), BasicPlacement<Policy>(centreOf(i), m_options.seed + i),
+            WorkerHealth(), RetryBudget::create(0.1, m_options.retryBurst),
+            std::vector<LoadDigest>(m_options.workers),
+            std::vector<double>(m_options.workers, -1)});
+        home->admission.configure(fleetConfig(m_options));
+        home->admission.setHomeShare(1 / static_cast<double>(m_options.workers));
+        home->admission.setUpstreamSlots(Upstream, static_cast<std::uint32_t>(m_options.workers)
+                                                       * m_options.slots);
+        for (std::size_t k = 0; k < m_options.workers; ++k) {
+            home->placement.setAgent(agentOf(k), centreOf(k));
+            home->health.setAgent(agentOf(k), Upstream);
+        }
+        return home;
+    }
+
+    std::string centreOf(std::size_t i) const
+    {
+        return "dc" + std::to_string(i % m_options.dataCentres);
+    }
+
+    double delay(std::size_t from, std::size_t to) const
+    {
+        return (centreOf(from) == centreOf(to) ? m_options.nearDelayMs : m_options.delayMs) / 1000;
+    }
+
+    LoadDigest digestOf(std::size_t i) const
+    {
+        const Executor &it = m_executors[i];
+        LoadDigest digest;
+        digest.agent = agentOf(i);
+        digest.upstream = Upstream;
+        digest.freeSlots = it.free;
+        digest.slots = m_options.slots;
+        digest.queued = static_cast<std::uint32_t>(it.reservations.size() + it.queue.size());
+        return digest;
+    }
+
+    void learn(std::size_t home, const LoadDigest &digest, double observedAt)
+    {
+        Home &it = *m_homes[home];
+        const std::size_t k = digest.agent.value - 1;
+        if (observedAt < it.knownAt[k])
+            return;
+        it.knownAt[k] = observedAt;
+        it.known[k] = digest;
+        LoadDigest aged = digest;
+        aged.age = span(m_clock.now() - observedAt);
+        it.placement.observe(aged, at(m_clock.now()));
+    }
+
+    // One message; `action` runs at the receiver after the digests on the envelope are observed.
+    void send(std::size_t from, std::size_t to, std::function<void()> action)
+    {
+        ++m_result.messages;
+        const double sentAt = m_clock.now();
+        std::vector<std::pair<LoadDigest, double>> digests{{digestOf(from), sentAt}};
+        if (m_options.gossip) {
+            const Home &sender = *m_homes[from];
+            for (std::size_t k = 0; k < m_options.workers; ++k) {
+                if (k != from && sender.knownAt[k] >= 0)
+                    digests.emplace_back(sender.known[k], sender.knownAt[k]);
+            }
+        }
+        m_clock.after(delay(from, to),
+                      [this, to, digests = std::move(digests), action = std::move(action)] {
+                          for (const auto &[digest, observedAt] : digests)
+                              learn(to, digest, observedAt);
+                          action();
+                          dispatch(to);
+                      });
+    }
+
+    // Entries feed each agent every second with what the agents told them a second before.
+    void feed()
+    {
+        std::vector<LoadDigest> digests;
+        for (std::size_t i = 0; i < m_options.workers; ++i)
+            digests.push_back(digestOf(i));
+        const double observedAt = m_clock.now();
+        m_clock.after(observedAt == 0 ? 0 : 1, [this, digests, observedAt] {
+            for (std::size_t home = 0; home < m_options.workers; ++home) {
+                for (const LoadDigest &digest : digests)
+                    learn(home, digest, observedAt);
+                dispatch(home);
+            }
+        });
+        m_clock.after(1, [this] { feed(); });
+    }
+
+    void submit(std::size_t index)
+    {
+        const Job &job = m_workload.jobs[index];
+        Home &home = *m_homes[job.home];
+        const JobKey key{job.team + "/" + std::to_string(index)};
+        if (m_options.queueTargetScale > 0) {
+            const auto refusal
+                = home.admission.admit(job.team, job.jobClass, Upstream, job.tasks,
+                                       span(job.deadline), hashOf(key), at(m_clock.now()));
+            if (refusal) {
+                finish(index, End::Refused);
+                m_result.jobs[index].retryAfter
+                    = std::chrono::duration<double>(refusal->retryAfter).count();
+                return;
+            }
+        }
+        m_open[index] = job.tasks;
+        for (const std::size_t task : taskOrder(job, m_options.longestFirst, [this](std::size_t i) {
+                 return m_workload.tasks[i].declared;
+             }))
+            home.admission.push(queuedTask(m_workload, task), at(m_clock.now()));
+        dispatch(job.home);
+    }
+
+    void finish(std::size_t job, End end)
+    {
+        m_result.jobs[job].end = end;
+        m_result.jobs[job].response = m_clock.now() - m_workload.jobs[job].arrival;
+        --m_left;
+    }
+
+    void dispatch(std::size_t index)
+    {
+        Home &home = *m_homes[index];
+        const TimePoint now = at(m_clock.now());
+        const TaskNeeds needs;
+        while (home.admission.queuedTasks(Upstream) > 0) {
+            std::optional<Incarnation> agent = probeTarget(home, now);
+            if (!agent)
+                agent = home.placement.chooseFree(Upstream, needs, now, {});
+            if (!agent)
+                break;
+            if (!start(index, agent->value - 1, false))
+                return;
+        }
+        if (IsEarlyBinding<Policy>)
+            return;
+        const auto wanted = static_cast<std::size_t>(m_options.reservationsPerTask);
+        while (home.admission.queuedTasks(Upstream) > 0
+               && home.reservations
+                      < wanted * (home.admission.queuedTasks(Upstream) + home.asking)) {
+            const auto agent = home.placement.chooseForReservation(Upstream, needs, now, {});
+            if (!agent || !start(index, agent->value - 1, true))
+                return;
+        }
+    }
+
+    std::optional<Incarnation> probeTarget(Home &home, TimePoint now)
+    {
+        for (std::size_t k = 0; m_options.health && k < m_options.workers; ++k) {
+            if (home.health.mayProbe(agentOf(k), now)) {
+                home.health.probeSent(agentOf(k), now);
+                return agentOf(k);
+            }
+        }
+        return std::nullopt;
+    }
+
+    // Sends the next task; false if no queued task may be started.
+    bool start(std::size_t index, std::size_t worker, bool isAsking)
+    {
+        Home &home = *m_homes[index];
+        auto task = home.admission.pop(Upstream, at(m_clock.now()));
+        if (!task)
+            return false;
+        home.admission.taskStarted(task->team, task->jobClass, Upstream);
+        if (isAsking) {
+            ++home.asking;
+            ++home.reservations;
+            home.placement.reserved(agentOf(worker));
+        } else {
+            home.placement.taskSent(agentOf(worker));
+        }
+        send(index, worker, [this, index, worker, isAsking, task = *task] {
+            onStartTask(index, worker, isAsking, task);
+        });
+        return true;
+    }
+
+    void onStartTask(std::size_t home, std::size_t worker, bool isAsking, const QueuedTask &task)
+    {
+        Executor &it = m_executors[worker];
+        if (it.free > 0) {
+            --it.free;
+            execute(worker, home, task.token);
+            // The home learns of the start from the result.
+            if (isAsking) {
+                send(worker, home, [this, home] {
+                    --m_homes[home]->asking;
+                    --m_homes[home]->reservations;
+                });
+            }
+        } else if (IsEarlyBinding<Policy>) {
+            it.queue.push_back(task.token);
+        } else {
+            it.reservations.push_back(home);
+            send(worker, home,
+                 [this, home, worker, isAsking, task] { onBusy(home, worker, isAsking, task); });
+        }
+    }
+
+    void onBusy(std::size_t index, std::size_t worker, bool isAsking, const QueuedTask &task)
+    {
+        Home &home = *m_homes[index];
+        home.admission.taskEnded(task.team, task.jobClass, Upstream, std::nullopt);
+        home.admission.pushFront(task);
+        if (isAsking) {
+            --home.asking;
+        } else {
+            home.placement.reserved(agentOf(worker));
+            ++home.reservations;
+        }
+    }
+
+    void slotFreed(std::size_t worker)
+    {
+        Executor &it = m_executors[worker];
+        if (!it.queue.empty()) {
+            const std::size_t task = it.queue.front();
+            it.queue.pop_front();
+            execute(worker, homeOf(task), task);
+        } else if (!it.reservations.empty()) {
+            const std::size_t home = it.reservations.front();
+            it.reservations.pop_front();
+            send(worker, home, [this, home, worker] { onOffer(home, worker); });
+        } else {
+            ++it.free;
+        }
+    }
+
+    void onOffer(std::size_t index, std::size_t worker)
+    {
+        Home &home = *m_homes[index];
+        --home.reservations;
+        const bool isEjected
+            = m_options.health && home.health.isEjected(agentOf(worker), at(m_clock.now()));
+        auto task = isEjected ? std::nullopt : home.admission.pop(Upstream, at(m_clock.now()));
+        if (!task) {
+            // The request, its answer, the offer and this decline were for nothing.
+            m_result.wasted += 4;
+            send(index, worker, [this, worker] { slotFreed(worker); });
+            return;
+        }
+        home.admission.taskStarted(task->team, task->jobClass, Upstream);
+        send(index, worker,
+             [this, index, worker, token = task->token] { execute(worker, index, token); });
+    }
+
+    std::size_t homeOf(std::size_t task) const
+    {
+        return m_workload.jobs[m_workload.tasks[task].job].home;
+    }
+
+    bool isBad(std::size_t worker) const
+    {
+        return worker < m_options.badWorkers && m_clock.now() >= m_options.faultFrom
+               && m_clock.now() < m_options.faultUntil;
+    }
+
+    // Runs a task in a slot that is already taken.
+    void execute(std::size_t worker, std::size_t home, std::size_t token)
+    {
+        Task &task = m_workload.tasks[token];
+        const bool fails = isBad(worker);
+        m_result.starts.push_back({m_clock.now(), worker, task.attempts++ > 0});
+        const double seconds
+            = fails ? m_options.badRunMs / 1000 : task.work / m_workload.speeds[worker];
+        m_clock.after(seconds, [this, worker, home, token, fails, seconds] {
+            slotFreed(worker);
+            send(worker, home, [this, worker, home, token, fails, seconds] {
+                onDone(home, worker, token, !fails, seconds);
+            });
+            ++m_result.messages; // TaskDoneAck
+        });
+    }
+
+    void onDone(std::size_t index, std::size_t worker, std::size_t token, bool succeeded,
+                double seconds)
+    {
+        Home &home = *m_homes[index];
+        const std::size_t jobIndex = m_workload.tasks[token].job;
+        const Job &job = m_workload.jobs[jobIndex];
+        const TimePoint now = at(m_clock.now());
+        home.placement.taskEnded(agentOf(worker));
+        home.admission.taskEnded(job.team, job.jobClass, Upstream, span(seconds));
+        if (succeeded) {
+            home.health.succeeded(agentOf(worker), span(seconds), now);
+            home.budget.success();
+        } else {
+            home.health.failed(agentOf(worker), now);
+        }
+        if (m_options.health)
+            home.placement.setWeight(agentOf(worker), home.health.weight(agentOf(worker), now));
+        if (!succeeded && m_options.idempotent && home.budget.tryRetry()) {
+            m_result.wasted += 2; // the failed start and its result
+            home.admission.push(queuedTask(m_workload, token), now);
+            return;
+        }
+        m_failed[jobIndex] = m_failed[jobIndex] || !succeeded;
+        if (--m_open[jobIndex] == 0)
+            finish(jobIndex, m_failed[jobIndex] ? End::Failed : End::Completed);
+    }
+
+    Options m_options;
+    Workload m_workload;
+    RunResult m_result;
+    Clock m_clock;
+    std::vector<std::size_t> m_open; // tasks of each job without a result
+    std::vector<bool> m_failed;
+    std::vector<Executor> m_executors;
+    std::vector<std::unique_ptr<Home>> m_homes;
+    std::size_t m_left = 0; // jobs without an end
+};
+
+// The ideal at the same load: one queue with the same order of classes, teams and age that knows
+// every run time, starts the longest task of a job first on the fastest free worker, and pays
+// nothing for messages.
+class CentralQueue
+{
+public:
+    CentralQueue(const Options &options, Workload workload)
+        : m_options(options)
+        , m_workload(std::move(workload))
+        , m_admission(options.seed)
+        , m_free(options.workers, options.slots)
+        , m_result{std::vector<JobEnd>(m_workload.jobs.size()), {}, 0, 0}
+        , m_open(m_workload.jobs.size())
+    {
+        m_admission.configure(fleetConfig(options));
+    }
+
+    RunResult run()
+    {
+        for (std::size_t i = 0; i < m_workload.jobs.size(); ++i) {
+            m_clock.after(m_workload.jobs[i].arrival, [this, i] {
+                const Job &job = m_workload.jobs[i];
+                m_open[i] = job.tasks;
+                for (const std::size_t task : taskOrder(
+                         job, true, [this](std::size_t k) { return m_workload.tasks[k].work; }))
+                    m_admission.push(queuedTask(m_workload, task), at(m_clock.now()));
+                dispatch();
+            });
+        }
+        m_clock.run([] { return false; });
+        return std::move(m_result);
+    }
+
+private:
+    void dispatch()
+    {
+        for (std::size_t i = m_free.size(); i-- > 0;) { // speeds rise with the index
+            while (m_free[i] > 0) {
+                const auto task = m_admission.pop(Upstream, at(m_clock.now()));
+                if (!task)
+                    return;
+                --m_free[i];
+                m_admission.taskStarted(task->team, task->jobClass, Upstream);
+                const double seconds = m_workload.tasks[task->token].work / m_workload.speeds[i];
+                m_clock.after(seconds, [this, i, seconds, it = *task] { end(i, seconds, it); });
+            }
+        }
+    }
+
+    void end(std::size_t worker, double seconds, const QueuedTask &task)
+    {
+        ++m_free[worker];
+        m_admission.taskEnded(task.team, task.jobClass, Upstream, span(seconds));
+        const std::size_t job = m_workload.tasks[task.token].job;
+        if (--m_open[job] == 0)
+            m_result.jobs[job] = {End::Completed, m_clock.now() - m_workload.jobs[job].arrival, 0};
+        dispatch();
+    }
+
+    Options m_options;
+    Workload m_workload;
+    Clock m_clock;
+    Admission m_admission;
+    std::vector<std::uint32_t> m_free;
+    RunResult m_result;
+    std::vector<std::size_t> m_open;
+};
+
+// The ideal without load: each job alone on the fleet, the longest task first, each task on the
+// slot where it ends first.
+inline RunResult emptyFleet(const Options &options, const Workload &workload)
+{
+    RunResult result;
+    for (const Job &job : workload.jobs) {
+        std::vector<std::vector<double>> busyUntil(options.workers,
+                                                   std::vector<double>(options.slots, 0));
+        double last = 0;
+        for (const std::size_t task :
+             taskOrder(job, true, [&workload](std::size_t i) { return workload.tasks[i].work; })) {
+            double bestEnd = HUGE_VAL;
+            double *bestSlot = nullptr;
+            for (std::size_t i = 0; i < options.workers; ++i) {
+                const auto slot = std::min_element(busyUntil[i].begin(), busyUntil[i].end());
+                const double end = *slot + workload.tasks[task].work / workload.speeds[i];
+                if (end < bestEnd) {
+                    bestEnd = end;
+                    bestSlot = &*slot;
+                }
+            }
+            *bestSlot = bestEnd;
+            last = std::max(last, bestEnd);
+        }
+        result.jobs.push_back({End::Completed, last, 0});
+    }
+    return result;
+}
+
+} // namespace cactuscove::measure
