placement: one reservation per home and agent

With one reservation per queued task, agents served the homes in the order of the reservations, so a job of 370 tasks delayed every later job of the other homes.

The home reports the end of a reservation by Placement::reservationEnded().

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,6 +14,11 @@
 // centres) and the batching of a loop turn. A send younger than this is not yet in the digest.
 constexpr Duration DigestLag = milliseconds(3);
 
+// Reservations of one home at one agent. Agents offer slots in the order of the reservations, so
+// with one each they serve the homes in turn; with one per queued task, a home with a job of 370
+// tasks is served before all later jobs of the others.
+constexpr double MaxReservationsPerAgent = 1;
+
 bool fits(const TaskNeeds &needs, const TaskNeeds &capacity)
 {
     return needs.accelerators <= capacity.accelerators && needs.memoryMb <= capacity.memoryMb;
@@ -96,10 +101,17 @@
 std::optional<std::size_t> DigestPolicy::pickForReservation(std::span<const Candidate> candidates,
                                                             Random &random)
 {
-    if (candidates.empty())
+    std::vector<std::size_t> open;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].reserved < MaxReservationsPerAgent)
+            open.push_back(i);
+    }
+    if (open.empty())
         return std::nullopt;
-    const auto [first, second] = pickTwo(candidates.size(), random);
-    return expectedWait(candidates[first]) <= expectedWait(candidates[second]) ? first : second;
+    const auto [first, second] = pickTwo(open.size(), random);
+    const bool isFirst
+        = expectedWait(candidates[open[first]]) <= expectedWait(candidates[open[second]]);
+    return open[isFirst ? first : second];
 }
 
 std::optional<std::size_t> RandomPolicy::pickFree(std::span<const Candidate> candidates,
@@ -209,6 +221,15 @@
     if (!it->second.sends.empty())
         it->second.sends.pop_front();
     it->second.reservations.push_back(m_now);
+    ++it->second.held;
+}
+
+template <PlacementPolicy Policy>
+void BasicPlacement<Policy>::reservationEnded(Incarnation agent)
+{
+    const auto it = m_agents.find(agent);
+    if (it != m_agents.end() && it->second.held > 0)
+        --it->second.held;
 }
 
 template <PlacementPolicy Policy>
@@ -229,6 +250,7 @@
         it.staleFree = agent.load.freeSlots;
         it.free = it.staleFree - static_cast<double>(agent.sends.size());
         it.queued = agent.load.queued + static_cast<double>(agent.reservations.size());
+        it.reserved = agent.held + std::max(0.0, -it.free);
         result.push_back(it);
     }
     return result;
--- a/src/placement.h
+++ b/src/placement.h
@@ -40,6 +40,7 @@
     double queued = 0;    // reservations; digest plus own reservations since
     double slots = 1;     // > 0
     double staleFree = 0; // slots by the digest alone
+    double reserved = 0;  // own reservations, and own sends that can only become reservations
 };
 
 // A rule that picks one of several candidates. `pickFree` may return none if all look busy.
@@ -100,13 +101,15 @@
     void setWeight(Incarnation agent, double weight);      // from WorkerHealth; 0 is ejected
     void taskSent(Incarnation agent);
     void taskEnded(Incarnation agent);
-    void reserved(Incarnation agent); // the agent answered TaskBusy
+    void reserved(Incarnation agent);         // the agent answered TaskBusy to a sent task
+    void reservationEnded(Incarnation agent); // it was offered, or will never be
 
     // Queries
     // An agent that is believed to have a free slot; none if all are believed busy.
     std::optional<Incarnation> chooseFree(std::string_view upstream, const TaskNeeds &needs,
                                           TimePoint now, std::span<const Incarnation> excluded);
-    // The agent on which a reservation is expected to wait the shortest.
+    // The agent on which a reservation is expected to wait the shortest; none if the home already
+    // holds its limit on every agent.
     std::optional<Incarnation> chooseForReservation(std::string_view upstream,
                                                     const TaskNeeds &needs, TimePoint now,
                                                     std::span<const Incarnation> excluded);
@@ -122,6 +125,7 @@
         TimePoint observedAt = TimePoint::min();
         std::deque<TimePoint> sends;        // that the digest may not contain; in time order
         std::deque<TimePoint> reservations; // likewise
+        std::uint32_t held = 0;             // own reservations that have not ended
         double weight = 1;
     };
 
--- a/tools/fleetmodel.h
+++ b/tools/fleetmodel.h
@@ -350,10 +350,8 @@
         if (isAsking) {
             ++home.asking;
             ++home.reservations;
-            home.placement.reserved(agentOf(worker));
-        } else {
-            home.placement.taskSent(agentOf(worker));
         }
+        home.placement.taskSent(agentOf(worker));
         send(index, worker, [this, index, worker, isAsking, task = *task] {
             onStartTask(index, worker, isAsking, task);
         });
@@ -387,12 +385,11 @@
         Home &home = *m_homes[index];
         home.admission.taskEnded(task.team, task.jobClass, Upstream, std::nullopt);
         home.admission.pushFront(task);
-        if (isAsking) {
+        home.placement.reserved(agentOf(worker));
+        if (isAsking)
             --home.asking;
-        } else {
-            home.placement.reserved(agentOf(worker));
+        else
             ++home.reservations;
-        }
     }
 
     void slotFreed(std::size_t worker)
@@ -415,6 +412,7 @@
     {
         Home &home = *m_homes[index];
         --home.reservations;
+        home.placement.reservationEnded(agentOf(worker));
         const bool isEjected
             = m_options.health && home.health.isEjected(agentOf(worker), at(m_clock.now()));
         auto task = isEjected ? std::nullopt : home.admission.pop(Upstream, at(m_clock.now()));
