--- a/src/jobhome.cpp
+++ b/src/jobhome.cpp
@@ -3,7 +3,6 @@
 #include "jobhome.h"
 
 #include <algorithm>
-#include <bitset>
 #include <cstdio>
 
 namespace cactuscove {
@@ -12,9 +11,6 @@
 
 namespace {
 
-// When the caller should come back after an answer that more time may change.
-constexpr Duration ShortRetry = 1s;
-
 // A home that has just started may not have heard of every agent yet. An upstream without a live
 // agent for longer than this is gone.
 constexpr Duration UpstreamGrace = 2s;
@@ -30,16 +26,6 @@
     return std::ranges::find(list, incarnation) != list.end();
 }
 
-Answer notRun(std::string reason, std::optional<Duration> retryAfter)
-{
-    return {Outcome::NotRun, std::move(reason), retryAfter, {}};
-}
-
-Answer unknown(std::string reason, std::optional<Duration> retryAfter)
-{
-    return {Outcome::Unknown, std::move(reason), retryAfter, {}};
-}
-
 std::string_view nameOf(Outcome outcome)
 {
     switch (outcome) {
@@ -100,24 +86,6 @@
     }
 }
 
-void JobHome::onLoad(const LoadDigest &digest, TimePoint now)
-{
-    if (!m_agents.contains(digest.agent))
-        return;
-    m_parts.placement.observe(digest, now);
-    const KnownLoad load{digest.upstream, digest.draining ? 0 : digest.slots};
-    const auto [it, isNew] = m_loadKnown.try_emplace(digest.agent);
-    if (!isNew && it->second == load)
-        return;
-    const KnownLoad before = std::exchange(it->second, load);
-    for (const std::string &upstream : {before.upstream, load.upstream}) {
-        if (!upstream.empty())
-            m_parts.admission.setUpstreamSlots(upstream, m_parts.placement.totalSlots(upstream));
-    }
-    if (!load.upstream.empty())
-        m_parts.health.setAgent(digest.agent, load.upstream);
-}
-
 void JobHome::onTimer(TimePoint now, Outbox &out)
 {
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
@@ -136,27 +104,6 @@
     placeQueued(now, out);
 }
 
-void JobHome::adopt(const ArrivedTable &table, TimePoint now)
-{
-    for (const TransferredJob &it : table.jobs) {
-        auto [place, isNew] = m_jobs.try_emplace(it.key);
-        if (!isNew)
-            continue;
-        place->second = std::make_unique<Job>();
-        Job &job = *place->second;
-        job.serial = ++m_lastSerial;
-        m_bySerial[job.serial] = &job;
-        job.spec.key = it.key;
-        job.spec.contentHash = it.contentHash;
-        job.epoch = table.claim.epoch;
-        job.taskCount = static_cast<std::uint16_t>(it.answer.tasks.size());
-        job.state = JobState::Answered;
-        job.answer = it.answer;
-        job.answeredAt = table.arrivedAt - it.age;
-        wakeAt(job, std::max(now, forgetAt(job)));
-    }
-}
-
 TimePoint JobHome::nextTimer() const
 {
     const TimePoint job = m_timers.empty() ? NeverTime : m_timers.begin()->first;
@@ -168,58 +115,6 @@
     return m_progressOfShard[shard.value] > 0;
 }
 
-std::vector<TransferredJob> JobHome::table(ShardId shard, TimePoint now) const
-{
-    std::vector<TransferredJob> result;
-    for (const auto &[key, job] : m_jobs) {
-        if (job->state == JobState::Answered && shardOf(key) == shard)
-            result.push_back({key, job->spec.contentHash, job->answer, now - job->answeredAt});
-    }
-    return result;
-}
-
-// A job that was answered or accepted here is known to this home even if no task of it started.
-// Without it an executor-side report could be taken as proof that the key is new, although this
-// home's answer may still be on its way to a caller.
-WitnessedJob JobHome::witnessOf(const Job &job)
-{
-    WitnessedJob seen{hashOf(job.spec.key), job.spec.contentHash, job.taskCount, {}};
-    if (job.state != JobState::Answered || job.answer.outcome != Outcome::Completed)
-        return seen;
-    for (std::uint16_t n = 0; n < job.answer.tasks.size(); ++n) {
-        const TaskAnswer &task = job.answer.tasks[n];
-        seen.tasks.push_back(
-            {n, task.id, TaskResult{TaskStatus::Completed, task.httpStatus, task.body, {}}});
-    }
-    return seen;
-}
-
-std::vector<WitnessedJob> JobHome::witnessed(ShardId shard, Epoch below, TimePoint now) const
-{
-    std::vector<WitnessedJob> result;
-    for (const auto &[key, job] : m_jobs) {
-        if (shardOf(key) == shard && job->epoch < below && !isForgotten(*job, now))
-            result.push_back(witnessOf(*job));
-    }
-    for (const Former &it : m_former) {
-        if (shardOf(it.job.key) == shard && it.epoch < below)
-            result.push_back(it.job);
-    }
-    return result;
-}
-
-std::vector<AdoptedJob> JobHome::memory(TimePoint now) const
-{
-    std::vector<AdoptedJob> result;
-    for (const auto &[key, job] : m_jobs) {
-        if (!isForgotten(*job, now))
-            result.push_back({witnessOf(*job), job->epoch, Duration::zero()});
-    }
-    for (const Former &it : m_former)
-        result.push_back({it.job, it.epoch, now - it.since});
-    return result;
-}
-
 void JobHome::onSubmit(Incarnation from, const SubmitJob &message, TimePoint now, Outbox &out)
 {
     const JobSpec &spec = message.spec;
@@ -253,15 +148,10 @@
     Job *job = find(message.key);
     if (job == nullptr)
         return answerUnseen(from, message.key, out);
-    if (job->state == JobState::Waiting) {
-        // Nothing is known to have run, but the witnesses may know more.
-        reply(from, *job, out);
-    } else if (job->state == JobState::Answered) {
-        reply(from, *job, out);
-    } else {
-        addEntry(*job, from);
-        giveUp(*job, "cancelled", std::nullopt, now, out);
-    }
+    if (job->state != JobState::Running) // a waiting job: the witnesses may know more
+        return reply(from, *job, out);
+    addEntry(*job, from);
+    giveUp(*job, "cancelled", std::nullopt, now, out);
 }
 
 void JobHome::onQuery(Incarnation from, const QueryJob &message, TimePoint, Outbox &out)
@@ -275,27 +165,6 @@
     reply(from, *job, out);
 }
 
-// Answers for a key without a specification that this home has not accepted.
-void JobHome::answerUnseen(Incarnation from, const JobKey &key, Outbox &out) const
-{
-    const ShardId shard = shardOf(key);
-    const Epoch epoch = m_parts.shards.epoch(shard);
-    const ShardKnowledge knowledge = m_parts.shards.knowledge(shard);
-    if (knowledge == ShardKnowledge::Moving)
-        return refuse(from, key, SubmitRefusal::Moving, out);
-    if (const WitnessedJob *seen = m_parts.shards.witnessed(hashOf(key))) {
-        if (const auto answer = provedAnswer(*seen, nullptr))
-            out.send(from, JobAnswer{key, epoch, *answer});
-        else if (m_parts.shards.isRoundOver(shard))
-            out.send(from, JobAnswer{key, epoch, unknown("home_lost", std::nullopt)});
-        return; // else the entry asks again
-    }
-    if (knowledge == ShardKnowledge::Complete)
-        out.send(from, JobNotFound{key, epoch});
-    else if (knowledge == ShardKnowledge::Incomplete)
-        out.send(from, JobAnswer{key, epoch, unknown("witness_missing", spread(key, ShortRetry))});
-}
-
 bool JobHome::isHome(ShardId shard, Epoch epoch) const
 {
     const Epoch own = m_parts.shards.epoch(shard);
@@ -308,13 +177,6 @@
     return it == m_jobs.end() ? nullptr : it->second.get();
 }
 
-// Rule R7: after the retry time of a not_run answer the key is new again.
-bool JobHome::isForgotten(const Job &job, TimePoint now)
-{
-    return job.state == JobState::Answered && job.answer.outcome == Outcome::NotRun
-           && job.answer.retryAfter && now >= job.answeredAt + *job.answer.retryAfter;
-}
-
 void JobHome::refuse(Incarnation to, const JobKey &key, SubmitRefusal reason, Outbox &out) const
 {
     const ShardId shard = shardOf(key);
@@ -364,7 +226,7 @@
         if (auto answer = provedAnswer(*seen, &job.spec))
             finish(job, std::move(*answer), now, out);
         else if (m_parts.shards.isRoundOver(shard))
-            finish(job, unknown("home_lost", std::nullopt), now, out);
+            finish(job, unknown("home_lost"), now, out);
         return;
     }
     if (knowledge == ShardKnowledge::Complete) {
@@ -383,28 +245,12 @@
         return finish(job, std::move(*refusal), now, out);
     job.state = JobState::Running;
     statsOf(job.spec.upstream);
-    for (std::uint16_t n = 0; n < job.tasks.size(); ++n)
+    for (std::uint16_t n = 0; n < job.taskCount; ++n)
         queue({&job, n}, now, QueueEnd::Back);
     wakeAt(job, now + StalledJobCheck);
     placeQueued(now, out);
 }
 
-// Completed if every task is reported done for this very content.
-std::optional<Answer> JobHome::provedAnswer(const WitnessedJob &seen, const JobSpec *spec)
-{
-    if (seen.taskCount == 0 || seen.tasks.size() != seen.taskCount || seen.contentHash == 0
-        || (spec != nullptr && spec->contentHash != seen.contentHash))
-        return std::nullopt;
-    Answer answer{Outcome::Completed, {}, std::nullopt, {}};
-    answer.tasks.resize(seen.taskCount);
-    for (const WitnessedTask &task : seen.tasks) {
-        if (task.result.status != TaskStatus::Completed || task.index >= seen.taskCount)
-            return std::nullopt;
-        answer.tasks[task.index] = {task.id, task.result.httpStatus, task.result.body};
-    }
-    return answer;
-}
-
 std::optional<Answer> JobHome::refusalOf(const Job &job, TimePoint now)
 {
     const JobSpec &spec = job.spec;
@@ -413,7 +259,7 @@
     const bool knowsAllLoads
         = std::ranges::all_of(agents, [&](Incarnation it) { return m_loadKnown.contains(it); });
     const bool isDeclared = config.upstreams.empty() || config.upstreams.contains(spec.upstream);
-    if (spec.tasks.empty() || !isDeclared)
+    if (spec.tasks.empty() || spec.tasks.size() > MaxTasksPerJob || !isDeclared)
         return notRun("cannot_run", std::nullopt);
     if (!m_parts.placement.hasUpstream(spec.upstream))
         return notRun("no_upstream", spread(spec.key, ShortRetry));
@@ -477,38 +323,6 @@
     wakeAt(job, forgetAt(job));
 }
 
-// Leaves no trace of the job; only for answered ones.
-void JobHome::forget(Job &job)
-{
-    if (job.wake != NeverTime)
-        m_timers.erase({job.wake, job.serial});
-    m_bySerial.erase(job.serial);
-    m_jobs.erase(JobKey{job.spec.key});
-}
-
-// After a change of the shard's owner or epoch: unanswered jobs belong to the next home, which
-// learns of them from the witnesses. What is known here stays available to them.
-void JobHome::loseOldEpochs(std::span<const ShardId> shards, TimePoint now)
-{
-    std::bitset<ShardCount> changed;
-    for (const ShardId shard : shards)
-        changed.set(shard.value);
-    std::vector<Job *> lost;
-    for (const auto &[key, job] : m_jobs) {
-        const ShardId shard = shardOf(key);
-        if (changed.test(shard.value) && job->epoch != m_parts.shards.epoch(shard))
-            lost.push_back(job.get());
-    }
-    Outbox unsent; // entries ask the next home, and executors follow its fence
-    for (Job *job : lost) {
-        if (!isForgotten(*job, now))
-            m_former.push_back({witnessOf(*job), job->epoch, now});
-        if (job->state != JobState::Answered)
-            finish(*job, unknown("home_replaced", std::nullopt), now, unsent);
-        forget(*job);
-    }
-}
-
 void JobHome::onJobTimer(Job &job, TimePoint now, Outbox &out)
 {
     if (job.state == JobState::Answered) {
@@ -530,12 +344,12 @@
     if (job.state == JobState::Running && giveUpIfStalled(job, now, out))
         return;
     if (job.state == JobState::GivingUp && job.giveUpAt <= now)
-        return finish(job, unknown(job.giveUpReason, std::nullopt), now, out);
+        return finish(job, unknown(job.giveUpReason), now, out);
     if (job.state == JobState::GivingUp)
         wakeAt(job, job.giveUpAt);
     else
         wakeAt(job, job.deadline);
-    for (std::uint16_t n = 0; n < job.tasks.size(); ++n) {
+    for (std::uint16_t n = 0; n < job.taskCount; ++n) {
         onTaskTimer({&job, n}, now, out);
         if (job.state == JobState::Answered)
             return;
@@ -565,12 +379,6 @@
     return job.state != JobState::Running;
 }
 
-TimePoint JobHome::forgetAt(const Job &job) const
-{
-    const Duration retry = job.answer.retryAfter.value_or(Duration::zero());
-    return job.answeredAt + std::max(m_parts.ledger.fleetConfig().idMemory, retry);
-}
-
 void JobHome::wakeAt(Job &job, TimePoint at)
 {
     if (at >= job.wake)
@@ -588,6 +396,16 @@
     return base + base * part / 1000;
 }
 
+Answer JobHome::unknown(std::string reason, std::optional<Duration> retryAfter)
+{
+    return {Outcome::Unknown, std::move(reason), retryAfter, {}};
+}
+
+Answer JobHome::notRun(std::string reason, std::optional<Duration> retryAfter)
+{
+    return {Outcome::NotRun, std::move(reason), retryAfter, {}};
+}
+
 std::string JobHome::nextSpanId()
 {
     m_random += 0x9e3779b97f4a7c15ULL; // splitmix64
--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -63,6 +63,13 @@
     std::vector<AdoptedJob> memory(TimePoint now) const;
 
 private:
+    // When the caller should come back after an answer that more time may change.
+    static constexpr Duration ShortRetry = std::chrono::seconds(1);
+    // A reservation is confirmed at this interval, because an executor that lost it offers nothing.
+    static constexpr Duration ReservationRepeat = std::chrono::seconds(2);
+    // Two copies of a task that ends within this time cost more than they save.
+    static constexpr Duration MinHedgeDelay = std::chrono::milliseconds(50);
+
     // One agent that was asked to run a task.
     enum class TryState {
         Sent,     // a start may have been delivered
@@ -88,6 +95,7 @@
     {
         TaskState state = TaskState::Queued;
         std::uint64_t token = 0; // its name in Admission
+        std::int64_t order = 0;  // its age in Admission, from the last time it was taken out
         bool isCounted = false;  // Admission counts it as started
         bool isHedged = false;
         bool mayHaveStarted = false; // proof to the contrary is missing
@@ -162,7 +170,7 @@
         bool operator==(const KnownLoad &) const = default;
     };
 
-    // jobhome.cpp: jobs
+    // jobhome.cpp and jobhomememory.cpp: jobs
     void onSubmit(Incarnation from, const SubmitJob &message, TimePoint now, Outbox &out);
     void onCancel(Incarnation from, const CancelJob &message, TimePoint now, Outbox &out);
     void onQuery(Incarnation from, const QueryJob &message, TimePoint now, Outbox &out);
@@ -187,9 +195,11 @@
     TimePoint forgetAt(const Job &job) const;
     void wakeAt(Job &job, TimePoint at);
     static Duration spread(const JobKey &key, Duration base);
+    static Answer unknown(std::string reason, std::optional<Duration> retryAfter = {});
+    static Answer notRun(std::string reason, std::optional<Duration> retryAfter);
     std::string nextSpanId();
 
-    // jobhometasks.cpp: tasks
+    // jobhometasks.cpp and jobhomeplacement.cpp: tasks
     void onTaskMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out);
     void onAccepted(Incarnation from, const TaskAccepted &message, TimePoint now, Outbox &out);
     void onBusy(Incarnation from, const TaskBusy &message, TimePoint now, Outbox &out);
