--- a/src/messagefields.h
+++ b/src/messagefields.h
@@ -185,6 +185,8 @@
     return std::tuple{required("ref", &StartTask::ref),
                       required("attempt", &StartTask::attempt),
                       required("epoch", &StartTask::epoch),
+                      optional("content", &StartTask::contentHash),
+                      optional("task_count", &StartTask::taskCount),
                       required("task", &StartTask::task),
                       required("team", &StartTask::team),
                       required("class", &StartTask::jobClass),
@@ -255,7 +257,7 @@
 
 constexpr auto fieldsOf(Tag<WitnessedTask>)
 {
-    return std::tuple{required("index", &WitnessedTask::index),
+    return std::tuple{required("index", &WitnessedTask::index), optional("id", &WitnessedTask::id),
                       required("result", &WitnessedTask::result)};
 }
 
@@ -282,7 +284,8 @@
 constexpr auto fieldsOf(Tag<TransferShard>)
 {
     return std::tuple{required("claim", &TransferShard::claim),
-                      optional("jobs", &TransferShard::jobs)};
+                      optional("jobs", &TransferShard::jobs),
+                      optional("witnessed", &TransferShard::witnessed)};
 }
 
 constexpr auto fieldsOf(Tag<TransferAck>)
