messages: part number in AdoptWitness and AdoptAck

Memory is handed over in bounded parts. Acknowledgements may be doubled and late, and without a number the ack of one part could stand for a part that was lost; the leaving process would then leave with a gap in its heir's memory.

--- a/src/messagefields.h
+++ b/src/messagefields.h
@@ -302,12 +302,12 @@
 constexpr auto fieldsOf(Tag<AdoptWitness>)
 {
     return std::tuple{required("subject", &AdoptWitness::subject),
-                      optional("jobs", &AdoptWitness::jobs)};
+                      optional("jobs", &AdoptWitness::jobs), optional("part", &AdoptWitness::part)};
 }
 
 constexpr auto fieldsOf(Tag<AdoptAck>)
 {
-    return std::tuple{required("subject", &AdoptAck::subject)};
+    return std::tuple{required("subject", &AdoptAck::subject), optional("part", &AdoptAck::part)};
 }
 
 constexpr auto fieldsOf(Tag<Envelope>)
--- a/src/messages.h
+++ b/src/messages.h
@@ -239,15 +239,19 @@
     Duration age{};
 };
 
+// One bounded part. The subject leaves only after every part is acknowledged; the part number keeps
+// a late acknowledgement of one part from standing for another.
 struct AdoptWitness
 {
     Incarnation subject;
     std::vector<AdoptedJob> jobs;
+    std::uint32_t part = 0;
 };
 
 struct AdoptAck
 {
     Incarnation subject;
+    std::uint32_t part = 0;
 };
 
 using Message
