--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -158,15 +158,13 @@
         errors.emplace_back(ex.what());
     }
     try {
-        po::store(po::parse_environment(options,
-                                        [&](const std::string &variable) {
-                                            const std::string flag = flagOfVariable(variable);
-                                            return options.find_nothrow(flag, false)
-                                                           && flag != "help"
-                                                       ? flag
-                                                       : std::string();
-                                        }),
-                  values);
+        const auto nameOf = [&](const std::string &variable) {
+            const std::string flag = flagOfVariable(variable);
+            const bool isKnown
+                = !flag.empty() && flag != "help" && options.find_nothrow(flag, false) != nullptr;
+            return isKnown ? flag : std::string();
+        };
+        po::store(po::parse_environment(options, nameOf), values);
     } catch (const po::error &ex) {
         errors.emplace_back(std::string("environment: ") + ex.what());
     }
