--- a/src/tracing.cpp
+++ b/src/tracing.cpp
@@ -76,14 +76,14 @@
 
 std::string Tracer::randomHex(std::size_t digits)
 {
-    static constexpr char Digits[] = "0123456789abcdef";
+    static constexpr char digitChars[] = "0123456789abcdef";
     std::string out;
     for (std::size_t n = 0; n < digits; ++n) {
         // SplitMix64; ids must be unique and need not be unpredictable.
         std::uint64_t z = m_random += 0x9e3779b97f4a7c15;
         z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
         z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
-        out += Digits[(z ^ (z >> 31)) >> 60];
+        out += digitChars[(z ^ (z >> 31)) >> 60];
     }
     return out;
 }
--- a/tools/workload.h
+++ b/tools/workload.h
@@ -125,9 +125,9 @@
     }
     Random sample(options.seed + 1);
     double meanWork = 0;
-    constexpr int Samples = 200000;
-    for (int i = 0; i < Samples; ++i)
-        meanWork += runTime(options, sample) / Samples;
+    constexpr int samples = 200000;
+    for (int i = 0; i < samples; ++i)
+        meanWork += runTime(options, sample) / samples;
     const double meanTasks = MaxTasksPerJob / std::log(MaxTasksPerJob + 1.0) - 0.5;
     const double gap = meanWork * meanTasks / (capacity * options.load);
 
