--- a/src/entrynode.h
+++ b/src/entrynode.h
@@ -26,6 +26,8 @@
     void onUndelivered(Incarnation to, const Message &message, TimePoint now, Outbox &out);
     void onLogRecords(std::span<const LogRecord> records, LogOffset next, TimePoint now,
                       Outbox &out);
+    // The log was trimmed beyond the node's position; the records after snapshot.asOf follow.
+    void onLogSnapshot(const SnapshotRecord &snapshot, TimePoint now, Outbox &out);
     void onLogReachable(bool reachable, TimePoint now); // nobody is suspected during an outage
     void submit(CallerId caller, JobSpec spec, TraceContext trace, TimePoint waitUntil,
                 TimePoint now, Outbox &out);
@@ -38,9 +40,11 @@
 
     // Queries
     TimePoint nextTimer() const;
-    bool isActive() const; // the ledger contains its own registration
+    bool isActive() const;    // the ledger contains its own registration
+    bool acceptsJobs() const; // active, and not shutting down
     bool isShutdownComplete() const;
     const Ledger &ledger() const;
+    std::size_t rememberedKeys() const;
     std::vector<LoadDigest> loads(TimePoint now) const; // last known load of every agent
 
 private:
--- /dev/null
+++ b/src/memoryhandover.cpp
@@ -0,0 +1,98 @@
+// Sends a window of parts, repeats them until acknowledged, and starts anew with another heir if
+// the present one goes silent.
+
+#include "memoryhandover.h"
+
+#include <algorithm>
+
+namespace cactuscove {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t MaxJobsPerPart = 2000; // about 150 KB as JSON
+constexpr std::size_t MaxPartsInFlight = 4;
+constexpr Duration RepeatInterval = 1s;
+constexpr Duration HeirPatience = 5s;
+
+} // namespace
+
+MemoryHandover::MemoryHandover(Incarnation self, const Ledger &ledger, const JobRouter &router)
+    : m_self(self)
+    , m_ledger(ledger)
+    , m_router(router)
+{}
+
+void MemoryHandover::start(TimePoint now, Outbox &out)
+{
+    m_isStarted = true;
+    chooseHeir(now, out);
+}
+
+void MemoryHandover::chooseHeir(TimePoint now, Outbox &out)
+{
+    m_parts.clear();
+    m_nextShard = 0;
+    m_lastAck = now;
+    std::vector<Incarnation> entries = m_ledger.upMembers(Role::Entry);
+    std::erase(entries, m_self);
+    const auto isSilent = [&](Incarnation it) { return m_silent.contains(it); };
+    if (std::ranges::all_of(entries, isSilent))
+        m_silent.clear();
+    std::erase_if(entries, isSilent);
+    if (entries.empty()) {
+        m_heir = {};
+        m_nextShard = ShardCount; // nobody can answer for this memory
+        m_nextSend = NeverTime;
+        return;
+    }
+    // The member that started last is the least likely to be the next one to be replaced.
+    const auto startedAt = [&](Incarnation it) { return m_ledger.member(it)->registeredAt; };
+    m_heir = *std::ranges::max_element(entries, {}, startedAt);
+    fillWindow(now, out);
+}
+
+void MemoryHandover::fillWindow(TimePoint now, Outbox &out)
+{
+    while (m_nextShard < ShardCount && m_parts.size() < MaxPartsInFlight) {
+        const std::vector<AdoptedJob> jobs = m_router.memory(ShardId{m_nextShard++}, now);
+        for (std::size_t i = 0; i < jobs.size(); i += MaxJobsPerPart) {
+            const auto begin = jobs.begin() + static_cast<std::ptrdiff_t>(i);
+            const auto n = std::min(MaxJobsPerPart, jobs.size() - i);
+            AdoptWitness message{
+                m_self, {begin, begin + static_cast<std::ptrdiff_t>(n)}, m_nextPart++};
+            out.send(m_heir, message);
+            m_parts.emplace(message.part, std::move(message));
+        }
+    }
+    m_nextSend = m_parts.empty() ? NeverTime : now + RepeatInterval;
+}
+
+void MemoryHandover::onAck(Incarnation from, const AdoptAck &ack, TimePoint now, Outbox &out)
+{
+    if (from != m_heir || ack.subject != m_self || m_parts.erase(ack.part) == 0)
+        return;
+    m_lastAck = now;
+    fillWindow(now, out);
+}
+
+void MemoryHandover::onTimer(TimePoint now, Outbox &out)
+{
+    if (!m_isStarted || m_heir.value == 0)
+        return;
+    const bool isSilent = !m_parts.empty() && now >= m_lastAck + HeirPatience;
+    if (isSilent)
+        m_silent.insert(m_heir);
+    if (isSilent || !m_ledger.isUp(m_heir)) {
+        chooseHeir(now, out);
+        return;
+    }
+    if (now < m_nextSend)
+        return;
+    for (const auto &[part, message] : m_parts)
+        out.send(m_heir, message);
+    m_nextSend = m_parts.empty() ? NeverTime : now + RepeatInterval;
+}
+
+} // namespace cactuscove
