--- a/src/agentnode.cpp
+++ b/src/agentnode.cpp
@@ -9,6 +9,8 @@
 #include "workerhealth.h"
 
 #include <algorithm>
+#include <deque>
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -25,9 +27,13 @@
 // A process that has never been fed is new and usually not yet known to the entries.
 constexpr Duration FirstFeedPatience = 500ms;
 
+// An heir that acknowledges nothing for this long is replaced by another one.
 constexpr Duration AdoptPatience = 2s;
-// Of result bodies handed to an heir in one message. Beyond it only the fact of the start counts.
-constexpr std::size_t MaxAdoptedBytes = 4U << 20U;
+constexpr Duration AdoptRepeat = 500ms;
+// Limits of one part of the memory, so that no envelope holds up the others for long.
+constexpr std::size_t MaxPartJobs = 500;
+constexpr std::size_t MaxPartBytes = 256U << 10U; // of result bodies
+constexpr std::size_t PartsInFlight = 8;
 
 } // namespace
 
@@ -70,10 +76,11 @@
 private:
     enum class Stage { Serving, Draining, HandingOver, Leaving, Left };
 
+    // The memory of a process that left, or is about to.
     struct Adopted
     {
-        std::vector<AdoptedJob> jobs;
-        TimePoint receivedAt;
+        std::map<std::uint32_t, std::vector<AdoptedJob>> parts;
+        TimePoint receivedAt; // of the newest part
     };
 
     void dispatch(Incarnation from, const Message &message, TimePoint now, Outbox &out);
@@ -83,12 +90,15 @@
     void onLedgerChange(const LedgerChanges &changes, TimePoint now, Outbox &out);
     void adoptArrivedTables(TimePoint now);
     void answerRaise(Incarnation from, const Raise &raise, TimePoint now, Outbox &out) const;
+    void onAdoptAck(Incarnation from, const AdoptAck &ack, TimePoint now, Outbox &out);
     void onAdoptWitness(Incarnation from, const AdoptWitness &message, TimePoint now, Outbox &out);
     void appendRegistration(Outbox &out);
     void checkRegistration(Outbox &out);
     void stepShutdown(TimePoint now, Outbox &out);
     void handOver(TimePoint now, Outbox &out);
-    std::vector<AdoptedJob> ownMemory(TimePoint now) const;
+    void packMemory(Incarnation subject, std::vector<AdoptedJob> jobs);
+    void sendParts(TimePoint now, Outbox &out);
+    bool isAnswererFor(Incarnation subject) const;
     void forgetAdopted(TimePoint now);
 
     NodeSettings m_settings;
@@ -111,8 +121,9 @@
     Stage m_stage = Stage::Serving;
     Incarnation m_heir;
     std::set<Incarnation> m_refusedHeirs; // did not answer in time
-    std::set<Incarnation> m_unadopted;    // subjects that the heir has not acknowledged yet
+    std::deque<AdoptWitness> m_unadopted; // parts that the heir has not acknowledged yet
     TimePoint m_heirDue = NeverTime;
+    TimePoint m_nextParts = NeverTime;
 };
 
 void AgentNode::Impl::start(TimePoint now, Outbox &out)
@@ -194,7 +205,7 @@
 TimePoint AgentNode::Impl::nextTimer() const
 {
     return std::min({m_executor.nextTimer(), m_upstreams.nextTimer(), m_shards.nextTimer(),
-                     m_jobs.nextTimer(), m_heirDue});
+                     m_jobs.nextTimer(), m_heirDue, m_nextParts});
 }
 
 bool AgentNode::Impl::needsLog(TimePoint now) const
@@ -225,8 +236,7 @@
     } else if (const auto *adopt = std::get_if<AdoptWitness>(&message)) {
         onAdoptWitness(from, *adopt, now, out);
     } else if (const auto *ack = std::get_if<AdoptAck>(&message)) {
-        if (from == m_heir)
-            m_unadopted.erase(ack->subject);
+        onAdoptAck(from, *ack, now, out);
     } else {
         // Each of them ignores the messages that are meant for the others.
         m_executor.onMessage(from, message, now, out);
@@ -304,26 +314,56 @@
     }
     out.send(from, std::move(own));
     for (const auto &[subject, adopted] : m_adopted) {
+        if (!isAnswererFor(subject))
+            continue;
         Witness witness{subject, raise.claims, {}};
-        for (const AdoptedJob &it : adopted.jobs) {
-            const ShardId shard = shardOf(it.job.key);
-            const auto isAsked = [&](const ShardClaim &claim) {
-                return claim.shard == shard && it.epoch < claim.epoch;
-            };
-            if (std::ranges::any_of(raise.claims, isAsked))
-                witness.jobs.push_back(it.job);
+        for (const auto &[part, jobs] : adopted.parts) {
+            for (const AdoptedJob &it : jobs) {
+                const ShardId shard = shardOf(it.job.key);
+                const auto isAsked = [&](const ShardClaim &claim) {
+                    return claim.shard == shard && it.epoch < claim.epoch;
+                };
+                if (std::ranges::any_of(raise.claims, isAsked))
+                    witness.jobs.push_back(it.job);
+            }
         }
         out.send(from, std::move(witness));
     }
 }
 
+// Only once the log says so is the memory here whole: a process leaves after its heir has
+// acknowledged every part.
+bool AgentNode::Impl::isAnswererFor(Incarnation subject) const
+{
+    for (std::size_t steps = 0; steps <= m_ledger.members().size(); ++steps) {
+        const MemberState *state = m_ledger.member(subject);
+        if (state == nullptr || !state->hasLeft)
+            return subject == m_self;
+        subject = state->heir;
+    }
+    return false;
+}
+
 void AgentNode::Impl::onAdoptWitness(Incarnation from, const AdoptWitness &message, TimePoint now,
                                      Outbox &out)
 {
     if (m_stage != Stage::Serving || !isActive())
         return; // the sender chooses another heir
-    m_adopted[message.subject] = {message.jobs, now};
-    out.send(from, AdoptAck{message.subject});
+    Adopted &adopted = m_adopted[message.subject];
+    adopted.parts[message.part] = message.jobs;
+    adopted.receivedAt = now;
+    out.send(from, AdoptAck{message.subject, message.part});
+}
+
+void AgentNode::Impl::onAdoptAck(Incarnation from, const AdoptAck &ack, TimePoint now, Outbox &out)
+{
+    const auto isSame
+        = [&](const AdoptWitness &it) { return it.subject == ack.subject && it.part == ack.part; };
+    if (from != m_heir || std::erase_if(m_unadopted, isSame) == 0)
+        return;
+    m_heirDue = now + AdoptPatience;
+    if (m_unadopted.size() % PartsInFlight == 0)
+        sendParts(now, out);
 }
 
 void AgentNode::Impl::appendRegistration(Outbox &out)
@@ -354,11 +394,14 @@
     } else if (m_stage == Stage::HandingOver && m_unadopted.empty()) {
         m_stage = Stage::Leaving;
         m_heirDue = NeverTime;
+        m_nextParts = NeverTime;
         out.add(
             Append{Record{"leave-" + std::to_string(m_self.value), LeaveRecord{m_self, m_heir}}});
     } else if (m_stage == Stage::HandingOver && m_heirDue <= now) {
         m_refusedHeirs.insert(m_heir);
         handOver(now, out);
+    } else if (m_stage == Stage::HandingOver && m_nextParts <= now) {
+        sendParts(now, out);
     }
 }
 
@@ -376,31 +419,45 @@
         m_refusedHeirs.clear();
     std::erase_if(candidates, isRefused);
     m_heir = candidates[(m_settings.seed + m_self.value) % candidates.size()];
-    m_unadopted.insert(m_self);
-    out.send(m_heir, AdoptWitness{m_self, ownMemory(now)});
+    std::vector<AdoptedJob> own = m_executor.memory(now);
+    std::ranges::move(m_jobs.memory(now), std::back_inserter(own));
+    packMemory(m_self, std::move(own));
     for (const auto &[subject, adopted] : m_adopted) {
-        AdoptWitness message{subject, adopted.jobs};
-        for (AdoptedJob &it : message.jobs)
+        std::vector<AdoptedJob> jobs;
+        for (const auto &[part, list] : adopted.parts)
+            jobs.insert(jobs.end(), list.begin(), list.end());
+        for (AdoptedJob &it : jobs)
             it.age += now - adopted.receivedAt;
-        m_unadopted.insert(subject);
-        out.send(m_heir, std::move(message));
+        packMemory(subject, std::move(jobs));
     }
+    sendParts(now, out);
 }
 
-std::vector<AdoptedJob> AgentNode::Impl::ownMemory(TimePoint now) const
+// Divides the memory into parts; an empty memory is one empty part.
+void AgentNode::Impl::packMemory(Incarnation subject, std::vector<AdoptedJob> jobs)
 {
-    std::vector<AdoptedJob> jobs = m_executor.memory(now);
-    for (AdoptedJob &it : m_jobs.memory(now))
-        jobs.push_back(std::move(it));
+    m_unadopted.push_back({subject, {}, 0});
     std::size_t bytes = 0;
     for (AdoptedJob &job : jobs) {
-        for (WitnessedTask &task : job.job.tasks) {
-            bytes += task.result.body.size();
-            if (bytes > MaxAdoptedBytes)
-                task.result = TaskResult{};
+        std::size_t size = 0;
+        for (const WitnessedTask &task : job.job.tasks)
+            size += task.result.body.size();
+        if (m_unadopted.back().jobs.size() >= MaxPartJobs
+            || (bytes > 0 && bytes + size > MaxPartBytes)) {
+            m_unadopted.push_back({subject, {}, m_unadopted.back().part + 1});
+            bytes = 0;
         }
+        bytes += size;
+        m_unadopted.back().jobs.push_back(std::move(job));
     }
-    return jobs;
+}
+
+void AgentNode::Impl::sendParts(TimePoint now, Outbox &out)
+{
+    const std::size_t n = std::min(PartsInFlight, m_unadopted.size());
+    for (std::size_t i = 0; i < n; ++i)
+        out.send(m_heir, m_unadopted[i]);
+    m_nextParts = now + AdoptRepeat;
 }
 
 void AgentNode::Impl::forgetAdopted(TimePoint now)
@@ -408,12 +465,14 @@
     const Duration memory = m_ledger.fleetConfig().idMemory;
     for (auto &[subject, adopted] : m_adopted) {
         const TimePoint receivedAt = adopted.receivedAt;
-        std::erase_if(adopted.jobs,
-                      [&](const AdoptedJob &it) { return receivedAt - it.age + memory <= now; });
+        const auto isOld
+            = [&](const AdoptedJob &it) { return receivedAt - it.age + memory <= now; };
+        for (auto &[part, jobs] : adopted.parts)
+            std::erase_if(jobs, isOld);
     }
+    // Also the parts of a process that chose another heir in the end.
     std::erase_if(m_adopted, [&](const auto &it) {
-        return it.second.jobs.empty() && it.second.receivedAt + memory <= now
-               && m_ledger.member(it.first) == nullptr;
+        return it.second.receivedAt + memory <= now && !isAnswererFor(it.first);
     });
 }
 
