--- a/src/agentnode.cpp
+++ b/src/agentnode.cpp
@@ -56,6 +56,7 @@
     void start(TimePoint now, Outbox &out);
     void onEnvelope(const Envelope &envelope, TimePoint now, Outbox &out);
     void onLogRecords(std::span<const LogRecord> records, TimePoint now, Outbox &out);
+    void onLogSnapshot(const SnapshotRecord &snapshot, TimePoint now, Outbox &out);
     void onUpstreamChange(UpstreamRegistry::Change change, TimePoint now, Outbox &out);
     void onTimer(TimePoint now, Outbox &out);
     void beginShutdown(TimePoint now, Outbox &out);
@@ -122,6 +123,7 @@
     Incarnation m_heir;
     std::set<Incarnation> m_refusedHeirs; // did not answer in time
     std::deque<AdoptWitness> m_unadopted; // parts that the heir has not acknowledged yet
+    std::uint32_t m_lastPart = 0;         // part numbers are never reused, also for another heir
     TimePoint m_heirDue = NeverTime;
     TimePoint m_nextParts = NeverTime;
 };
@@ -143,20 +145,17 @@
 void AgentNode::Impl::onLogRecords(std::span<const LogRecord> records, TimePoint now, Outbox &out)
 {
     LedgerChanges changes;
-    // The start of the stream may be trimmed; the newest snapshot that joins the records bridges
-    // it.
-    if (!records.empty() && records.front().offset > m_ledger.next()) {
-        for (auto it = records.rbegin(); it != records.rend(); ++it) {
-            const auto *snapshot = std::get_if<SnapshotRecord>(&it->record.body);
-            if (snapshot != nullptr && snapshot->asOf.value + 1 >= records.front().offset.value
-                && applySnapshot(*snapshot, changes))
-                break;
-        }
-    }
     applyRecords(records, changes);
     onLedgerChange(changes, now, out);
 }
 
+void AgentNode::Impl::onLogSnapshot(const SnapshotRecord &snapshot, TimePoint now, Outbox &out)
+{
+    LedgerChanges changes;
+    if (snapshot.asOf >= m_ledger.next() && applySnapshot(snapshot, changes))
+        onLedgerChange(changes, now, out);
+}
+
 void AgentNode::Impl::onUpstreamChange(UpstreamRegistry::Change change, TimePoint now, Outbox &out)
 {
     m_executor.onUpstreamChange(change, now, out);
@@ -436,7 +435,7 @@
 // Divides the memory into parts; an empty memory is one empty part.
 void AgentNode::Impl::packMemory(Incarnation subject, std::vector<AdoptedJob> jobs)
 {
-    m_unadopted.push_back({subject, {}, 0});
+    m_unadopted.push_back({subject, {}, ++m_lastPart});
     std::size_t bytes = 0;
     for (AdoptedJob &job : jobs) {
         std::size_t size = 0;
@@ -444,7 +443,7 @@
             size += task.result.body.size();
         if (m_unadopted.back().jobs.size() >= MaxPartJobs
             || (bytes > 0 && bytes + size > MaxPartBytes)) {
-            m_unadopted.push_back({subject, {}, m_unadopted.back().part + 1});
+            m_unadopted.push_back({subject, {}, ++m_lastPart});
             bytes = 0;
         }
         bytes += size;
@@ -509,6 +508,13 @@
     m_impl->settle(inner, now, out);
 }
 
+void AgentNode::onLogSnapshot(const SnapshotRecord &snapshot, TimePoint now, Outbox &out)
+{
+    Outbox inner;
+    m_impl->onLogSnapshot(snapshot, now, inner);
+    m_impl->settle(inner, now, out);
+}
+
 void AgentNode::onUpstreamAnnounced(const UpstreamAnnouncement &announcement, TimePoint now,
                                     Outbox &out)
 {
--- a/src/agentnode.h
+++ b/src/agentnode.h
@@ -35,6 +35,8 @@
     // Records read from the log by the node itself, when it has had no feed for a while.
     void onLogRecords(std::span<const LogRecord> records, LogOffset next, TimePoint now,
                       Outbox &out);
+    // The log was trimmed beyond the node's position; the records after snapshot.asOf follow.
+    void onLogSnapshot(const SnapshotRecord &snapshot, TimePoint now, Outbox &out);
     void onUpstreamAnnounced(const UpstreamAnnouncement &announcement, TimePoint now, Outbox &out);
     void onUpstreamLeft(TimePoint now, Outbox &out);
     void onUpstreamResult(const TaskRef &ref, std::uint32_t attempt, TaskResult result,
--- a/src/jobhome.cpp
+++ b/src/jobhome.cpp
@@ -21,6 +21,10 @@
 
 constexpr Duration StalledJobCheck = 1s;
 
+// The housekeeping timer fires each second, so a longer quiet time means that the process stood
+// still.
+constexpr Duration LongestQuietTime = 1500ms;
+
 bool mentions(const std::vector<Incarnation> &list, Incarnation incarnation)
 {
     return std::ranges::find(list, incarnation) != list.end();
@@ -51,6 +55,7 @@
 
 void JobHome::onMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out)
 {
+    noteTime(now);
     if (const auto *submit = std::get_if<SubmitJob>(&message)) {
         onSubmit(from, *submit, now, out);
     } else if (const auto *cancel = std::get_if<CancelJob>(&message)) {
@@ -88,6 +93,7 @@
 
 void JobHome::onTimer(TimePoint now, Outbox &out)
 {
+    noteTime(now);
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
         Job *job = m_bySerial.at(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
@@ -115,6 +121,22 @@
     return m_progressOfShard[shard.value] > 0;
 }
 
+void JobHome::noteTime(TimePoint now)
+{
+    if (m_lastSeen != TimePoint{} && now - m_lastSeen > LongestQuietTime) {
+        m_pause = now - m_lastSeen;
+        m_pauseEffectEnd = now + ShortRetry;
+    }
+    m_lastSeen = std::max(m_lastSeen, now);
+}
+
+// An upper estimate of the time since the caller submitted what this message carries.
+Duration JobHome::ageOf(const SubmitJob &message, TimePoint now) const
+{
+    const Duration atEntry = std::max(message.spec.deadline - message.remaining, Duration::zero());
+    return now < m_pauseEffectEnd ? atEntry + m_pause : atEntry;
+}
+
 void JobHome::onSubmit(Incarnation from, const SubmitJob &message, TimePoint now, Outbox &out)
 {
     const JobSpec &spec = message.spec;
@@ -122,7 +144,7 @@
     if (!isHome(shard, message.epoch))
         return refuse(from, spec.key, SubmitRefusal::NotHome, out);
     Job *known = find(spec.key);
-    if (known != nullptr && !isForgotten(*known, now)) {
+    if (known != nullptr && !isForgotten(*known, now - ageOf(message, now))) {
         if (known->spec.contentHash != spec.contentHash)
             return refuse(from, spec.key, SubmitRefusal::ContentMismatch, out);
         return reply(from, *known, out);
@@ -304,6 +326,8 @@
     --m_inProgress;
     job.state = JobState::Answered;
     job.answer = std::move(answer);
+    if (job.answer.outcome == Outcome::NotRun && job.answer.retryAfter)
+        job.answer.retryAfter = std::max(*job.answer.retryAfter, ShortRetry);
     job.answeredAt = now;
     for (const Task &task : job.tasks)
         job.attemptBase = std::max(job.attemptBase, task.attempts);
--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -63,8 +63,11 @@
     std::vector<AdoptedJob> memory(TimePoint now) const;
 
 private:
-    // When the caller should come back after an answer that more time may change.
-    static constexpr Duration ShortRetry = std::chrono::seconds(1);
+    // When the caller should come back after an answer that more time may change. Not below the
+    // time that a copy of the request can spend in the network (a sender gives a connection up
+    // after 2 s), because a copy that arrives after the retry time must not start the job behind
+    // the back of a caller that was told not_run.
+    static constexpr Duration ShortRetry = std::chrono::seconds(2);
     // A reservation is confirmed at this interval, because an executor that lost it offers nothing.
     static constexpr Duration ReservationRepeat = std::chrono::seconds(2);
     // Two copies of a task that ends within this time cost more than they save.
@@ -171,6 +174,8 @@
     };
 
     // jobhome.cpp and jobhomememory.cpp: jobs
+    void noteTime(TimePoint now);
+    Duration ageOf(const SubmitJob &message, TimePoint now) const;
     void onSubmit(Incarnation from, const SubmitJob &message, TimePoint now, Outbox &out);
     void onCancel(Incarnation from, const CancelJob &message, TimePoint now, Outbox &out);
     void onQuery(Incarnation from, const QueryJob &message, TimePoint now, Outbox &out);
@@ -256,6 +261,10 @@
     std::set<Incarnation> m_agents;               // up in the ledger
     std::map<Incarnation, KnownLoad> m_loadKnown; // of agents in m_agents
     double m_homeShare = 0;
+    TimePoint m_lastSeen{}; // of the newest event
+    // After a pause of this process, messages may have waited that long to be read.
+    Duration m_pause{};
+    TimePoint m_pauseEffectEnd{};
     TimePoint m_nextHousekeeping{};
     TimePoint m_nextPlacement = NeverTime; // when a quota lets the next queued task start
     // Highest epoch of a shard that another home has asked about. Below it this home must not
--- a/src/jobhomememory.cpp
+++ b/src/jobhomememory.cpp
@@ -7,6 +7,14 @@
 
 namespace cactuscove {
 
+namespace {
+
+// A copy of a request that was answered not_run may still wait at an entry after the retry time.
+// The next home, which does not know the answer, must not take its key as new.
+constexpr Duration CopyTime = std::chrono::seconds(5);
+
+} // namespace
+
 void JobHome::adopt(const ArrivedTable &table, TimePoint now)
 {
     for (const TransferredJob &it : table.jobs) {
@@ -58,7 +66,7 @@
 {
     std::vector<WitnessedJob> result;
     for (const auto &[key, job] : m_jobs) {
-        if (shardOf(key) == shard && job->epoch < below && !isForgotten(*job, now))
+        if (shardOf(key) == shard && job->epoch < below && !isForgotten(*job, now - CopyTime))
             result.push_back(witnessOf(*job));
     }
     for (const Former &it : m_former) {
@@ -72,7 +80,7 @@
 {
     std::vector<AdoptedJob> result;
     for (const auto &[key, job] : m_jobs) {
-        if (!isForgotten(*job, now))
+        if (!isForgotten(*job, now - CopyTime))
             result.push_back({witnessOf(*job), job->epoch, Duration::zero()});
     }
     for (const Former &it : m_former)
@@ -148,7 +156,7 @@
     }
     Outbox unsent; // entries ask the next home, and executors follow its fence
     for (Job *job : lost) {
-        if (!isForgotten(*job, now))
+        if (!isForgotten(*job, now - CopyTime))
             m_former.push_back({witnessOf(*job), job->epoch, now});
         if (job->state != JobState::Answered)
             finish(*job, unknown("home_replaced"), now, unsent);
--- /dev/null
+++ b/tests/fleethistory.cpp
@@ -0,0 +1,112 @@
+// Checks a history against the invariants of section 1 of the design page.
+
+#include "fleethistory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cactuscove {
+
+namespace {
+
+struct JobHistory
+{
+    std::vector<SubmittedEvent> submitted;
+    std::map<std::uint16_t, std::vector<TimePoint>> starts; // by task
+    std::vector<AnsweredEvent> answered;
+};
+
+void checkStarts(const JobKey &key, const JobHistory &job, std::vector<std::string> &broken)
+{
+    for (const auto &[index, times] : job.starts) {
+        if (times.size() > 1 && !job.submitted.empty() && !job.submitted.front().idempotent)
+            broken.push_back(key.value + ": task " + std::to_string(index) + " started "
+                             + std::to_string(times.size()) + " times");
+    }
+}
+
+void checkCompleted(const JobHistory &job, const AnsweredEvent &event,
+                    std::vector<std::string> &broken)
+{
+    const std::string &key = event.key.value;
+    const std::vector<TaskAnswer> &tasks = event.answer.tasks;
+    if (job.submitted.empty() || tasks.size() != job.submitted.front().taskCount) {
+        broken.push_back(key + ": completed with " + std::to_string(tasks.size()) + " results");
+        return;
+    }
+    for (std::size_t n = 0; n < tasks.size(); ++n) {
+        if (tasks[n].body != bodyOf(event.key, n))
+            broken.push_back(key + ": another task's result: " + tasks[n].body);
+        const auto starts = job.starts.find(static_cast<std::uint16_t>(n));
+        if (starts == job.starts.end() || starts->second.front() > event.at)
+            broken.push_back(key + ": completed without a start of task " + std::to_string(n));
+    }
+}
+
+// After its retry time the caller may submit the id again, and the new submission may run.
+void checkNotRun(const JobHistory &job, const AnsweredEvent &event,
+                 std::vector<std::string> &broken)
+{
+    for (const auto &[index, times] : job.starts) {
+        for (const TimePoint start : times) {
+            const auto allows = [&](const SubmittedEvent &it) {
+                return event.answer.retryAfter && it.at >= event.at + *event.answer.retryAfter
+                       && it.at <= start;
+            };
+            if (std::ranges::none_of(job.submitted, allows))
+                broken.push_back(event.key.value + ": not_run, but task " + std::to_string(index)
+                                 + " started");
+        }
+    }
+}
+
+void checkAnswers(const JobHistory &job, std::vector<std::string> &broken)
+{
+    std::map<std::uint64_t, std::size_t> answersOf;
+    for (const AnsweredEvent &event : job.answered) {
+        const auto isAsked = [&](const SubmittedEvent &it) { return it.caller == event.caller; };
+        if (std::ranges::none_of(job.submitted, isAsked))
+            broken.push_back(event.key.value + ": answered to a caller that did not ask for it");
+        if (++answersOf[event.caller] > 1)
+            broken.push_back(event.key.value + ": two answers to one request");
+        if (event.answer.outcome == Outcome::Completed)
+            checkCompleted(job, event, broken);
+        else if (!event.answer.tasks.empty())
+            broken.push_back(event.key.value + ": partial answer");
+        if (event.answer.outcome == Outcome::NotRun)
+            checkNotRun(job, event, broken);
+    }
+}
+
+} // namespace
+
+std::string bodyOf(const JobKey &key, std::size_t index)
+{
+    return key.value + "#" + std::to_string(index);
+}
+
+std::vector<std::string> brokenPromises(const FleetHistory &history)
+{
+    std::map<JobKey, JobHistory> jobs;
+    for (const SubmittedEvent &it : history.submitted)
+        jobs[it.key].submitted.push_back(it);
+    for (const StartedEvent &it : history.started)
+        jobs[it.key].starts[it.index].push_back(it.at);
+    for (const AnsweredEvent &it : history.answered)
+        jobs[it.key].answered.push_back(it);
+    std::vector<std::string> broken;
+    for (const auto &[key, job] : jobs) {
+        checkStarts(key, job, broken);
+        checkAnswers(job, broken);
+    }
+    std::map<Incarnation, Revision> newest;
+    for (const RevisionEvent &it : history.revisions) {
+        if (it.revision < newest[it.process])
+            broken.push_back("process " + std::to_string(it.process.value)
+                             + " went back to revision " + std::to_string(it.revision.value));
+        newest[it.process] = it.revision;
+    }
+    return broken;
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/tests/virtualfleet.cpp
@@ -0,0 +1,495 @@
+// Event loop, network, log, upstreams and callers of the virtual fleet.
+
+#include "virtualfleet.h"
+
+#include <algorithm>
+
+namespace cactuscove {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration AnnounceInterval = 1s;
+constexpr Duration Lease = 3s;
+constexpr Duration LogPoll = 100ms;
+constexpr Duration CallerDeadline = 20s;
+constexpr int MaxResubmissions = 3;
+
+JobSpec jobOf(std::uint32_t number)
+{
+    JobSpec spec;
+    spec.team = "t";
+    spec.key = JobKey{"t/" + std::to_string(number)};
+    spec.jobClass = "normal";
+    spec.upstream = "desk";
+    spec.deadline = CallerDeadline;
+    spec.idempotent = number % 5 == 4;
+    spec.contentHash = number + 1;
+    for (std::size_t n = 0; n <= number % 4; ++n)
+        spec.tasks.push_back({"task" + std::to_string(n), bodyOf(spec.key, n), 100ms, {}});
+    return spec;
+}
+
+} // namespace
+
+VirtualFleet::VirtualFleet(FleetOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    m_upstreams.resize(options.agents);
+    for (std::size_t n = 0; n < options.entries; ++n)
+        spawn(Role::Entry, n);
+    for (std::size_t n = 0; n < options.agents; ++n) {
+        m_upstreams[n].incarnation = "u" + std::to_string(++m_lastUpstream);
+        spawn(Role::Agent, n);
+        after(delay(0, 1'000'000), [this, n] { announce(n); });
+    }
+}
+
+VirtualFleet::~VirtualFleet() = default;
+
+void VirtualFleet::run(const std::vector<Step> &steps, Duration length)
+{
+    const TimePoint begin = m_now;
+    for (const Step &step : steps)
+        at(begin + step.at, [this, step] { perform(step); });
+    runUntil(begin + length);
+}
+
+void VirtualFleet::runUntil(TimePoint end)
+{
+    while (!m_events.empty() && m_events.begin()->first.first <= end) {
+        auto event = m_events.extract(m_events.begin());
+        m_now = std::max(m_now, event.key().first);
+        event.mapped()();
+    }
+    m_now = end;
+}
+
+std::uint64_t VirtualFleet::submit(std::uint32_t job, std::size_t entry)
+{
+    const std::vector<Incarnation> entries = alive(Role::Entry);
+    const std::uint64_t caller = m_callers.size() + 1;
+    if (entries.empty()) {
+        resubmit(job, 1s);
+        return 0;
+    }
+    ask(caller, job, entries[entry % entries.size()]);
+    return caller;
+}
+
+std::vector<Answer> VirtualFleet::answersOf(std::uint32_t job) const
+{
+    std::vector<Answer> result;
+    for (const AnsweredEvent &it : m_history.answered) {
+        if (it.key == jobOf(job).key)
+            result.push_back(it.answer);
+    }
+    return result;
+}
+
+void VirtualFleet::at(TimePoint time, Action action)
+{
+    m_events.emplace(std::pair{std::max(time, m_now), ++m_lastEvent}, std::move(action));
+}
+
+VirtualFleet::Process &VirtualFleet::spawn(Role role, std::size_t place)
+{
+    const Incarnation self{++m_lastIncarnation};
+    Process &process = m_processes[self];
+    process.place = place;
+    process.member = {self, role, "10.0.0." + std::to_string(self.value) + ":1", "dc1", "r1", "o1"};
+    const NodeSettings settings{process.member, m_options.seed * 1000 + self.value};
+    if (role == Role::Agent)
+        process.agent = std::make_unique<AgentNode>(settings);
+    else
+        process.entry = std::make_unique<EntryNode>(settings, Duration(1h));
+    handle(self, [this](Process &it, Outbox &out) {
+        it.agent ? it.agent->start(m_now, out) : it.entry->start(m_now, out);
+    });
+    after(delay(0, 100'000), [this, self] { readLog(self); });
+    return process;
+}
+
+void VirtualFleet::kill(Process &process, bool refusesConnections, Duration replacedAfter)
+{
+    process.isAlive = false;
+    process.refusesConnections = refusesConnections;
+    const Role role = process.member.role;
+    const std::size_t place = process.place;
+    after(replacedAfter, [this, role, place] { spawn(role, place); });
+    for (auto &[id, caller] : m_callers) {
+        if (caller.isAnswered || caller.entry != process.member.incarnation)
+            continue;
+        caller.isAnswered = true; // its connection broke; the caller tries another entry
+        resubmit(caller.job, delay(100'000, 1'000'000));
+    }
+}
+
+void VirtualFleet::handle(Incarnation to, Handler handler)
+{
+    Process &process = m_processes.at(to);
+    if (!process.isAlive)
+        return;
+    if (process.pausedUntil > m_now) {
+        at(process.pausedUntil, [this, to, handler] { handle(to, handler); });
+        return;
+    }
+    Outbox out;
+    handler(process, out);
+    perform(process, out);
+    armTimer(process);
+    const AcceptedConfig *config
+        = (process.agent ? process.agent->ledger() : process.entry->ledger()).config();
+    if (config != nullptr && config->revision != process.revision) {
+        process.revision = config->revision;
+        m_history.revisions.push_back({m_now, to, config->revision});
+    }
+    if (process.agent ? process.agent->isShutdownComplete() : process.entry->isShutdownComplete())
+        kill(process, true, delay(100'000, 1'000'000));
+}
+
+// Carries out the effects of one turn; the messages to one process share an envelope.
+void VirtualFleet::perform(Process &process, Outbox &out)
+{
+    const Incarnation self = process.member.incarnation;
+    std::map<Incarnation, Envelope> envelopes;
+    for (Effect &effect : out.take()) {
+        if (auto *send = std::get_if<Send>(&effect)) {
+            envelopes[send->to].messages.push_back(std::move(send->message));
+        } else if (auto *append = std::get_if<Append>(&effect)) {
+            const Record record = append->record;
+            after(delay(4'000, 9'000), [this, self, record] { this->append(self, record); });
+        } else if (auto *answer = std::get_if<AnswerCaller>(&effect)) {
+            onAnswer(*answer);
+        } else if (auto *start = std::get_if<StartOnUpstream>(&effect)) {
+            after(delay(100, 400),
+                  [this, self, place = process.place, it = *start] { startTask(place, self, it); });
+        }
+    }
+    for (auto &[to, envelope] : envelopes) {
+        envelope.from = self;
+        envelope.to = to;
+        envelope.loads = process.agent ? process.agent->loads(m_now) : process.entry->loads(m_now);
+        m_messages += envelope.messages.size();
+        transmit(self, to, std::move(envelope));
+    }
+}
+
+void VirtualFleet::armTimer(Process &process)
+{
+    const TimePoint next = process.agent ? process.agent->nextTimer() : process.entry->nextTimer();
+    if (next == NeverTime || process.timer <= std::max(next, m_now + 1ms))
+        return;
+    // A timer in the past would never let the virtual time go on.
+    process.timer = std::max(next, m_now + 1ms);
+    at(process.timer, [this, self = process.member.incarnation, due = process.timer] {
+        if (m_processes.at(self).timer != due)
+            return;
+        handle(self, [this](Process &it, Outbox &out) {
+            it.timer = NeverTime;
+            it.agent ? it.agent->onTimer(m_now, out) : it.entry->onTimer(m_now, out);
+        });
+    });
+}
+
+void VirtualFleet::transmit(Incarnation from, Incarnation to, Envelope envelope)
+{
+    const bool isDisturbed = m_disturbedUntil > m_now;
+    const int copies = isDisturbed && chance(0.1) ? 2 : 1;
+    for (int n = 0; n < copies; ++n) {
+        if (isDisturbed && chance(0.1))
+            continue;
+        const Duration wait
+            = isDisturbed && chance(0.2) ? delay(1'000, 1'500'000) : delay(200, 900);
+        after(wait, [this, from, to, envelope] { deliver(from, to, envelope); });
+    }
+}
+
+void VirtualFleet::deliver(Incarnation from, Incarnation to, const Envelope &envelope)
+{
+    const auto silent = m_silentUntil.find(std::minmax(from, to));
+    if (silent != m_silentUntil.end() && silent->second > m_now)
+        return;
+    const auto process = m_processes.find(to);
+    if (process == m_processes.end())
+        return;
+    if (process->second.isAlive) {
+        handle(to, [this, envelope](Process &it, Outbox &out) {
+            it.agent ? it.agent->onEnvelope(envelope, m_now, out)
+                     : it.entry->onEnvelope(envelope, m_now, out);
+        });
+    } else if (process->second.refusesConnections) {
+        handle(from, [this, to, envelope](Process &it, Outbox &out) {
+            for (const Message &message : envelope.messages) {
+                it.agent ? it.agent->onUndelivered(to, message, m_now, out)
+                         : it.entry->onUndelivered(to, message, m_now, out);
+            }
+        });
+    }
+}
+
+// The shell's part: an unclear append is repeated under its id until the log has it.
+void VirtualFleet::append(Incarnation by, Record record)
+{
+    if (!m_processes.at(by).isAlive)
+        return;
+    const bool isDown = m_logDownUntil > m_now;
+    const bool isReplyLost = m_repliesLostUntil > m_now && chance(0.5);
+    if (!isDown) {
+        // A lost reply may lead to a second record with the same id.
+        if (m_appendIds.insert(record.appendId).second || chance(0.2))
+            m_log.push_back({LogOffset{m_log.size()}, record});
+        for (const Incarnation entry : alive(Role::Entry))
+            after(delay(500, 3'000), [this, entry] { readLog(entry); });
+    }
+    if (isDown || isReplyLost)
+        after(delay(200'000, 600'000), [this, by, record] { append(by, record); });
+}
+
+void VirtualFleet::readLog(Incarnation reader)
+{
+    Process &process = m_processes.at(reader);
+    if (!process.isAlive)
+        return;
+    const bool isDown = m_logDownUntil > m_now;
+    handle(reader, [this, isDown](Process &it, Outbox &out) {
+        if (it.entry)
+            it.entry->onLogReachable(!isDown, m_now);
+        if (isDown || (it.agent && !it.agent->needsLog(m_now)))
+            return;
+        const Ledger &ledger = it.agent ? it.agent->ledger() : it.entry->ledger();
+        const auto from = static_cast<std::ptrdiff_t>(ledger.next().value);
+        const std::vector<LogRecord> records(m_log.begin() + from, m_log.end());
+        const LogOffset next{m_log.size()};
+        it.agent ? it.agent->onLogRecords(records, next, m_now, out)
+                 : it.entry->onLogRecords(records, next, m_now, out);
+    });
+    // Reads for records are triggered by appends; this one is the periodic poll.
+    if (!process.hasPoll) {
+        process.hasPoll = true;
+        after(LogPoll, [this, reader] {
+            m_processes.at(reader).hasPoll = false;
+            readLog(reader);
+        });
+    }
+}
+
+void VirtualFleet::startTask(std::size_t place, Incarnation agent, const StartOnUpstream &start)
+{
+    Upstream &upstream = m_upstreams[place];
+    if (!upstream.isUp || upstream.incarnation != start.upstreamIncarnation
+        || chance(m_options.upstreamRefusals)) {
+        finishTask(agent, start.ref, start.attempt, {TaskStatus::NotStarted, 503, {}, {}});
+        return;
+    }
+    m_history.started.push_back({m_now, start.ref.key, start.ref.index});
+    upstream.running.insert({start.ref, start.attempt});
+    const Duration runTime = delay(10'000, static_cast<int>(m_options.maxRunTime.count()));
+    TaskResult result{TaskStatus::Completed, 200, start.payload, runTime};
+    if (chance(m_options.upstreamFailures))
+        result = {TaskStatus::Failed, 500, {}, runTime};
+    after(runTime, [this, place, agent, ref = start.ref, attempt = start.attempt, result] {
+        if (m_upstreams[place].running.erase({ref, attempt}) > 0)
+            finishTask(agent, ref, attempt, result);
+    });
+}
+
+void VirtualFleet::finishTask(Incarnation agent, const TaskRef &ref, std::uint32_t attempt,
+                              TaskResult result)
+{
+    after(delay(100, 400), [this, agent, ref, attempt, result] {
+        handle(agent, [this, ref, attempt, result](Process &it, Outbox &out) {
+            it.agent->onUpstreamResult(ref, attempt, result, m_now, out);
+        });
+    });
+}
+
+void VirtualFleet::announce(std::size_t place)
+{
+    const Upstream &upstream = m_upstreams[place];
+    if (upstream.isUp) {
+        const UpstreamAnnouncement announcement{"desk",
+                                                upstream.incarnation,
+                                                "10.1.0." + std::to_string(place) + ":1",
+                                                m_options.slots,
+                                                64,
+                                                {0, 4096},
+                                                Lease};
+        for (const Incarnation agent : alive(Role::Agent)) {
+            if (m_processes.at(agent).place != place)
+                continue;
+            handle(agent, [this, announcement](Process &it, Outbox &out) {
+                it.agent->onUpstreamAnnounced(announcement, m_now, out);
+            });
+        }
+    }
+    after(AnnounceInterval, [this, place] { announce(place); });
+}
+
+void VirtualFleet::ask(std::uint64_t caller, std::uint32_t job, Incarnation entry)
+{
+    const JobSpec spec = jobOf(job);
+    m_callers[caller] = {job, entry, false};
+    m_history.submitted.push_back({m_now, caller, spec.key, spec.tasks.size(), spec.idempotent});
+    handle(entry, [this, caller, spec](Process &it, Outbox &out) {
+        it.entry->submit(CallerId{caller}, spec, {"trace", std::to_string(caller)},
+                         m_now + 2 * CallerDeadline, m_now, out);
+    });
+}
+
+void VirtualFleet::onAnswer(const AnswerCaller &effect)
+{
+    const auto it = m_callers.find(effect.caller.value);
+    if (it == m_callers.end())
+        return; // a cancellation
+    Caller &caller = it->second;
+    const auto *answer = std::get_if<Answer>(&effect.reply);
+    if (answer == nullptr) { // the shard is moving, or the entry shuts down
+        caller.isAnswered = true;
+        return resubmit(caller.job, 500ms);
+    }
+    caller.isAnswered = true;
+    m_history.answered.push_back({m_now, effect.caller.value, effect.key, *answer});
+    if (answer->outcome == Outcome::NotRun && answer->retryAfter)
+        resubmit(caller.job, *answer->retryAfter + 1ms);
+    else if (answer->outcome == Outcome::Unknown && answer->retryAfter)
+        resubmit(caller.job, *answer->retryAfter);
+}
+
+// To any entry, as callers do with jobs that they believe lost.
+void VirtualFleet::resubmit(std::uint32_t job, Duration wait)
+{
+    if (++m_resubmissions[job] <= MaxResubmissions)
+        after(wait, [this, job] { submit(job, random(16)); });
+}
+
+void VirtualFleet::perform(const Step &step)
+{
+    const TimePoint end = m_now + step.length;
+    const Incarnation agent = pick(Role::Agent, step.target);
+    const Incarnation entry = pick(Role::Entry, step.target);
+    const bool isLastEntry = alive(Role::Entry).size() < 2;
+    switch (step.kind) {
+    case StepKind::Submit:
+    case StepKind::Copy:
+        submit(step.target, static_cast<std::size_t>(step.length.count()));
+        break;
+    case StepKind::Cancel:
+        if (entry.value != 0)
+            handle(entry, [this, key = jobOf(step.target).key](Process &it, Outbox &out) {
+                it.entry->cancel(CallerId{1'000'000 + m_lastEvent}, key, m_now + 5s, m_now, out);
+            });
+        break;
+    case StepKind::KillAgent:
+    case StepKind::LoseHost:
+        if (agent.value != 0)
+            kill(m_processes.at(agent), step.kind == StepKind::KillAgent, step.length);
+        break;
+    case StepKind::KillEntry:
+        if (!isLastEntry)
+            kill(m_processes.at(entry), true, step.length);
+        break;
+    case StepKind::PauseAgent:
+        if (agent.value != 0)
+            m_processes.at(agent).pausedUntil = end;
+        break;
+    case StepKind::PauseEntry:
+        if (!isLastEntry)
+            m_processes.at(entry).pausedUntil = end;
+        break;
+    case StepKind::SilenceLink:
+        if (agent.value != 0) {
+            const Incarnation other
+                = pick(random(2) == 0 ? Role::Entry : Role::Agent, step.target / 4);
+            m_silentUntil[std::minmax(agent, other)] = end;
+        }
+        break;
+    case StepKind::DisturbNet:
+        m_disturbedUntil = end;
+        break;
+    case StepKind::LogOutage:
+        m_logDownUntil = end;
+        break;
+    case StepKind::LoseReplies:
+        m_repliesLostUntil = end;
+        break;
+    case StepKind::KillUpstream: {
+        Upstream &upstream = m_upstreams[step.target % m_upstreams.size()];
+        upstream.isUp = false;
+        upstream.running.clear();
+        after(step.length, [this, n = step.target % m_upstreams.size()] {
+            m_upstreams[n].incarnation = "u" + std::to_string(++m_lastUpstream);
+            m_upstreams[n].isUp = true;
+        });
+        break;
+    }
+    case StepKind::LeaveAgent:
+        if (alive(Role::Agent).size() > 1)
+            handle(agent,
+                   [this](Process &it, Outbox &out) { it.agent->beginShutdown(m_now, out); });
+        break;
+    case StepKind::LeaveEntry:
+        if (!isLastEntry)
+            handle(entry,
+                   [this](Process &it, Outbox &out) { it.entry->beginShutdown(m_now, out); });
+        break;
+    case StepKind::Configure:
+        configure(step.target);
+        break;
+    }
+}
+
+// Both offices start from the same revision; the ledger must accept only one of the two.
+void VirtualFleet::configure(std::uint32_t target)
+{
+    const Incarnation entry = pick(Role::Entry, target);
+    if (entry.value == 0)
+        return;
+    const AcceptedConfig *config = m_processes.at(entry).entry->ledger().config();
+    const Revision base = config == nullptr ? Revision{} : config->revision;
+    for (const std::string office : {"hollisdale", "maji"}) {
+        const Record record{office + std::to_string(m_lastEvent),
+                            ConfigRecord{base, "version: 1\n", office, "operator"}};
+        after(delay(4'000, 9'000), [this, entry, record] { append(entry, record); });
+    }
+}
+
+std::vector<Incarnation> VirtualFleet::alive(Role role) const
+{
+    std::vector<Incarnation> result;
+    for (const auto &[self, process] : m_processes) {
+        if (process.isAlive && process.member.role == role)
+            result.push_back(self);
+    }
+    return result;
+}
+
+Incarnation VirtualFleet::pick(Role role, std::uint32_t target) const
+{
+    const std::vector<Incarnation> candidates = alive(role);
+    return candidates.empty() ? Incarnation{} : candidates[target % candidates.size()];
+}
+
+std::uint64_t VirtualFleet::random(std::uint64_t below)
+{
+    m_random += 0x9e3779b97f4a7c15ULL; // splitmix64
+    std::uint64_t n = m_random;
+    n = (n ^ (n >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    n = (n ^ (n >> 27)) * 0x94d049bb133111ebULL;
+    return (n ^ (n >> 31)) % below;
+}
+
+bool VirtualFleet::chance(double probability)
+{
+    return static_cast<double>(random(1'000'000)) < probability * 1e6;
+}
+
+Duration VirtualFleet::delay(int fromMicros, int toMicros)
+{
+    return Duration(fromMicros
+                    + static_cast<int>(random(static_cast<std::uint64_t>(toMicros - fromMicros))));
+}
+
+} // namespace cactuscove
