logstandin: stand-in of the log service with faults over HTTP

Keeps streams in memory, answers long polls and 410 for trimmed offsets, and can lose replies, delay replies or effects, trim and be down. The server is a header so that tests run it in process.

Tried by hand with curl: append, read, long poll answered after 0.2 s by an append, 410 after trimming to one record, a reply dropped after the append.

--- /dev/null
+++ b/tools/logstandinserver.h
@@ -0,0 +1,294 @@
+// Small stand-in of the platform's log service: streams in memory, long poll, trimming and faults.
+// Used by the program tools/logstandin and, in process, by tests.
+
+#pragma once
+
+#include "eventloop.h"
+#include "httpserver.h"
+#include "jsonfields.h"
+#include "recordcodec.h"
+
+#include <json/value.h>
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cactuscove {
+
+// Set by PUT /faults; a field that is left out keeps its value.
+struct LogFaults
+{
+    bool down = false;                 // connections are closed without effect or reply
+    std::uint64_t delayMs = 0;         // every reply comes this much later than its effect
+    std::uint64_t appendDelayMs = 0;   // appends take effect this late, even if the client is gone
+    std::uint64_t dropReplies = 0;     // the next N appends take effect but get no reply
+    std::uint64_t retain = UINT64_MAX; // records kept in each stream
+};
+
+class LogStandinServer
+{
+public:
+    static Result<std::unique_ptr<LogStandinServer>, HttpServerError>
+    listen(EventLoop &loop, std::string_view address)
+    {
+        std::unique_ptr<LogStandinServer> self(new LogStandinServer(loop));
+        auto server = HttpServer::listen(
+            loop, address, {.maxBodyBytes = MaxRecordBytes},
+            [it = self.get()](RequestId id, const HttpRequest &request) {
+                it->handle(id, request);
+            },
+            [it = self.get()](RequestId id) { it->forget(id); });
+        if (!isOk(server))
+            return errorOf(server);
+        self->m_server = std::move(valueOf(server));
+        return self;
+    }
+
+    std::string address() const { return m_server->address(); }
+    LogFaults &faults() { return m_faults; }
+
+    std::uint64_t append(const std::string &name, std::string body)
+    {
+        Stream &stream = m_streams[name];
+        stream.records.push_back(std::move(body));
+        trim(stream);
+        answerWaiting();
+        return stream.next() - 1;
+    }
+
+    const std::deque<std::string> &records(const std::string &name)
+    {
+        return m_streams[name].records;
+    }
+
+private:
+    static constexpr std::size_t MaxRecordBytes = 16 << 20;
+    static constexpr std::size_t MaxReplyBytes = 2 << 20; // at least one record is always sent
+    static constexpr std::uint64_t MaxWaitMs = 30'000;
+    static constexpr std::uint64_t MaxRecordsPerReply = 1000;
+
+    struct Stream
+    {
+        std::uint64_t first = 0; // of the records that are still kept
+        std::deque<std::string> records;
+        std::uint64_t next() const { return first + records.size(); }
+    };
+
+    struct Reader
+    {
+        RequestId id;
+        std::string stream;
+        std::uint64_t from = 0;
+        std::uint64_t limit = 0;
+        TimePoint until;
+    };
+
+    explicit LogStandinServer(EventLoop &loop)
+        : m_loop(loop)
+        , m_timer(loop, [this] { runDue(); })
+    {}
+
+    void handle(RequestId id, const HttpRequest &request)
+    {
+        if (request.path == "/faults")
+            return handleFaults(id, request);
+        if (m_faults.down)
+            return m_server->drop(id);
+        const std::string stream = streamOf(request.path);
+        if (stream.empty())
+            return m_server->respond(id, {404, R"({"error":"no such path"})"});
+        if (request.method == "POST")
+            return handleAppend(id, stream, request.body);
+        if (request.method != "GET")
+            return m_server->respond(id, {405, R"({"error":"no such method"})"});
+        const std::uint64_t wait = std::min(parameter(request, "wait_ms", 0), MaxWaitMs);
+        m_readers.push_back({id, stream, parameter(request, "from", 0),
+                             parameter(request, "limit", MaxRecordsPerReply),
+                             m_loop.now() + std::chrono::milliseconds(wait)});
+        at(m_readers.back().until, [] {}); // runDue() looks at the readers
+        answerWaiting();
+    }
+
+    void handleAppend(RequestId id, const std::string &stream, const std::string &body)
+    {
+        if (m_faults.appendDelayMs == 0)
+            return finishAppend(id, stream, body);
+        at(m_loop.now() + std::chrono::milliseconds(m_faults.appendDelayMs),
+           [=, this] { finishAppend(id, stream, body); });
+    }
+
+    void finishAppend(RequestId id, const std::string &stream, const std::string &body)
+    {
+        const std::uint64_t offset = append(stream, body);
+        if (m_faults.dropReplies > 0) {
+            --m_faults.dropReplies;
+            return m_server->drop(id);
+        }
+        Json::Value json;
+        json["offset"] = jsonfields::uint(offset);
+        reply(id, 200, json);
+    }
+
+    void handleFaults(RequestId id, const HttpRequest &request)
+    {
+        const auto json = request.method == "PUT" ? readJson(request.body) : Json::Value();
+        if (!isOk(json) || !setFaults(valueOf(json)))
+            return m_server->respond(id, {400, R"({"error":"malformed faults"})"});
+        Json::Value now;
+        now["down"] = m_faults.down;
+        now["delay_ms"] = jsonfields::uint(m_faults.delayMs);
+        now["append_delay_ms"] = jsonfields::uint(m_faults.appendDelayMs);
+        now["drop_replies"] = jsonfields::uint(m_faults.dropReplies);
+        now["retain"] = jsonfields::uint(m_faults.retain);
+        m_server->respond(id, {200, writeJson(now)});
+    }
+
+    bool setFaults(const Json::Value &json)
+    {
+        using namespace jsonfields;
+        LogFaults faults = m_faults;
+        try {
+            for (const std::string &name : json.getMemberNames()) {
+                if (name == "down")
+                    faults.down = flag(json, "down");
+                else if (name == "delay_ms")
+                    faults.delayMs = number(json, "delay_ms", MaxWaitMs);
+                else if (name == "append_delay_ms")
+                    faults.appendDelayMs = number(json, "append_delay_ms", MaxWaitMs);
+                else if (name == "drop_replies")
+                    faults.dropReplies = number(json, "drop_replies");
+                else if (name == "retain")
+                    faults.retain = number(json, "retain");
+                else
+                    return false;
+            }
+        } catch (const FieldError &) {
+            return false;
+        } catch (const Json::Exception &) {
+            return false; // no object
+        }
+        m_faults = faults;
+        if (m_faults.down) {
+            for (const Reader &reader : std::exchange(m_readers, {}))
+                m_server->drop(reader.id);
+        }
+        for (auto &[name, stream] : m_streams)
+            trim(stream);
+        return true;
+    }
+
+    void trim(Stream &stream) const
+    {
+        for (; stream.records.size() > m_faults.retain; ++stream.first)
+            stream.records.pop_front();
+    }
+
+    void answerWaiting()
+    {
+        std::vector<Reader> waiting;
+        for (Reader &reader : std::exchange(m_readers, {})) {
+            const Stream &stream = m_streams[reader.stream];
+            if (reader.from < stream.first)
+                reply(reader.id, 410, firstOf(stream));
+            else if (reader.from < stream.next() || m_loop.now() >= reader.until)
+                reply(reader.id, 200, recordsFrom(stream, reader));
+            else
+                waiting.push_back(std::move(reader));
+        }
+        m_readers = std::move(waiting);
+    }
+
+    static Json::Value firstOf(const Stream &stream)
+    {
+        Json::Value json;
+        json["first"] = jsonfields::uint(stream.first);
+        return json;
+    }
+
+    static Json::Value recordsFrom(const Stream &stream, const Reader &reader)
+    {
+        Json::Value json = firstOf(stream);
+        Json::Value &records = json["records"] = Json::Value(Json::arrayValue);
+        std::uint64_t next = std::min(reader.from, stream.next());
+        std::size_t bytes = 0;
+        for (; next < stream.next() && records.size() < reader.limit && bytes < MaxReplyBytes;
+             ++next) {
+            const std::string &body = stream.records[next - stream.first];
+            Json::Value &record = records.append(Json::Value(Json::objectValue));
+            record["offset"] = jsonfields::uint(next);
+            record["body"] = body;
+            bytes += body.size();
+        }
+        json["next"] = jsonfields::uint(next);
+        return json;
+    }
+
+    void reply(RequestId id, int status, const Json::Value &json)
+    {
+        HttpResponse response{status, writeJson(json)};
+        if (m_faults.delayMs == 0)
+            return m_server->respond(id, std::move(response));
+        at(m_loop.now() + std::chrono::milliseconds(m_faults.delayMs),
+           [this, id, response] { m_server->respond(id, response); });
+    }
+
+    void forget(RequestId id)
+    {
+        std::erase_if(m_readers, [id](const Reader &reader) { return reader.id == id; });
+    }
+
+    void at(TimePoint due, std::function<void()> task)
+    {
+        m_due.emplace(due, std::move(task));
+        m_timer.startAt(m_due.begin()->first);
+    }
+
+    void runDue()
+    {
+        while (!m_due.empty() && m_due.begin()->first <= m_loop.now()) {
+            const auto task = std::move(m_due.begin()->second);
+            m_due.erase(m_due.begin());
+            task();
+        }
+        answerWaiting();
+        if (!m_due.empty())
+            m_timer.startAt(m_due.begin()->first);
+    }
+
+    // "/streams/NAME/records" -> NAME, else empty.
+    static std::string streamOf(const std::string &path)
+    {
+        const std::string prefix = "/streams/";
+        const std::string suffix = "/records";
+        if (path.size() <= prefix.size() + suffix.size() || !path.starts_with(prefix)
+            || !path.ends_with(suffix))
+            return {};
+        return path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
+    }
+
+    static std::uint64_t parameter(const HttpRequest &request, const std::string &name,
+                                   std::uint64_t fallback)
+    {
+        const auto it = request.query.find(name);
+        if (it != request.query.end())
+            std::from_chars(it->second.data(), it->second.data() + it->second.size(), fallback);
+        return fallback;
+    }
+
+    EventLoop &m_loop;
+    Timer m_timer;
+    std::multimap<TimePoint, std::function<void()>> m_due; // earliest first
+    LogFaults m_faults;
+    std::map<std::string, Stream> m_streams;
+    std::vector<Reader> m_readers; // long polls without an answer yet
+    std::unique_ptr<HttpServer> m_server;
+};
+
+} // namespace cactuscove
