--- /dev/null
+++ b/tests/taskexecutor_test.cpp
@@ -0,0 +1,498 @@
+// The executor's promises (rules R2, R4, R6): what started is never started again, and what it said
+// it would not start never starts.
+
+#include "taskexecutor.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace cactuscove {
+namespace {
+
+using namespace std::chrono_literals;
+using Change = UpstreamRegistry::Change;
+
+constexpr Incarnation Self{5}, Home1{11}, Home2{12};
+const TaskRef Task1{{"bookings/j1"}, 0}, Task2{{"bookings/j2"}, 0}, Task3{{"bookings/j3"}, 0};
+
+class Executor
+{
+public:
+    Executor()
+    {
+        for (const Incarnation it : {Self, Home1, Home2})
+            append(RegisterRecord{{it, Role::Agent, "127.0.0.1:1", "dc1", "rack1", "hollisdale"}});
+        announce(1);
+    }
+
+    void append(RecordBody body)
+    {
+        const LedgerChanges changes
+            = ledger.apply({LogOffset{offset}, {std::to_string(offset), std::move(body)}});
+        ++offset;
+        executor.onLedgerChange(changes, now, out);
+    }
+
+    void announce(std::uint32_t slots, const std::string &incarnation = "u1")
+    {
+        const auto change = upstreams.announce(
+            {"walk-desk", incarnation, "127.0.0.1:9", slots, 64, {1, 1024}, 600s}, now);
+        executor.onUpstreamChange(change, now, out);
+    }
+
+    static StartTask startOf(const TaskRef &ref, std::uint32_t attempt = 1, std::uint64_t epoch = 1)
+    {
+        StartTask it;
+        it.ref = ref;
+        it.attempt = attempt;
+        it.epoch = Epoch{epoch};
+        it.task.id = "t0";
+        it.team = "bookings";
+        it.jobClass = "normal";
+        it.upstream = "walk-desk";
+        it.remaining = 30s;
+        return it;
+    }
+
+    // Sends to the executor and returns what it asks for.
+    std::vector<Effect> send(Message message, Incarnation from = Home1)
+    {
+        out.take();
+        executor.onMessage(from, message, now, out);
+        return out.take();
+    }
+
+    std::vector<Effect> finish(const TaskRef &ref, std::uint32_t attempt = 1,
+                               TaskStatus status = TaskStatus::Completed)
+    {
+        out.take();
+        executor.onUpstreamResult(ref, attempt, {status, 200, "ok", 50ms}, now, out);
+        return out.take();
+    }
+
+    std::vector<Effect> wait(Duration duration)
+    {
+        out.take();
+        const TimePoint end = now + duration;
+        while (executor.nextTimer() <= end) {
+            now = std::max(now, executor.nextTimer());
+            executor.onTimer(now, out);
+        }
+        now = end;
+        return out.take();
+    }
+
+    Ledger ledger;
+    UpstreamRegistry upstreams;
+    TaskExecutor executor{Self, ledger, upstreams};
+    TimePoint now{1h};
+    Outbox out;
+    std::uint64_t offset = 0;
+};
+
+template <typename M>
+std::vector<M> sent(const std::vector<Effect> &effects)
+{
+    std::vector<M> found;
+    for (const Effect &it : effects) {
+        const auto *send = std::get_if<Send>(&it);
+        if (send && std::holds_alternative<M>(send->message))
+            found.push_back(std::get<M>(send->message));
+    }
+    return found;
+}
+
+std::size_t starts(const std::vector<Effect> &effects)
+{
+    return std::count_if(effects.begin(), effects.end(), [](const Effect &it) {
+        return std::holds_alternative<StartOnUpstream>(it);
+    });
+}
+
+TaskRefusal refusal(const std::vector<Effect> &effects)
+{
+    const auto found = sent<TaskRefused>(effects);
+    EXPECT_EQ(found.size(), 1U);
+    return found.at(0).reason;
+}
+
+// A home that repeats its request must not start the task twice (R4).
+TEST(TaskExecutor, RepeatedStartIsAnsweredWithoutAnotherStart)
+{
+    Executor it;
+    EXPECT_EQ(starts(it.send(it.startOf(Task1))), 1U);
+    const auto whileRunning = it.send(it.startOf(Task1));
+    EXPECT_EQ(starts(whileRunning), 0U);
+    EXPECT_EQ(sent<TaskAccepted>(whileRunning).size(), 1U);
+    it.finish(Task1);
+    const auto afterwards = it.send(it.startOf(Task1));
+    EXPECT_EQ(starts(afterwards), 0U);
+    EXPECT_EQ(sent<TaskDone>(afterwards).at(0).result.body, "ok");
+}
+
+// Only idempotent tasks may run again (R9), and the upstream's proof allows a new placement.
+TEST(TaskExecutor, AnotherAttemptStartsOnlyIfIdempotentOrProvedNotStarted)
+{
+    Executor it;
+    it.announce(4);
+    it.send(it.startOf(Task1));
+    it.finish(Task1, 1, TaskStatus::Failed);
+    EXPECT_EQ(starts(it.send(it.startOf(Task1, 2))), 0U);
+
+    StartTask idempotent = it.startOf(Task2);
+    idempotent.idempotent = true;
+    it.send(idempotent);
+    idempotent.attempt = 2;
+    EXPECT_EQ(starts(it.send(idempotent)), 1U);
+    idempotent.attempt = 1;
+    EXPECT_EQ(starts(it.send(idempotent)), 0U);
+
+    it.send(it.startOf(Task3));
+    it.finish(Task3, 1, TaskStatus::NotStarted);
+    EXPECT_EQ(starts(it.send(it.startOf(Task3))), 0U);
+    EXPECT_EQ(starts(it.send(it.startOf(Task3, 2))), 1U);
+}
+
+// The home was told "not started" and placed the task elsewhere; the late start must not run (R6).
+TEST(TaskExecutor, StartThatWasOvertakenByItsCancelIsRefused)
+{
+    Executor it;
+    EXPECT_EQ(sent<TaskNotStarted>(it.send(CancelTask{Task1, 1, Epoch{1}})).size(), 1U);
+    EXPECT_EQ(refusal(it.send(it.startOf(Task1))), TaskRefusal::Tombstone);
+    EXPECT_EQ(starts(it.send(it.startOf(Task1, 2))), 1U);
+}
+
+// A refusal is a proof, so a copy that arrives when the reason has gone must not start the task.
+TEST(TaskExecutor, RefusedAttemptStaysRefused)
+{
+    Executor it;
+    it.executor.onUpstreamChange(it.upstreams.leave(), it.now, it.out);
+    EXPECT_EQ(refusal(it.send(it.startOf(Task1))), TaskRefusal::NoUpstream);
+    it.announce(1, "u2");
+    EXPECT_EQ(refusal(it.send(it.startOf(Task1))), TaskRefusal::Tombstone);
+}
+
+TEST(TaskExecutor, RefusesWhatMustNotStartHere)
+{
+    Executor it;
+    StartTask late = it.startOf(Task1);
+    late.remaining = 0s;
+    EXPECT_EQ(refusal(it.send(late)), TaskRefusal::DeadlinePassed);
+    StartTask large = it.startOf(Task2);
+    large.task.needs.memoryMb = 2048;
+    EXPECT_EQ(refusal(it.send(large)), TaskRefusal::CannotRun);
+    it.executor.beginDraining(it.now, it.out);
+    EXPECT_EQ(refusal(it.send(it.startOf(Task3))), TaskRefusal::Draining);
+}
+
+// A process whose registration is not in its ledger is not asked by new homes (R5).
+TEST(TaskExecutor, StartsNothingBeforeItsOwnRegistration)
+{
+    Executor it;
+    TaskExecutor unregistered(Incarnation{99}, it.ledger, it.upstreams);
+    unregistered.onMessage(Home1, it.startOf(Task1), it.now, it.out);
+    EXPECT_EQ(starts(it.out.take()), 0U);
+}
+
+// A fenced home that was paused must not start anything, nor stop what runs (R2).
+TEST(TaskExecutor, FenceRefusesLowerEpochs)
+{
+    Executor it;
+    it.announce(4);
+    it.send(it.startOf(Task1));
+    it.send(Raise{{{shardOf(Task1.key), Epoch{2}}, {shardOf(Task2.key), Epoch{2}}}}, Home2);
+    EXPECT_EQ(refusal(it.send(it.startOf(Task2))), TaskRefusal::StaleEpoch);
+    EXPECT_EQ(starts(it.send(it.startOf(Task2, 1, 2), Home2)), 1U);
+    const auto staleCancel = it.send(CancelTask{Task1, 1, Epoch{1}});
+    EXPECT_EQ(sent<TaskAccepted>(staleCancel).size(), 1U);
+    EXPECT_EQ(staleCancel.size(), 1U); // no StopOnUpstream
+    it.append(ClaimRecord{Home1, {{shardOf(Task3.key), Epoch{1}}}});
+    it.append(ClaimRecord{Home2, {{shardOf(Task3.key), Epoch{2}}}});
+    EXPECT_EQ(refusal(it.send(it.startOf(Task3))), TaskRefusal::StaleEpoch);
+}
+
+// A queued task counts as not started for the new home, so it must never start (R4).
+TEST(TaskExecutor, RaiseRemovesReservationsOfLowerEpochs)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    EXPECT_EQ(sent<TaskBusy>(it.send(it.startOf(Task2))).size(), 1U);
+    it.send(Raise{{{shardOf(Task2.key), Epoch{2}}}}, Home2);
+    EXPECT_TRUE(it.executor.witnessed(shardOf(Task2.key), Epoch{2}).empty());
+    EXPECT_EQ(sent<SlotOffer>(it.finish(Task1)).size(), 0U);
+    StartTask binding = it.startOf(Task2, 2);
+    binding.isOfferReply = true;
+    EXPECT_EQ(refusal(it.send(binding)), TaskRefusal::StaleEpoch);
+}
+
+TEST(TaskExecutor, WitnessTellsRunningAndFinishedTasksOfLowerEpochs)
+{
+    Executor it;
+    StartTask start = it.startOf(Task1);
+    start.contentHash = 7;
+    start.taskCount = 3;
+    it.send(start);
+    const ShardId shard = shardOf(Task1.key);
+    EXPECT_TRUE(it.executor.witnessed(shard, Epoch{1}).empty());
+    EXPECT_EQ(it.executor.witnessed(shard, Epoch{2}).at(0).tasks.at(0).result.status,
+              TaskStatus::Unknown);
+    it.finish(Task1);
+    const WitnessedJob seen = it.executor.witnessed(shard, Epoch{2}).at(0);
+    EXPECT_EQ(seen.tasks.at(0).result.body, "ok");
+    EXPECT_EQ(seen.tasks.at(0).id, "t0");
+    EXPECT_EQ(seen.contentHash, 7U);
+    EXPECT_EQ(seen.taskCount, 3U);
+    EXPECT_EQ(it.executor.memory(it.now).at(0).epoch, Epoch{1});
+}
+
+// The home may have bound the task to its other reservation when a copy of the first request comes.
+TEST(TaskExecutor, AfterBusyOnlyTheAnswerToAnOfferStarts)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.send(it.startOf(Task2));
+    EXPECT_EQ(sent<SlotOffer>(it.finish(Task1)).at(0).ref, Task2);
+    EXPECT_EQ(sent<TaskBusy>(it.send(it.startOf(Task2))).size(), 1U);
+    StartTask binding = it.startOf(Task2, 2);
+    binding.isOfferReply = true;
+    EXPECT_EQ(starts(it.send(binding)), 1U);
+    EXPECT_EQ(starts(it.send(binding)), 0U);
+}
+
+// A home behind a silent connection must not hold the slot, nor lose its reservation.
+TEST(TaskExecutor, UnansweredOfferIsRepeatedOnceThenTheNextIsOffered)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.send(it.startOf(Task2), Home1);
+    it.send(it.startOf(Task3), Home2);
+    it.finish(Task1);
+    EXPECT_EQ(sent<SlotOffer>(it.wait(60ms)).at(0).ref, Task2);
+    const auto next = sent<SlotOffer>(it.wait(60ms));
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next.at(0).ref, Task3);
+    EXPECT_EQ(sent<SlotOffer>(it.send(OfferDeclined{Task3, 1}, Home2)).size(), 0U);
+    EXPECT_EQ(sent<SlotOffer>(it.wait(2s)).at(0).ref, Task2);
+}
+
+TEST(TaskExecutor, ReservationEndsAtItsDeadline)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    StartTask brief = it.startOf(Task2);
+    brief.remaining = 100ms;
+    it.send(brief);
+    it.wait(200ms);
+    EXPECT_EQ(it.executor.load().queued, 0U);
+    EXPECT_EQ(sent<SlotOffer>(it.finish(Task1)).size(), 0U);
+    EXPECT_EQ(refusal(it.send(brief)), TaskRefusal::Tombstone);
+}
+
+// Tasks of another run of the upstream are lost, and a late answer of it proves nothing.
+TEST(TaskExecutor, UpstreamReplacedAtTheSameAddressLosesItsTasks)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.out.take();
+    it.announce(1, "u2");
+    const auto done = sent<TaskDone>(it.out.take());
+    ASSERT_EQ(done.size(), 1U);
+    EXPECT_EQ(done.at(0).result.status, TaskStatus::Unknown);
+    EXPECT_TRUE(it.finish(Task1).empty());
+    EXPECT_EQ(sent<TaskDone>(it.send(it.startOf(Task1))).at(0).result.status, TaskStatus::Unknown);
+    const auto next = it.send(it.startOf(Task2));
+    EXPECT_EQ(std::get<StartOnUpstream>(next.at(0)).upstreamIncarnation, "u2");
+    // A late repeat of the old announcement must not bring the old run back.
+    it.announce(1, "u1");
+    EXPECT_EQ(it.upstreams.current()->incarnation, "u2");
+}
+
+// A leaving upstream finishes its work; one whose lease lapsed may be dead.
+TEST(TaskExecutor, LeaveKeepsRunningTasksAndLapseLosesThem)
+{
+    Executor it;
+    it.announce(2);
+    it.send(it.startOf(Task1));
+    it.executor.onUpstreamChange(it.upstreams.leave("u1"), it.now, it.out);
+    EXPECT_EQ(sent<TaskDone>(it.finish(Task1)).at(0).result.status, TaskStatus::Completed);
+    it.announce(1, "u2");
+    it.send(it.startOf(Task2));
+    it.now += 600s;
+    const Change change = it.upstreams.onTimer(it.now);
+    EXPECT_EQ(change, Change::Lapsed);
+    it.executor.onUpstreamChange(change, it.now, it.out);
+    EXPECT_EQ(sent<TaskDone>(it.out.take()).at(0).result.status, TaskStatus::Unknown);
+}
+
+TEST(TaskExecutor, CancelStopsARunningTask)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    const auto effects = it.send(CancelTask{Task1, 1, Epoch{1}});
+    EXPECT_TRUE(std::holds_alternative<StopOnUpstream>(effects.at(0)));
+    EXPECT_EQ(sent<TaskAccepted>(effects).size(), 1U);
+}
+
+// A lost TaskDone would leave the job waiting; repeats without back-off would waste messages.
+TEST(TaskExecutor, ResultIsRepeatedWithBackOffUntilAcknowledged)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.finish(Task1);
+    EXPECT_EQ(sent<TaskDone>(it.wait(10s)).size(), 4U); // after 0.5, 1.5, 3.5 and 7.5 s
+    EXPECT_FALSE(it.executor.isIdle());
+    it.send(TaskDoneAck{Task1, 1});
+    EXPECT_TRUE(it.executor.isIdle());
+    EXPECT_EQ(sent<TaskDone>(it.wait(60s)).size(), 0U);
+}
+
+TEST(TaskExecutor, ShutdownDoesNotWaitForAHomeThatIsGone)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.finish(Task1);
+    it.append(LeaveRecord{Home1, Home2});
+    EXPECT_TRUE(it.executor.isIdle());
+}
+
+// Results stay for id_memory after the end and not much longer, else memory grows without bound.
+TEST(TaskExecutor, ForgetsAfterIdMemory)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.wait(700s); // running tasks are never forgotten
+    it.finish(Task1);
+    it.send(TaskDoneAck{Task1, 1});
+    it.wait(599s);
+    EXPECT_EQ(it.executor.memory(it.now).size(), 1U);
+    it.wait(3s);
+    EXPECT_TRUE(it.executor.memory(it.now).empty());
+}
+
+TEST(StartMemory, OldestResultsBecomeUnknownBeyondTheByteLimit)
+{
+    StartMemory memory(100);
+    for (const TaskRef &ref : {Task1, Task2}) {
+        TaskRun &run = memory.addRun(Executor::startOf(ref), TaskRun{}, TimePoint{});
+        memory.storeResult(ref, run, {TaskStatus::Completed, 200, std::string(60, 'x')},
+                           TimePoint{});
+    }
+    EXPECT_EQ(memory.resultBytes(), 60U);
+    EXPECT_EQ(memory.find(Task1)->runs.at(0).result.status, TaskStatus::Unknown);
+    EXPECT_EQ(memory.find(Task2)->runs.at(0).result.status, TaskStatus::Completed);
+}
+
+TEST(TaskExecutor, SlotsAreLimitedByAnnouncementAndConfiguration)
+{
+    Executor it;
+    it.announce(8);
+    EXPECT_EQ(it.executor.load().slots, 8U);
+    it.append(ConfigRecord{Revision{0},
+                           "version: 1\nteams: {bookings: {office: hollisdale, upstreams: "
+                           "[walk-desk]}}\nupstreams: {walk-desk: {slots_per_worker: 4, "
+                           "connections_per_worker: 2}}\n",
+                           "hollisdale", "ana"});
+    ASSERT_NE(it.ledger.config(), nullptr);
+    EXPECT_EQ(it.executor.load().slots, 2U);
+}
+
+// A flooding class must not take the slots of the others: slot time follows the shares, although
+// the flood's tasks run longer.
+TEST(ReservationQueue, SlotTimeFollowsShares)
+{
+    FleetConfig config;
+    config.classes["urgent"].share = 3;
+    config.classes["bulk"].share = 1;
+    ReservationQueue queue;
+    std::map<std::string, Duration> used;
+    std::uint16_t index = 0;
+    const auto add = [&](const std::string &jobClass) {
+        const TaskRef ref{{jobClass + "/j"}, index++};
+        queue.add({ref, {}, Home1, "team", jobClass, TimePoint{1h}});
+    };
+    for (int n = 0; n < 10; ++n)
+        add("bulk");
+    add("urgent");
+    for (int n = 0; n < 4000; ++n) {
+        const Reservation it = *queue.takeBest({});
+        const Duration runTime = it.jobClass == "bulk" ? 500ms : 50ms;
+        queue.charge(it.jobClass, it.team, runTime, config);
+        used[it.jobClass] += runTime;
+        add(it.jobClass);
+    }
+    EXPECT_NEAR(static_cast<double>(used["urgent"] / 1ms) / (used["bulk"] / 1ms), 3, 0.1);
+}
+
+struct Model
+{
+    using Placing = std::tuple<TaskRef, std::uint32_t, Epoch>;
+    std::set<Placing> excluded; // told that it did not start; each epoch counts attempts anew
+    std::set<TaskRef> started;
+
+    // `epoch` is that of the message that the effects answer.
+    void check(const std::vector<Effect> &effects, Epoch epoch = {})
+    {
+        for (const Effect &effect : effects) {
+            if (const auto *start = std::get_if<StartOnUpstream>(&effect)) {
+                RC_ASSERT(!excluded.contains({start->ref, start->attempt, epoch}));
+                RC_ASSERT(started.insert(start->ref).second);
+            }
+        }
+        for (const auto &it : sent<TaskRefused>(effects))
+            excluded.emplace(it.ref, it.attempt, epoch);
+        for (const auto &it : sent<TaskNotStarted>(effects))
+            excluded.emplace(it.ref, it.attempt, epoch);
+    }
+};
+
+// Any order, loss and repetition of messages, and any change of the upstream.
+RC_GTEST_PROP(TaskExecutorProperty, KeepsItsWordInAnyOrder, ())
+{
+    Executor it;
+    Model model;
+    it.announce(2);
+    const std::vector<TaskRef> refs{Task1, Task2, Task3, {{"bookings/j1"}, 1}};
+    const int steps = *rc::gen::inRange(1, 120);
+    for (int n = 0; n < steps; ++n) {
+        const TaskRef ref = *rc::gen::elementOf(refs);
+        const auto attempt = *rc::gen::inRange<std::uint32_t>(1, 5);
+        const auto epoch = *rc::gen::inRange<std::uint64_t>(1, 3);
+        const Epoch fence = it.executor.fence(shardOf(ref.key));
+        switch (*rc::gen::inRange(0, 9)) {
+        case 0:
+        case 1:
+        case 2: {
+            StartTask start = it.startOf(ref, attempt, epoch);
+            start.isOfferReply = *rc::gen::arbitrary<bool>();
+            const auto effects = it.send(start);
+            RC_ASSERT(epoch >= fence.value || starts(effects) == 0U);
+            model.check(effects, Epoch{epoch});
+            break;
+        }
+        case 3:
+            model.check(it.send(CancelTask{ref, attempt, Epoch{epoch}}), Epoch{epoch});
+            break;
+        case 4:
+            model.check(it.finish(ref, attempt));
+            break;
+        case 5:
+            model.check(it.send(OfferDeclined{ref, attempt}));
+            break;
+        case 6:
+            model.check(it.send(Raise{{{shardOf(ref.key), Epoch{epoch}}}}));
+            break;
+        case 7:
+            it.announce(2, "u" + std::to_string(*rc::gen::inRange(1, 4)));
+            model.check(it.out.take());
+            break;
+        default:
+            model.check(it.wait(std::chrono::milliseconds(*rc::gen::inRange(1, 300))));
+        }
+        RC_ASSERT(it.executor.load().freeSlots <= 2U);
+    }
+}
+
+} // namespace
+} // namespace cactuscove
