--- a/tools/fleetmodel.h
+++ b/tools/fleetmodel.h
@@ -34,8 +34,14 @@
 struct JobEnd
 {
     End end = End::None;
-    double response = 0;   // seconds from arrival at the home to the answer
-    double retryAfter = 0; // seconds, if refused
+    double response = 0; // seconds from arrival at the home to the answer
+};
+
+struct Refusal
+{
+    double time = 0;
+    double retryAfter = 0; // seconds
+    bool isFlood = false;
 };
 
 struct Start
@@ -49,6 +55,7 @@
 {
     std::vector<JobEnd> jobs; // as in the workload
     std::vector<Start> starts;
+    std::vector<Refusal> refusals;
     std::uint64_t messages = 0;
     std::uint64_t wasted = 0;
 };
@@ -136,7 +143,7 @@
     Fleet(const Options &options, Workload workload)
         : m_options(options)
         , m_workload(std::move(workload))
-        , m_result{std::vector<JobEnd>(m_workload.jobs.size()), {}, 0, 0}
+        , m_result{std::vector<JobEnd>(m_workload.jobs.size()), {}, {}, 0, 0}
         , m_open(m_workload.jobs.size())
         , m_failed(m_workload.jobs.size())
         , m_executors(options.workers)
@@ -273,17 +280,15 @@
 
     void submit(std::size_t index)
     {
-        const Job &job = m_workload.jobs[index];
+        Job &job = m_workload.jobs[index];
         Home &home = *m_homes[job.home];
         const JobKey key{job.team + "/" + std::to_string(index)};
         if (m_options.queueTargetScale > 0) {
-            const auto refusal
-                = home.admission.admit(job.team, job.jobClass, Upstream, job.tasks,
-                                       span(job.deadline), hashOf(key), at(m_clock.now()));
+            const auto refusal = home.admission.admit(
+                job.team, job.jobClass, Upstream, job.tasks,
+                at(job.arrival + job.deadline) - at(m_clock.now()), hashOf(key), at(m_clock.now()));
             if (refusal) {
-                finish(index, End::Refused);
-                m_result.jobs[index].retryAfter
-                    = std::chrono::duration<double>(refusal->retryAfter).count();
+                refused(index, std::chrono::duration<double>(refusal->retryAfter).count());
                 return;
             }
         }
@@ -295,6 +300,18 @@
         dispatch(job.home);
     }
 
+    // The caller comes back when it was told to, unless its deadline has passed by then.
+    void refused(std::size_t index, double retryAfter)
+    {
+        Job &job = m_workload.jobs[index];
+        m_result.refusals.push_back({m_clock.now(), retryAfter, job.isFlood});
+        if (job.submissions++ < m_options.resubmits
+            && m_clock.now() + retryAfter < job.arrival + job.deadline)
+            m_clock.after(retryAfter, [this, index] { submit(index); });
+        else
+            finish(index, End::Refused);
+    }
+
     void finish(std::size_t job, End end)
     {
         m_result.jobs[job].end = end;
@@ -504,7 +521,7 @@
         , m_workload(std::move(workload))
         , m_admission(options.seed)
         , m_free(options.workers, options.slots)
-        , m_result{std::vector<JobEnd>(m_workload.jobs.size()), {}, 0, 0}
+        , m_result{std::vector<JobEnd>(m_workload.jobs.size()), {}, {}, 0, 0}
         , m_open(m_workload.jobs.size())
     {
         m_admission.configure(fleetConfig(options));
@@ -548,7 +565,7 @@
         m_admission.taskEnded(task.team, task.jobClass, Upstream, span(seconds));
         const std::size_t job = m_workload.tasks[task.token].job;
         if (--m_open[job] == 0)
-            m_result.jobs[job] = {End::Completed, m_clock.now() - m_workload.jobs[job].arrival, 0};
+            m_result.jobs[job] = {End::Completed, m_clock.now() - m_workload.jobs[job].arrival};
         dispatch();
     }
 
@@ -585,7 +602,7 @@
             *bestSlot = bestEnd;
             last = std::max(last, bestEnd);
         }
-        result.jobs.push_back({End::Completed, last, 0});
+        result.jobs.push_back({End::Completed, last});
     }
     return result;
 }
--- a/tools/workload.h
+++ b/tools/workload.h
@@ -31,6 +31,7 @@
     bool longestFirst = true;    // tasks of a job in the order of their declared times
     bool health = true;
     double queueTargetScale = 0; // 0 switches refusals off
+    int resubmits = 2;           // times that a refused job comes back when it was told to
     double retryBurst = 1;
     std::string flood;          // class that floods at ten times capacity; empty is none
     double floodFactor = 10;    // offered work of the flood / capacity
@@ -59,6 +60,7 @@
     std::size_t tasks = 0;
     double deadline = 30; // seconds
     bool isFlood = false;
+    int submissions = 0;
 };
 
 struct Workload
