--- /dev/null
+++ b/src/entryprocess.cpp
@@ -0,0 +1,159 @@
+// Shell of the entry: requests of callers and operators come in, answers go out.
+
+#include "entryprocess.h"
+
+#include "callerapi.h"
+#include "entrynode.h"
+#include "nodeprocess.h"
+
+#include <cstdio>
+
+namespace cactuscove {
+
+namespace {
+
+constexpr std::string_view JobsPath = "/v1/jobs";
+
+const char *nameOf(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Completed:
+        return "completed";
+    case Outcome::NotRun:
+        return "not_run";
+    case Outcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+class EntryProcess : public NodeProcess<EntryNode>
+{
+public:
+    static Result<std::unique_ptr<EntryProcess>, ProcessError>
+    create(const ProcessSettings &settings)
+    {
+        std::unique_ptr<EntryProcess> process(new EntryProcess(settings));
+        if (auto error = process->listen())
+            return *std::move(error);
+        process->m_log.setReading(true);
+        return process;
+    }
+
+private:
+    // One HTTP request of a caller that waits for the node's reply. A CallerId has the number of
+    // its RequestId.
+    struct Waiting
+    {
+        TraceContext span;
+        std::string parentSpanId;
+        TimePoint since;
+    };
+
+    explicit EntryProcess(const ProcessSettings &settings)
+        : NodeProcess(settings)
+    {}
+
+    std::unique_ptr<EntryNode> makeNode(NodeSettings settings) override
+    {
+        return std::make_unique<EntryNode>(std::move(settings), m_parts.settings.logRetention);
+    }
+
+    void handleRequest(RequestId id, HttpRequest request) override
+    {
+        if (request.path == JobsPath || request.path.starts_with("/v1/jobs/"))
+            return handleCaller(id, request);
+        respond(id, "other", {404, "{\"error\":\"not_found\"}\n"});
+    }
+
+    void handleCaller(RequestId id, const HttpRequest &request)
+    {
+        const std::string route(JobsPath);
+        if (!m_node->acceptsJobs())
+            return respond(id, route, notReadyResponse());
+        auto parsed = parseCallerRequest(request, m_node->ledger().fleetConfig());
+        if (!isOk(parsed))
+            return respond(id, route, toResponse(errorOf(parsed)));
+        CallerCommand &command = valueOf(parsed);
+        const TimePoint now = m_parts.loop.now();
+        const TraceContext *parent = command.trace ? &*command.trace : nullptr;
+        const Waiting &waiting
+            = m_waiting
+                  .emplace(id, Waiting{m_parts.tracer.child(parent),
+                                       parent ? parent->spanId : std::string(), now})
+                  .first->second;
+        const CallerId caller{id.value};
+        const TimePoint waitUntil = now + command.wait;
+        step([&](TimePoint at, Outbox &out) {
+            switch (command.action) {
+            case CallerAction::Submit:
+                m_node->submit(caller, std::move(command.spec), waiting.span, waitUntil, at, out);
+                break;
+            case CallerAction::Query:
+                m_node->query(caller, command.key, waitUntil, at, out);
+                break;
+            case CallerAction::Cancel:
+                m_node->cancel(caller, command.key, waitUntil, at, out);
+                break;
+            }
+        });
+    }
+
+    void perform(AnswerCaller &effect) override
+    {
+        auto node = m_waiting.extract(RequestId{effect.caller.value});
+        if (!node)
+            return;
+        const Waiting &waiting = node.mapped();
+        const TimePoint now = m_parts.loop.now();
+        std::string outcome = "none";
+        if (const auto *answer = std::get_if<Answer>(&effect.reply)) {
+            outcome = nameOf(answer->outcome);
+            m_parts.metrics.add("cactuscove_jobs_answered_total",
+                                {{"outcome", outcome}, {"reason", answer->reason}});
+            m_parts.metrics.observeSeconds(
+                "cactuscove_job_seconds", {{"outcome", outcome}},
+                std::chrono::duration<double>(now - waiting.since).count());
+        }
+        m_parts.tracer.finish({"entry.job",
+                               waiting.span,
+                               waiting.parentSpanId,
+                               waiting.since,
+                               now,
+                               {{"job", effect.key.value}, {"outcome", outcome}}});
+        respond(node.key(), std::string(JobsPath), toResponse(effect, waiting.span.traceId));
+    }
+
+    // The caller hung up; its job goes on, because the caller may ask again elsewhere.
+    void onRequestClosed(RequestId id) override
+    {
+        if (m_waiting.erase(id) > 0)
+            m_node->callerGone(CallerId{id.value});
+    }
+
+    void onLogReachable(bool isReachable) override
+    {
+        m_node->onLogReachable(isReachable, m_parts.loop.now());
+    }
+
+    void updateRoleMetrics() override
+    {
+        m_parts.metrics.set("cactuscove_remembered_keys", {},
+                            static_cast<double>(m_node->rememberedKeys()));
+    }
+
+    std::map<RequestId, Waiting> m_waiting;
+};
+
+} // namespace
+
+int runEntry(const ProcessSettings &settings)
+{
+    auto process = EntryProcess::create(settings);
+    if (isOk(process))
+        return valueOf(process)->run();
+    std::fprintf(stderr, "cactuscove entry: %s\n", errorOf(process).reason.c_str());
+    return 1;
+}
+
+} // namespace cactuscove
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,9 +1,66 @@
 // Entry point: picks the role or operator command.
 
+#include "agentprocess.h"
+#include "entryprocess.h"
+#include "settings.h"
+
 #include <cstdio>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr char Usage[] = "usage: cactuscove <command> [flags]\n"
+                         "\n"
+                         "roles\n"
+                         "  entry     serves callers and operators, feeds the agents\n"
+                         "  agent     runs beside one upstream instance\n"
+                         "\n"
+                         "operator commands\n"
+                         "  apply     put a configuration file in force\n"
+                         "  plan      show what a file would change\n"
+                         "  validate  check a file\n"
+                         "  get       print the file in force\n"
+                         "  history   list the accepted revisions\n"
+                         "  status    show the fleet\n"
+                         "\n"
+                         "  --help, --version; each command has its own --help\n";
+
+constexpr int UsageError = 2;
+
+int runRole(cactuscove::Role role, const std::vector<std::string> &arguments)
+{
+    const auto read = cactuscove::readSettings(role, arguments);
+    if (const auto *help = std::get_if<cactuscove::HelpText>(&read)) {
+        std::fputs(help->text.c_str(), stdout);
+        return 0;
+    }
+    if (const auto *errors = std::get_if<cactuscove::SettingsErrors>(&read)) {
+        for (const std::string &it : errors->lines)
+            std::fprintf(stderr, "cactuscove: %s\n", it.c_str());
+        return UsageError;
+    }
+    const auto &settings = std::get<cactuscove::ProcessSettings>(read);
+    return role == cactuscove::Role::Entry ? cactuscove::runEntry(settings)
+                                           : cactuscove::runAgent(settings);
+}
+
+} // namespace
 
-int main()
+int main(int argc, char **argv)
 {
-    std::puts("cactuscove");
-    return 0;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const std::string command = arguments.empty() ? "" : arguments.front();
+    const std::vector<std::string> rest(arguments.empty() ? arguments.end() : arguments.begin() + 1,
+                                        arguments.end());
+    if (command == "entry" || command == "agent")
+        return runRole(command == "entry" ? cactuscove::Role::Entry : cactuscove::Role::Agent,
+                       rest);
+    if (command == "--version") {
+        std::printf("cactuscove %s\n", std::string(cactuscove::version()).c_str());
+        return 0;
+    }
+    const bool isHelp = command == "--help";
+    std::fputs(Usage, isHelp ? stdout : stderr);
+    return isHelp ? 0 : UsageError;
 }
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -43,6 +43,7 @@
     {"cactuscove_upstream_slots", "Slots that the upstream beside this agent announced."},
     {"cactuscove_upstream_free_slots", "Free slots of the upstream beside this agent."},
     {"cactuscove_tasks_queued", "Reservations that wait at this agent."},
+    {"cactuscove_remembered_keys", "Job keys that this entry remembers."},
     {"cactuscove_open_requests", "HTTP requests that are not yet answered."},
 };
 
