--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -29,7 +29,8 @@
     if (record.offset < m_next)
         return {};
     m_next = LogOffset{record.offset.value + 1};
-    if (!rememberAppend(record.record.appendId))
+    if (std::holds_alternative<MalformedRecord>(record.record.body)
+        || !rememberAppend(record.record.appendId))
         return {};
     LedgerChanges changes;
     std::visit([&](const auto &body) { applyBody(body, record.offset, changes); },
@@ -157,6 +158,8 @@
 // from it, and a late copy cannot replace a newer state.
 void Ledger::applyBody(const SnapshotRecord &, LogOffset, LedgerChanges &) {}
 
+void Ledger::applyBody(const MalformedRecord &, LogOffset, LedgerChanges &) {}
+
 void Ledger::dropVotesOf(Incarnation voter)
 {
     for (auto &[incarnation, state] : m_members)
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -125,6 +125,7 @@
     void applyBody(const ClaimRecord &body, LogOffset offset, LedgerChanges &changes);
     void applyBody(const ConfigRecord &body, LogOffset offset, LedgerChanges &changes);
     void applyBody(const SnapshotRecord &body, LogOffset offset, LedgerChanges &changes);
+    void applyBody(const MalformedRecord &body, LogOffset offset, LedgerChanges &changes);
     void restore(const Json::Value &json);
     void dropVotesOf(Incarnation voter);
     void declareDown();
--- a/src/recordcodec.cpp
+++ b/src/recordcodec.cpp
@@ -78,6 +78,8 @@
                             text(json, "office"), text(json, "author")};
     if (type == "snapshot")
         return SnapshotRecord{LogOffset{number(json, "as_of")}, text(json, "state")};
+    if (type == "malformed")
+        return MalformedRecord{};
     throw FieldError{"unknown type"};
 }
 
@@ -140,6 +142,8 @@
         json["author"] = it.author;
     }
 
+    void operator()(const MalformedRecord &) const { json["type"] = "malformed"; }
+
     void operator()(const SnapshotRecord &it) const
     {
         json["type"] = "snapshot";
@@ -207,7 +211,8 @@
 {
     try {
         Record record{text(json, "id"), readBody(json)};
-        if (record.appendId.empty() || record.appendId.size() > MaxAppendIdBytes)
+        const bool needsId = !std::holds_alternative<MalformedRecord>(record.body);
+        if ((needsId && record.appendId.empty()) || record.appendId.size() > MaxAppendIdBytes)
             return CodecError{"append id is empty or too long"};
         return record;
     } catch (const FieldError &ec) {
--- a/src/records.h
+++ b/src/records.h
@@ -71,8 +71,14 @@
     std::string state;
 };
 
-using RecordBody = std::variant<RegisterRecord, SuspectRecord, ClearRecord, LeaveRecord,
-                                RetireRecord, ClaimRecord, ConfigRecord, SnapshotRecord>;
+// Text in the log that is no record. It has no effect, and readers pass it on so that a gap in the
+// offsets always means that a record is missing.
+struct MalformedRecord
+{};
+
+using RecordBody
+    = std::variant<RegisterRecord, SuspectRecord, ClearRecord, LeaveRecord, RetireRecord,
+                   ClaimRecord, ConfigRecord, SnapshotRecord, MalformedRecord>;
 
 struct Record
 {
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -266,7 +266,7 @@
         const Role role = a.value < 4 ? Role::Entry : Role::Agent;
         const auto shard = *rc::gen::inRange<std::uint16_t>(0, 3);
         const auto number = *rc::gen::inRange<std::uint64_t>(0, 4);
-        switch (*rc::gen::inRange(0, 9)) {
+        switch (*rc::gen::inRange(0, 10)) {
         case 0:
         case 1:
             return RegisterRecord{{a, role, "127.0.0.1:1", "dc", "rack", "office"}};
@@ -280,6 +280,8 @@
             return RetireRecord{a};
         case 6:
             return ConfigRecord{{number}, number == 3 ? "bad" : ValidFile, "o", "a"};
+        case 7:
+            return MalformedRecord{};
         default:
             return ClaimRecord{a, {{ShardId{shard}, Epoch{number}}}, b.value < 3};
         }
