--- a/src/reservationqueue.cpp
+++ b/src/reservationqueue.cpp
@@ -123,13 +123,12 @@
     return &jobClass.teams.find(it->second.team)->second.fifo.at(it->second.arrival);
 }
 
-std::vector<TaskRef> ReservationQueue::refsOf(ShardId shard) const
+std::vector<TaskRef> ReservationQueue::refs() const
 {
     std::vector<TaskRef> result;
-    for (const auto &[ref, place] : m_index) {
-        if (shardOf(ref.key) == shard)
-            result.push_back(ref);
-    }
+    result.reserve(m_index.size());
+    for (const auto &[ref, place] : m_index)
+        result.push_back(ref);
     return result;
 }
 
--- a/src/reservationqueue.h
+++ b/src/reservationqueue.h
@@ -43,7 +43,7 @@
 
     // Queries
     const Reservation *find(const TaskRef &ref) const;
-    std::vector<TaskRef> refsOf(ShardId shard) const;
+    std::vector<TaskRef> refs() const;
     std::size_t size() const { return m_index.size(); }
     TimePoint nextDeadline() const;
 
--- a/src/taskexecutor.cpp
+++ b/src/taskexecutor.cpp
@@ -104,8 +104,8 @@
 
 void TaskExecutor::onLedgerChange(const LedgerChanges &changes, TimePoint now, Outbox &out)
 {
-    for (const ShardId shard : changes.shards)
-        removeBelowFence(shard, now);
+    if (!changes.shards.empty())
+        removeBelowFence(now);
     offerSlots(now, out); // the limits may have changed
 }
 
@@ -385,8 +385,8 @@
     for (const ShardClaim &it : msg.claims) {
         Epoch &raised = m_raised[it.shard.value];
         raised = std::max(raised, it.epoch);
-        removeBelowFence(it.shard, now);
     }
+    removeBelowFence(now);
     offerSlots(now, out);
 }
 
@@ -421,16 +421,13 @@
     }
 }
 
-void TaskExecutor::removeBelowFence(ShardId shard, TimePoint now)
+void TaskExecutor::removeBelowFence(TimePoint now)
 {
-    std::vector<TaskRef> refs = m_queue.refsOf(shard);
-    for (const auto &[ref, offer] : m_offers) {
-        if (shardOf(ref.key) == shard)
-            refs.push_back(ref);
-    }
-    const Epoch lowest = fence(shard);
+    std::vector<TaskRef> refs = m_queue.refs();
+    for (const auto &[ref, offer] : m_offers)
+        refs.push_back(ref);
     for (const TaskRef &ref : refs) {
-        if (findReservation(ref)->id.epoch < lowest)
+        if (findReservation(ref)->id.epoch < fence(shardOf(ref.key)))
             removeReservation(ref, now);
     }
 }
--- a/src/taskexecutor.h
+++ b/src/taskexecutor.h
@@ -84,7 +84,7 @@
     const Reservation *findReservation(const TaskRef &ref) const;
     std::optional<Reservation> removeReservation(const TaskRef &ref, TimePoint now);
     void refuseReservations(TaskRefusal reason, TimePoint now, Outbox &out);
-    void removeBelowFence(ShardId shard, TimePoint now);
+    void removeBelowFence(TimePoint now);
     void offerSlots(TimePoint now, Outbox &out);
     void handleDueOffers(TimePoint now, Outbox &out);
     void repeatDone(TimePoint now, Outbox &out);
--- a/tests/taskexecutor_test.cpp
+++ b/tests/taskexecutor_test.cpp
@@ -261,6 +261,20 @@
     EXPECT_EQ(starts(it.send(binding)), 0U);
 }
 
+// A late answer that finds the slot taken must not leave a reservation that its own copy could
+// start: the home has been told that the attempt ended.
+TEST(TaskExecutor, OfferAnswerWithoutAFreeSlotEndsTheAttempt)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.send(it.startOf(Task2));
+    StartTask binding = it.startOf(Task2, 2);
+    binding.isOfferReply = true;
+    EXPECT_EQ(refusal(it.send(binding)), TaskRefusal::Tombstone);
+    EXPECT_EQ(sent<SlotOffer>(it.finish(Task1)).size(), 0U);
+    EXPECT_EQ(starts(it.send(binding)), 0U);
+}
+
 // A home behind a silent connection must not hold the slot, nor lose its reservation.
 TEST(TaskExecutor, UnansweredOfferIsRepeatedOnceThenTheNextIsOffered)
 {
