shell: one span per job at the entry; a listener refuses an address in use

MHD_OPTION_LISTENING_ADDRESS_REUSE sets SO_REUSEPORT, so a second process on the same address took a part of the requests: after a restart on the same ports, probes reached processes of the earlier fleet and members were suspected in turns. Without the option the second listener fails.

--- a/src/entryprocess.cpp
+++ b/src/entryprocess.cpp
@@ -45,8 +45,7 @@
     // its RequestId.
     struct Waiting
     {
-        TraceContext span;
-        std::string parentSpanId;
+        std::string traceId;
         TimePoint since;
     };
 
@@ -76,18 +75,16 @@
             return respond(id, route, toResponse(errorOf(parsed)));
         CallerCommand &command = valueOf(parsed);
         const TimePoint now = m_parts.loop.now();
-        const TraceContext *parent = command.trace ? &*command.trace : nullptr;
-        const Waiting &waiting
-            = m_waiting
-                  .emplace(id, Waiting{m_parts.tracer.child(parent),
-                                       parent ? parent->spanId : std::string(), now})
-                  .first->second;
+        // Without a caller's context the job's span is the first of a new trace.
+        const TraceContext trace = command.trace.value_or(
+            TraceContext{m_parts.tracer.child(nullptr).traceId, std::string()});
+        m_waiting.emplace(id, Waiting{trace.traceId, now});
         const CallerId caller{id.value};
         const TimePoint waitUntil = now + command.wait;
         step([&](TimePoint at, Outbox &out) {
             switch (command.action) {
             case CallerAction::Submit:
-                m_node->submit(caller, std::move(command.spec), waiting.span, waitUntil, at, out);
+                m_node->submit(caller, std::move(command.spec), trace, waitUntil, at, out);
                 break;
             case CallerAction::Query:
                 m_node->query(caller, command.key, waitUntil, at, out);
@@ -106,22 +103,15 @@
             return;
         const Waiting &waiting = node.mapped();
         const TimePoint now = m_parts.loop.now();
-        std::string outcome = "none";
         if (const auto *answer = std::get_if<Answer>(&effect.reply)) {
-            outcome = nameOf(answer->outcome);
+            const std::string outcome = nameOf(answer->outcome);
             m_parts.metrics.add("cactuscove_jobs_answered_total",
                                 {{"outcome", outcome}, {"reason", answer->reason}});
             m_parts.metrics.observeSeconds(
                 "cactuscove_job_seconds", {{"outcome", outcome}},
                 std::chrono::duration<double>(now - waiting.since).count());
         }
-        m_parts.tracer.finish({"entry.job",
-                               waiting.span,
-                               waiting.parentSpanId,
-                               waiting.since,
-                               now,
-                               {{"job", effect.key.value}, {"outcome", outcome}}});
-        respond(node.key(), std::string(JobsPath), toResponse(effect, waiting.span.traceId));
+        respond(node.key(), std::string(JobsPath), toResponse(effect, waiting.traceId));
     }
 
     // The caller hung up; its job goes on, because the caller may ask again elsewhere.
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -142,8 +142,8 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, nullptr, nullptr, &Impl::onAccess, this,
         MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&bindAddress),
         MHD_OPTION_CONNECTION_LIMIT, m_limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
-        static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-        MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this, MHD_OPTION_END);
+        static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_NOTIFY_COMPLETED,
+        &Impl::onCompleted, this, MHD_OPTION_END);
     if (!m_daemon)
         return HttpServerError{"cannot listen on " + std::string(address)};
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -94,6 +94,14 @@
     EXPECT_FALSE(called);
 }
 
+// Two processes on one address would each get a part of the requests.
+TEST_F(Http, RefusesAnAddressThatIsInUse)
+{
+    serve([](RequestId, HttpRequest) {});
+    EXPECT_FALSE(
+        isOk(HttpServer::listen(loop, server->address(), {}, [](RequestId, HttpRequest) {})));
+}
+
 TEST_F(Http, TellsARefusedConnectionFromATimeout)
 {
     serve([](RequestId, HttpRequest) {});
