shutdown: a whole fleet that leaves at once ends after 10 s

Cause: each leaving process waited for a serving peer to take its shards and memory, and no peer was serving. Ruled out: the log and the quiet check of the listener (the log was up, no call was open).

--- a/src/agentnode.cpp
+++ b/src/agentnode.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t MaxPartJobs = 500;
 constexpr std::size_t MaxPartBytes = 256U << 10U; // of result bodies
 constexpr std::size_t PartsInFlight = 8;
+// Time to hand shards and memory over once nothing runs here any more. When the whole fleet leaves
+// at once, nobody takes them; the process then leaves without an heir.
+constexpr Duration HandOverLimit = 10s;
 
 } // namespace
 
@@ -126,6 +129,7 @@
     std::uint32_t m_lastPart = 0;         // part numbers are never reused, also for another heir
     TimePoint m_heirDue = NeverTime;
     TimePoint m_nextParts = NeverTime;
+    TimePoint m_handOverEnd = NeverTime; // set once nothing runs here any more
 };
 
 void AgentNode::Impl::start(TimePoint now, Outbox &out)
@@ -203,8 +207,10 @@
 
 TimePoint AgentNode::Impl::nextTimer() const
 {
-    return std::min({m_executor.nextTimer(), m_upstreams.nextTimer(), m_shards.nextTimer(),
-                     m_jobs.nextTimer(), m_heirDue, m_nextParts});
+    return std::min(
+        {m_executor.nextTimer(), m_upstreams.nextTimer(), m_shards.nextTimer(), m_jobs.nextTimer(),
+         m_heirDue, m_nextParts,
+         m_stage == Stage::Draining || m_stage == Stage::HandingOver ? m_handOverEnd : NeverTime});
 }
 
 bool AgentNode::Impl::needsLog(TimePoint now) const
@@ -386,11 +392,16 @@
 // Running tasks end first, then the shards move, then the memory: what is handed over is final.
 void AgentNode::Impl::stepShutdown(TimePoint now, Outbox &out)
 {
-    if (m_stage == Stage::Draining && m_executor.isIdle() && m_jobs.isIdle()
-        && m_shards.ownsNothing()) {
+    const bool isQuiet = m_executor.isIdle() && m_jobs.isIdle();
+    if (m_stage == Stage::Draining && isQuiet && m_handOverEnd == NeverTime)
+        m_handOverEnd = now + HandOverLimit;
+    const bool isTooLate = m_handOverEnd <= now;
+    if (m_stage == Stage::Draining && isQuiet && (m_shards.ownsNothing() || isTooLate)) {
         m_stage = Stage::HandingOver;
         handOver(now, out);
-    } else if (m_stage == Stage::HandingOver && m_unadopted.empty()) {
+    } else if (m_stage == Stage::HandingOver && (m_unadopted.empty() || isTooLate)) {
+        if (!m_unadopted.empty())
+            m_heir = {};
         m_stage = Stage::Leaving;
         m_heirDue = NeverTime;
         m_nextParts = NeverTime;
--- a/src/memoryhandover.cpp
+++ b/src/memoryhandover.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxPartsInFlight = 4;
 constexpr Duration RepeatInterval = 1s;
 constexpr Duration HeirPatience = 5s;
+// When all entries leave at once, nobody takes the memory; it is then lost.
+constexpr Duration HandOverLimit = 10s;
 
 } // namespace
 
@@ -27,6 +29,7 @@
 void MemoryHandover::start(TimePoint now, Outbox &out)
 {
     m_isStarted = true;
+    m_end = now + HandOverLimit;
     chooseHeir(now, out);
 }
 
@@ -41,18 +44,22 @@
     if (std::ranges::all_of(entries, isSilent))
         m_silent.clear();
     std::erase_if(entries, isSilent);
-    if (entries.empty()) {
-        m_heir = {};
-        m_nextShard = ShardCount; // nobody can answer for this memory
-        m_nextSend = NeverTime;
-        return;
-    }
+    if (entries.empty())
+        return giveUp();
     // The member that started last is the least likely to be the next one to be replaced.
     const auto startedAt = [&](Incarnation it) { return m_ledger.member(it)->registeredAt; };
     m_heir = *std::ranges::max_element(entries, {}, startedAt);
     fillWindow(now, out);
 }
 
+void MemoryHandover::giveUp()
+{
+    m_heir = {}; // nobody can answer for this memory
+    m_parts.clear();
+    m_nextShard = ShardCount;
+    m_nextSend = NeverTime;
+}
+
 void MemoryHandover::fillWindow(TimePoint now, Outbox &out)
 {
     while (m_nextShard < ShardCount && m_parts.size() < MaxPartsInFlight) {
@@ -81,6 +88,8 @@
 {
     if (!m_isStarted || m_heir.value == 0)
         return;
+    if (!isComplete() && now >= m_end)
+        return giveUp();
     const bool isSilent = !m_parts.empty() && now >= m_lastAck + HeirPatience;
     if (isSilent)
         m_silent.insert(m_heir);
--- a/src/memoryhandover.h
+++ b/src/memoryhandover.h
@@ -31,6 +31,7 @@
 private:
     void chooseHeir(TimePoint now, Outbox &out);
     void fillWindow(TimePoint now, Outbox &out);
+    void giveUp();
 
     Incarnation m_self;
     const Ledger &m_ledger;
@@ -43,6 +44,7 @@
     std::map<std::uint32_t, AdoptWitness> m_parts; // sent and not acknowledged
     TimePoint m_nextSend = NeverTime;
     TimePoint m_lastAck{};
+    TimePoint m_end = NeverTime;
 };
 
 } // namespace cactuscove
