--- a/src/logclient.cpp
+++ b/src/logclient.cpp
@@ -19,9 +19,6 @@
 constexpr Duration LongPollWait = 2s;
 constexpr Duration ReadSlack = 1500ms;
 
-// A synced write takes several ms; a slow log takes longer, and repeats make it slower.
-constexpr Duration AppendTimeout = 3s;
-
 constexpr Duration MinBackOff = 100ms;
 constexpr Duration MaxBackOff = 2s;
 
@@ -129,8 +126,10 @@
 
 void LogClient::startRead()
 {
+    // The first read after a start, an outage or a found snapshot only looks for the tip.
+    const bool isSearchIdle = m_searchReachedTip && !m_search.hasSnapshot();
     const bool isLongPoll
-        = m_isReading && !m_mustReadToTip && (!m_isSearching || m_searchReachedTip);
+        = m_isReading && m_isReachable && !m_mustReadToTip && (!m_isSearching || isSearchIdle);
     const Duration wait = isLongPoll ? LongPollWait : Duration::zero();
     HttpCall call;
     call.url
@@ -231,8 +230,9 @@
     call.url = recordsUrl();
     call.headers["Content-Type"] = "application/json";
     call.body = pending.text;
-    call.timeout = AppendTimeout;
-    call.freshConnection = m_backOff > Duration::zero();
+    call.timeout = m_settings.appendTimeout;
+    // On a reused connection libcurl itself may send the append twice.
+    call.freshConnection = true;
     m_appendCall = m_http.start(std::move(call), [this](const Reply &reply) {
         m_appendCall.reset();
         onAppendReply(reply);
--- a/src/logclient.h
+++ b/src/logclient.h
@@ -25,6 +25,8 @@
     std::string stream;
     std::uint64_t seed = 0; // of the jitter
     Duration readJitter{};  // setReading(true) starts within this time
+    // A synced write takes several ms; a slow log takes longer, and repeats make it slower.
+    Duration appendTimeout = std::chrono::seconds(3);
 };
 
 struct LogClientHandlers
--- a/src/snapshotsearch.h
+++ b/src/snapshotsearch.h
@@ -27,6 +27,7 @@
     void add(LogRecord record);
     std::optional<SnapshotStart> take();
 
+    bool hasSnapshot() const { return m_best.has_value(); }
     LogOffset firstOffset() const { return m_first; } // all records from here on are known
 
 private:
