--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -81,6 +81,8 @@
                                std::size_t *dataSize, void **state);
     static void onCompleted(void *self, MHD_Connection *connection, void **state,
                             MHD_RequestTerminationCode code);
+    static void onConnection(void *self, MHD_Connection *connection, void **requests,
+                             MHD_ConnectionNotificationCode code);
 
     Exchange *beginExchange(MHD_Connection *connection, const char *url, const char *method);
     MHD_Result onBody(Exchange &exchange, const char *data, std::size_t *dataSize);
@@ -143,7 +145,8 @@
         MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&bindAddress),
         MHD_OPTION_CONNECTION_LIMIT, m_limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-        MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this, MHD_OPTION_END);
+        MHD_OPTION_NOTIFY_COMPLETED, &Impl::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION,
+        &Impl::onConnection, this, MHD_OPTION_END);
     if (!m_daemon)
         return HttpServerError{"cannot listen on " + std::string(address)};
 
@@ -193,6 +196,9 @@
                               &exchange->request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery,
                               &exchange->request.query);
+    auto *requests = static_cast<std::size_t *>(
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
+    exchange->request.isFirstOnConnection = (*requests)++ == 0;
     const auto length = exchange->request.headers.find("content-length");
     if (length != exchange->request.headers.end()) {
         std::size_t bytes = 0;
@@ -278,6 +284,18 @@
         impl.m_onClosed(id);
 }
 
+// Counts the requests of each connection in its socket context.
+void HttpServer::Impl::onConnection(void *, MHD_Connection *, void **requests,
+                                    MHD_ConnectionNotificationCode code)
+{
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        *requests = new std::size_t(0);
+    } else {
+        delete static_cast<std::size_t *>(*requests);
+        *requests = nullptr;
+    }
+}
+
 void HttpServer::Impl::respond(RequestId id, HttpResponse response)
 {
     const auto it = m_exchanges.find(id);
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -23,6 +23,7 @@
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers; // names in lower case
     std::string body;
+    bool isFirstOnConnection = true; // stand-ins close reused connections in tests
 };
 
 struct HttpResponse
