membership: suspicion counts from the first unanswered message; tests

Counted from the last answer, a process behind a silent connection was suspected 3 s after it although the first message on a new connection is only sent after the 2 s timeout of the call. Linter findings in entrymemory and callerapi are fixed.

--- a/src/callerapi.cpp
+++ b/src/callerapi.cpp
@@ -90,7 +90,7 @@
     // 1 to 128 visible ASCII characters.
     std::string id(const char *name) const
     {
-        const std::string value = text(name);
+        std::string value = text(name);
         if (value.empty() || value.size() > MaxIdBytes)
             refuse(pathOf(name), "must have 1 to 128 characters");
         if (!std::all_of(value.begin(), value.end(), [](char c) { return c > ' ' && c < 0x7f; }))
--- a/src/entrymemory.cpp
+++ b/src/entrymemory.cpp
@@ -92,7 +92,7 @@
         slot->expires = std::max(slot->expires, fresh.expires);
         return isNew;
     }
-    if ((m_used[shard.value] + 1) * 100 > table.size() * MaxFillPercent)
+    if ((std::size_t{m_used[shard.value]} + 1) * 100 > table.size() * MaxFillPercent)
         resize(shard, std::max(MinSlots, table.size() * GrowthPercent / 100), second);
     insert(table, fresh);
     ++m_used[shard.value];
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -16,8 +16,8 @@
 constexpr Duration TickInterval = 100ms;
 constexpr Duration HeartbeatInterval = 1s;
 
-// A call on a silent connection times out after 2 s, and the next one uses a new connection, so an
-// up process has answered on a new one by then.
+// From the first message without an answer. A call on a silent connection times out after 2 s, and
+// the next one uses a new connection, so a process that is up has answered there by then.
 constexpr Duration SuspicionTime = 3s;
 
 // A tick that is this late means that this process was paused, and that the silence is its own.
@@ -57,6 +57,13 @@
     , m_logRetention(logRetention)
 {}
 
+void Membership::Watch::noteSent(TimePoint now)
+{
+    nextSend = now + HeartbeatInterval;
+    if (unansweredSince == NeverTime)
+        unansweredSince = now;
+}
+
 Incarnation Membership::feederOf(Incarnation agent) const
 {
     Incarnation best;
@@ -135,7 +142,7 @@
         watch.isFed = isAgent && feederOf(incarnation) == m_self;
         const bool isWatched = watch.isFed || !isAgent || !state.suspectedBy.empty();
         if (isWatched && !watch.isWatched) {
-            watch.since = now;
+            watch.unansweredSince = NeverTime;
             watch.nextSend = now;
             watch.isFeedInFlight = false;
         }
@@ -148,8 +155,10 @@
 
 void Membership::onHeard(Incarnation from, TimePoint now)
 {
-    if (const auto it = m_watches.find(from); it != m_watches.end())
+    if (const auto it = m_watches.find(from); it != m_watches.end()) {
         it->second.lastHeard = now;
+        it->second.unansweredSince = NeverTime;
+    }
 }
 
 void Membership::onMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out)
@@ -182,7 +191,8 @@
 void Membership::restartSilence(TimePoint now)
 {
     for (auto &[incarnation, watch] : m_watches)
-        watch.since = now;
+        if (watch.unansweredSince != NeverTime)
+            watch.unansweredSince = now;
 }
 
 void Membership::onTimer(TimePoint now, Outbox &out)
@@ -207,11 +217,12 @@
 
 void Membership::contact(Incarnation to, Watch &watch, TimePoint now, Outbox &out)
 {
-    watch.nextSend = now + HeartbeatInterval;
-    if (watch.isFed)
+    if (watch.isFed) {
         feed(to, watch, now, out);
-    else
-        out.send(to, Probe{});
+        return;
+    }
+    watch.noteSent(now);
+    out.send(to, Probe{});
 }
 
 // Starts at the last acknowledged offset, so that what the agent has applied and what it gets never
@@ -219,8 +230,8 @@
 // empty.
 void Membership::feed(Incarnation to, Watch &watch, TimePoint now, Outbox &out)
 {
+    watch.noteSent(now);
     watch.isFeedInFlight = true;
-    watch.nextSend = now + HeartbeatInterval;
     Feed message;
     if (!watch.acked || *watch.acked >= m_ledger.next()) {
         message.next = watch.acked.value_or(LogOffset{});
@@ -262,7 +273,8 @@
         out.add(Append{Record{watch.pendingVote, ClearRecord{m_self, subject}}});
         return;
     }
-    if (isSuspected || now - std::max(watch.lastHeard, watch.since) < SuspicionTime)
+    if (isSuspected || watch.unansweredSince == NeverTime
+        || now - watch.unansweredSince < SuspicionTime)
         return;
     watch.votedAt = now;
     watch.pendingVote = nextAppendId("suspect");
--- a/src/membership.h
+++ b/src/membership.h
@@ -42,14 +42,16 @@
     struct Watch
     {
         bool isFed = false;     // by this entry
-        TimePoint since;        // of the current reason to contact it
         bool isWatched = false; // fed, an entry, or suspected by anyone
         TimePoint lastHeard;
+        TimePoint unansweredSince = NeverTime; // the first message after lastHeard
         TimePoint nextSend;
         TimePoint votedAt = NeverTime;  // of this entry's last suspicion
         std::string pendingVote;        // append id of a vote that the ledger does not show yet
         std::optional<LogOffset> acked; // the agent has applied every offset below
         bool isFeedInFlight = false;
+
+        void noteSent(TimePoint now);
     };
 
     void refreshWatches(TimePoint now);
