placement: one reservation per class and team of a home at each agent

A flood in one class held the single reservation of a home at each agent, so the agents' own weighted order had nothing to choose from.

--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -14,9 +14,9 @@
 // centres) and the batching of a loop turn. A send younger than this is not yet in the digest.
 constexpr Duration DigestLag = milliseconds(3);
 
-// Reservations of one home at one agent. Agents offer slots in the order of the reservations, so
-// with one each they serve the homes in turn; with one per queued task, a home with a job of 370
-// tasks is served before all later jobs of the others.
+// Reservations of one flow of one home at one agent. Agents offer slots to the reservations of a
+// flow in their order, so with one each they serve the homes in turn; with one per queued task, a
+// home with a job of 370 tasks is served before all later jobs of the others.
 constexpr double MaxReservationsPerAgent = 1;
 
 bool fits(const TaskNeeds &needs, const TaskNeeds &capacity)
@@ -212,7 +212,7 @@
 {}
 
 template <PlacementPolicy Policy>
-void BasicPlacement<Policy>::reserved(Incarnation agent)
+void BasicPlacement<Policy>::reserved(Incarnation agent, std::string_view flow)
 {
     const auto it = m_agents.find(agent);
     if (it == m_agents.end())
@@ -221,21 +221,25 @@
     if (!it->second.sends.empty())
         it->second.sends.pop_front();
     it->second.reservations.push_back(m_now);
-    ++it->second.held;
+    ++it->second.held[std::string(flow)];
 }
 
 template <PlacementPolicy Policy>
-void BasicPlacement<Policy>::reservationEnded(Incarnation agent)
+void BasicPlacement<Policy>::reservationEnded(Incarnation agent, std::string_view flow)
 {
     const auto it = m_agents.find(agent);
-    if (it != m_agents.end() && it->second.held > 0)
-        --it->second.held;
+    if (it == m_agents.end())
+        return;
+    const auto held = it->second.held.find(flow);
+    if (held != it->second.held.end() && --held->second == 0)
+        it->second.held.erase(held);
 }
 
 template <PlacementPolicy Policy>
-std::vector<Candidate>
-BasicPlacement<Policy>::candidates(std::string_view upstream, const TaskNeeds &needs,
-                                   std::span<const Incarnation> excluded) const
+std::vector<Candidate> BasicPlacement<Policy>::candidates(std::string_view upstream,
+                                                          const TaskNeeds &needs,
+                                                          std::span<const Incarnation> excluded,
+                                                          std::string_view flow) const
 {
     std::vector<Candidate> result;
     for (const auto &[incarnation, agent] : m_agents) {
@@ -250,7 +254,8 @@
         it.staleFree = agent.load.freeSlots;
         it.free = it.staleFree - static_cast<double>(agent.sends.size());
         it.queued = agent.load.queued + static_cast<double>(agent.reservations.size());
-        it.reserved = agent.held + std::max(0.0, -it.free);
+        const auto held = agent.held.find(flow);
+        it.reserved = (held == agent.held.end() ? 0 : held->second) + std::max(0.0, -it.free);
         result.push_back(it);
     }
     return result;
@@ -262,7 +267,7 @@
                                                               std::span<const Incarnation> excluded)
 {
     m_now = std::max(m_now, now);
-    const std::vector<Candidate> all = candidates(upstream, needs, excluded);
+    const std::vector<Candidate> all = candidates(upstream, needs, excluded, {});
     const auto chosen = m_policy.pickFree(all, m_random);
     return chosen ? std::optional(all[*chosen].agent) : std::nullopt;
 }
@@ -270,10 +275,11 @@
 template <PlacementPolicy Policy>
 std::optional<Incarnation>
 BasicPlacement<Policy>::chooseForReservation(std::string_view upstream, const TaskNeeds &needs,
-                                             TimePoint now, std::span<const Incarnation> excluded)
+                                             TimePoint now, std::span<const Incarnation> excluded,
+                                             std::string_view flow)
 {
     m_now = std::max(m_now, now);
-    const std::vector<Candidate> all = candidates(upstream, needs, excluded);
+    const std::vector<Candidate> all = candidates(upstream, needs, excluded, flow);
     const auto chosen = m_policy.pickForReservation(all, m_random);
     return chosen ? std::optional(all[*chosen].agent) : std::nullopt;
 }
--- a/src/placement.h
+++ b/src/placement.h
@@ -40,7 +40,7 @@
     double queued = 0;    // reservations; digest plus own reservations since
     double slots = 1;     // > 0
     double staleFree = 0; // slots by the digest alone
-    double reserved = 0;  // own reservations, and own sends that can only become reservations
+    double reserved = 0;  // own reservations of the flow, and sends that can only become some
 };
 
 // A rule that picks one of several candidates. `pickFree` may return none if all look busy.
@@ -101,18 +101,22 @@
     void setWeight(Incarnation agent, double weight);      // from WorkerHealth; 0 is ejected
     void taskSent(Incarnation agent);
     void taskEnded(Incarnation agent);
-    void reserved(Incarnation agent);         // the agent answered TaskBusy to a sent task
-    void reservationEnded(Incarnation agent); // it was offered, or will never be
+    // The agent answered TaskBusy to a sent task. `flow` names what agents share their slots by,
+    // the class and team of the task.
+    void reserved(Incarnation agent, std::string_view flow = {});
+    // It was offered, or will never be.
+    void reservationEnded(Incarnation agent, std::string_view flow = {});
 
     // Queries
     // An agent that is believed to have a free slot; none if all are believed busy.
     std::optional<Incarnation> chooseFree(std::string_view upstream, const TaskNeeds &needs,
                                           TimePoint now, std::span<const Incarnation> excluded);
     // The agent on which a reservation is expected to wait the shortest; none if the home already
-    // holds its limit on every agent.
+    // holds its limit for the flow on every agent.
     std::optional<Incarnation> chooseForReservation(std::string_view upstream,
                                                     const TaskNeeds &needs, TimePoint now,
-                                                    std::span<const Incarnation> excluded);
+                                                    std::span<const Incarnation> excluded,
+                                                    std::string_view flow = {});
     bool canRunSomewhere(std::string_view upstream, const TaskNeeds &needs) const;
     bool hasUpstream(std::string_view upstream) const;
     std::uint32_t totalSlots(std::string_view upstream) const;
@@ -125,12 +129,13 @@
         TimePoint observedAt = TimePoint::min();
         std::deque<TimePoint> sends;        // that the digest may not contain; in time order
         std::deque<TimePoint> reservations; // likewise
-        std::uint32_t held = 0;             // own reservations that have not ended
+        std::map<std::string, std::uint32_t, std::less<>> held; // own reservations by flow
         double weight = 1;
     };
 
     std::vector<Candidate> candidates(std::string_view upstream, const TaskNeeds &needs,
-                                      std::span<const Incarnation> excluded) const;
+                                      std::span<const Incarnation> excluded,
+                                      std::string_view flow) const;
 
     std::string m_dataCentre;
     Random m_random;
--- a/tools/fleetmodel.h
+++ b/tools/fleetmodel.h
@@ -5,6 +5,7 @@
 
 #include "admission.h"
 #include "placement.h"
+#include "reservationqueue.h"
 #include "retrybudget.h"
 #include "workerhealth.h"
 #include "workload.h"
@@ -107,6 +108,7 @@
     config.classes["bulk"] = {2, target(10)};
     for (const char *team : {"bookings", "billing", "flooder"})
         config.teams[team].upstreams = {Upstream};
+    config.teams["flooder"].weight = 0.25;
     config.upstreams[Upstream] = {};
     return config;
 }
@@ -173,15 +175,14 @@
         RetryBudget budget;
         std::vector<LoadDigest> known; // newest digest of each agent and when it was observed
         std::vector<double> knownAt;
-        std::size_t reservations = 0; // held by executors or being asked for
-        std::size_t asking = 0;       // tasks on their way to ask for a reservation
+        std::map<std::size_t, std::pair<QueuedTask, std::size_t>> reserved; // by token: at worker
     };
 
     struct Executor
     {
         std::uint32_t free = 0;
-        std::deque<std::size_t> reservations; // homes
-        std::deque<std::size_t> queue;        // tasks bound early
+        ReservationQueue reservations;
+        std::deque<std::size_t> queue; // tasks bound early
     };
 
     static Incarnation agentOf(std::size_t i) { return Incarnation{i + 1}; }
@@ -330,21 +331,53 @@
                 agent = home.placement.chooseFree(Upstream, needs, now, {});
             if (!agent)
                 break;
-            if (!start(index, agent->value - 1, false))
+            auto task = home.admission.pop(Upstream, now);
+            if (!task)
                 return;
+            start(index, agent->value - 1, std::move(*task));
         }
         if (IsEarlyBinding<Policy>)
             return;
-        const auto wanted = static_cast<std::size_t>(m_options.reservationsPerTask);
-        while (home.admission.queuedTasks(Upstream) > 0
-               && home.reservations
-                      < wanted * (home.admission.queuedTasks(Upstream) + home.asking)) {
-            const auto agent = home.placement.chooseForReservation(Upstream, needs, now, {});
-            if (!agent || !start(index, agent->value - 1, true))
+        rebind(index);
+        std::vector<QueuedTask> passedOver; // their flows hold their limit of reservations
+        while (passedOver.size() < MaxPassedOver) {
+            auto task = home.admission.pop(Upstream, now);
+            if (!task)
+                break;
+            const auto agent
+                = home.placement.chooseForReservation(Upstream, needs, now, {}, flowOf(*task));
+            if (agent)
+                start(index, agent->value - 1, std::move(*task));
+            else
+                passedOver.push_back(std::move(*task));
+        }
+        for (auto it = passedOver.rbegin(); it != passedOver.rend(); ++it)
+            home.admission.pushFront(std::move(*it));
+    }
+
+    // With nothing left in the queue, a task that waits for an offer goes to a slot that is free.
+    void rebind(std::size_t index)
+    {
+        Home &home = *m_homes[index];
+        while (home.admission.queuedTasks(Upstream) == 0 && !home.reserved.empty()) {
+            const auto agent = home.placement.chooseFree(Upstream, {}, at(m_clock.now()), {});
+            if (!agent)
                 return;
+            const TaskRef ref{JobKey{std::to_string(home.reserved.begin()->first)}, 0};
+            const auto [task, worker] = home.reserved.begin()->second;
+            home.reserved.erase(home.reserved.begin());
+            home.placement.reservationEnded(agentOf(worker), flowOf(task));
+            m_result.wasted += 3; // request, answer and decline
+            send(index, worker,
+                 [this, worker = worker, ref] { m_executors[worker].reservations.remove(ref); });
+            start(index, agent->value - 1, task);
         }
     }
 
+    static std::string flowOf(const QueuedTask &task) { return task.jobClass + "/" + task.team; }
+
+    static TaskRef refOf(const QueuedTask &task) { return {JobKey{std::to_string(task.token)}, 0}; }
+
     std::optional<Incarnation> probeTarget(Home &home, TimePoint now)
     {
         for (std::size_t k = 0; m_options.health && k < m_options.workers; ++k) {
@@ -356,57 +389,36 @@
         return std::nullopt;
     }
 
-    // Sends the next task; false if no queued task may be started.
-    bool start(std::size_t index, std::size_t worker, bool isAsking)
+    void start(std::size_t index, std::size_t worker, QueuedTask task)
     {
         Home &home = *m_homes[index];
-        auto task = home.admission.pop(Upstream, at(m_clock.now()));
-        if (!task)
-            return false;
-        home.admission.taskStarted(task->team, task->jobClass, Upstream);
-        if (isAsking) {
-            ++home.asking;
-            ++home.reservations;
-        }
+        home.admission.taskStarted(task.team, task.jobClass, Upstream);
         home.placement.taskSent(agentOf(worker));
-        send(index, worker, [this, index, worker, isAsking, task = *task] {
-            onStartTask(index, worker, isAsking, task);
-        });
-        return true;
+        send(index, worker,
+             [this, index, worker, task = std::move(task)] { onStartTask(index, worker, task); });
     }
 
-    void onStartTask(std::size_t home, std::size_t worker, bool isAsking, const QueuedTask &task)
+    void onStartTask(std::size_t home, std::size_t worker, const QueuedTask &task)
     {
         Executor &it = m_executors[worker];
         if (it.free > 0) {
             --it.free;
+            it.reservations.charge(task.jobClass, task.team, StartCharge, m_config);
             execute(worker, home, task.token);
-            // The home learns of the start from the result.
-            if (isAsking) {
-                send(worker, home, [this, home] {
-                    --m_homes[home]->asking;
-                    --m_homes[home]->reservations;
-                });
-            }
         } else if (IsEarlyBinding<Policy>) {
             it.queue.push_back(task.token);
         } else {
-            it.reservations.push_back(home);
-            send(worker, home,
-                 [this, home, worker, isAsking, task] { onBusy(home, worker, isAsking, task); });
+            it.reservations.add(
+                {refOf(task), {}, agentOf(home), task.team, task.jobClass, NeverTime});
+            send(worker, home, [this, home, worker, task] { onBusy(home, worker, task); });
         }
     }
 
-    void onBusy(std::size_t index, std::size_t worker, bool isAsking, const QueuedTask &task)
+    void onBusy(std::size_t index, std::size_t worker, const QueuedTask &task)
     {
         Home &home = *m_homes[index];
-        home.admission.taskEnded(task.team, task.jobClass, Upstream, std::nullopt);
-        home.admission.pushFront(task);
-        home.placement.reserved(agentOf(worker));
-        if (isAsking)
-            --home.asking;
-        else
-            ++home.reservations;
+        home.placement.reserved(agentOf(worker), flowOf(task));
+        home.reserved.emplace(task.token, std::pair(task, worker));
     }
 
     void slotFreed(std::size_t worker)
@@ -416,32 +428,41 @@
             const std::size_t task = it.queue.front();
             it.queue.pop_front();
             execute(worker, homeOf(task), task);
-        } else if (!it.reservations.empty()) {
-            const std::size_t home = it.reservations.front();
-            it.reservations.pop_front();
-            send(worker, home, [this, home, worker] { onOffer(home, worker); });
+        } else if (auto best = it.reservations.takeBest({})) {
+            it.reservations.charge(best->jobClass, best->team, StartCharge, m_config);
+            const std::size_t home = best->home.value - 1;
+            const std::size_t token = std::stoul(best->ref.key.value);
+            send(worker, home, [this, home, worker, token] { onOffer(home, worker, token); });
         } else {
             ++it.free;
         }
     }
 
-    void onOffer(std::size_t index, std::size_t worker)
+    void onOffer(std::size_t index, std::size_t worker, std::size_t token)
     {
         Home &home = *m_homes[index];
-        --home.reservations;
-        home.placement.reservationEnded(agentOf(worker));
-        const bool isEjected
-            = m_options.health && home.health.isEjected(agentOf(worker), at(m_clock.now()));
-        auto task = isEjected ? std::nullopt : home.admission.pop(Upstream, at(m_clock.now()));
-        if (!task) {
-            // The request, its answer, the offer and this decline were for nothing.
-            m_result.wasted += 4;
+        const auto held = home.reserved.find(token);
+        if (held == home.reserved.end() || held->second.second != worker) {
+            // It was bound elsewhere; the decline that crossed this offer was counted there.
+            m_result.wasted += 2;
             send(index, worker, [this, worker] { slotFreed(worker); });
             return;
         }
-        home.admission.taskStarted(task->team, task->jobClass, Upstream);
-        send(index, worker,
-             [this, index, worker, token = task->token] { execute(worker, index, token); });
+        const std::string flow = flowOf(held->second.first);
+        if (m_options.bindOldest) {
+            // The oldest task of the flow takes the slot, and this one takes its reservation.
+            auto oldest = held;
+            for (auto it = home.reserved.begin(); it != home.reserved.end(); ++it) {
+                if (flowOf(it->second.first) == flow
+                    && it->second.first.order < oldest->second.first.order)
+                    oldest = it;
+            }
+            std::swap(oldest->second.first, held->second.first);
+        }
+        const std::size_t bound = held->second.first.token;
+        home.placement.reservationEnded(agentOf(worker), flow);
+        home.reserved.erase(held);
+        send(index, worker, [this, index, worker, bound] { execute(worker, index, bound); });
     }
 
     std::size_t homeOf(std::size_t task) const
@@ -464,6 +485,9 @@
         const double seconds
             = fails ? m_options.badRunMs / 1000 : task.work / m_workload.speeds[worker];
         m_clock.after(seconds, [this, worker, home, token, fails, seconds] {
+            const Job &job = m_workload.jobs[m_workload.tasks[token].job];
+            m_executors[worker].reservations.charge(job.jobClass, job.team,
+                                                    span(seconds) - StartCharge, m_config);
             slotFreed(worker);
             send(worker, home, [this, worker, home, token, fails, seconds] {
                 onDone(home, worker, token, !fails, seconds);
@@ -499,7 +523,12 @@
             finish(jobIndex, m_failed[jobIndex] ? End::Failed : End::Completed);
     }
 
+    // As in the executor: a slot is charged with the least usual run time when it is given away.
+    static constexpr Duration StartCharge = std::chrono::milliseconds(50);
+    static constexpr std::size_t MaxPassedOver = 8;
+
     Options m_options;
+    FleetConfig m_config = fleetConfig(m_options);
     Workload m_workload;
     RunResult m_result;
     Clock m_clock;
--- a/tools/measure.cpp
+++ b/tools/measure.cpp
@@ -186,8 +186,8 @@
     add("stragglers", o.stragglers, "part of the tasks that take five times as long");
     add("speed-spread", o.speedSpread, "worker speeds lie within 1 -+ this");
     add("declared-error", o.declaredError, "largest factor of declared / real time");
-    add("reservations", o.reservationsPerTask, "per queued task, 0 to 2");
     add("gossip", o.gossip, "envelopes carry digests of other agents");
+    add("bind-oldest", o.bindOldest, "an offered slot goes to the oldest task of its flow");
     add("longest-first", o.longestFirst, "tasks of a job by falling declared time");
     add("queue-target-scale", o.queueTargetScale, "of 2, 5 and 10 s; 0 switches refusals off");
     add("resubmits", o.resubmits, "times that a refused job comes back");
