operators: HTTP API of the entry and the commands

apply sends the revision that the file was made from, by default the one in force when the command starts. The verdict is read from the history of the ledger: the one file accepted on top of a base is revision base + 1. An apply that the log has provably not got is reported as such (exit code 5), any other without an answer as unclear (6).

--- a/src/operatorapi.h
+++ b/src/operatorapi.h
@@ -25,6 +25,9 @@
     std::function<void(Record)> append;                            // LogClient::append()
     std::function<bool(const std::string &appendId)> withdraw;     // LogClient::withdraw()
     std::function<void(RequestId id, HttpResponse reply)> respond; // may be called in handle()
+    // Longer than one append with its repetition over a new connection, and shorter than the 9 s
+    // in which a configuration must be in force, so that an operator knows by then.
+    Duration applyTimeout = std::chrono::seconds(8);
 };
 
 class OperatorApi
@@ -46,12 +49,14 @@
         TimePoint until;
     };
 
+    HttpResponse answer(const HttpRequest &request) const; // all but PUT
     HttpResponse config() const;
     HttpResponse history(const HttpRequest &request) const;
     HttpResponse plan(const std::string &text) const;
     HttpResponse status() const;
     void apply(RequestId id, const HttpRequest &request);
     HttpResponse verdict(const ConfigRecord &record) const; // once the log has the record
+    HttpResponse conflict(Revision base) const;
     void onTimer();
 
     Incarnation m_self;
