--- a/tools/cuttingproxy.cpp
+++ b/tools/cuttingproxy.cpp
@@ -224,10 +224,10 @@
 
     bool listenForControl(const std::string &address)
     {
-        auto listened
-            = HttpServer::listen(m_loop, address, {}, [this](RequestId id, HttpRequest request) {
-                  m_control->respond(id, handle(request));
-              });
+        auto listened = HttpServer::listen(m_loop, address, {},
+                                           [this](RequestId id, const HttpRequest &request) {
+                                               m_control->respond(id, handle(request));
+                                           });
         if (!isOk(listened)) {
             std::cerr << errorOf(listened).reason << '\n';
             return false;
--- a/tools/upstreamstandin.cpp
+++ b/tools/upstreamstandin.cpp
@@ -90,7 +90,7 @@
         limits.maxConnections = m_options.connections;
         auto listened = HttpServer::listen(
             m_loop, m_options.listen, limits,
-            [this](RequestId id, HttpRequest request) { handle(id, request); });
+            [this](RequestId id, const HttpRequest &request) { handle(id, request); });
         if (!isOk(listened)) {
             std::cerr << errorOf(listened).reason << '\n';
             return false;
@@ -142,7 +142,8 @@
         m_heartbeat.startIn(std::chrono::milliseconds(m_options.leaseMs) / 3);
     }
 
-    void callAgent(const char *method, const Json::Value &body, std::function<void(bool)> done)
+    void callAgent(const char *method, const Json::Value &body,
+                   const std::function<void(bool)> &done)
     {
         if (m_options.agent.empty())
             return m_loop.post([done] { done(true); });
