--- a/src/agentnode.cpp
+++ b/src/agentnode.cpp
@@ -534,10 +534,10 @@
     m_impl->settle(inner, now, out);
 }
 
-void AgentNode::onUpstreamLeft(TimePoint now, Outbox &out)
+void AgentNode::onUpstreamLeft(std::string_view incarnation, TimePoint now, Outbox &out)
 {
     Outbox inner;
-    m_impl->onUpstreamChange(m_impl->upstreams().leave(), now, inner);
+    m_impl->onUpstreamChange(m_impl->upstreams().leave(incarnation), now, inner);
     m_impl->settle(inner, now, out);
 }
 
--- a/src/agentnode.h
+++ b/src/agentnode.h
@@ -12,6 +12,7 @@
 
 #include <memory>
 #include <span>
+#include <string_view>
 
 namespace cactuscove {
 
@@ -38,7 +39,8 @@
     // The log was trimmed beyond the node's position; the records after snapshot.asOf follow.
     void onLogSnapshot(const SnapshotRecord &snapshot, TimePoint now, Outbox &out);
     void onUpstreamAnnounced(const UpstreamAnnouncement &announcement, TimePoint now, Outbox &out);
-    void onUpstreamLeft(TimePoint now, Outbox &out);
+    // Ignored for another incarnation than the announced one; empty stands for any.
+    void onUpstreamLeft(std::string_view incarnation, TimePoint now, Outbox &out);
     void onUpstreamResult(const TaskRef &ref, std::uint32_t attempt, TaskResult result,
                           TimePoint now, Outbox &out);
     void onTimer(TimePoint now, Outbox &out);
--- a/src/agentprocess.cpp
+++ b/src/agentprocess.cpp
@@ -72,7 +72,9 @@
         if (!isOk(parsed))
             return respond(id, request.path,
                            {errorOf(parsed).status, formatError(errorOf(parsed))});
-        step([&](TimePoint now, Outbox &out) { m_node->onUpstreamLeft(now, out); });
+        step([&](TimePoint now, Outbox &out) {
+            m_node->onUpstreamLeft(valueOf(parsed).incarnation, now, out);
+        });
         respond(id, request.path, {200, "{}\n"});
     }
 
--- a/tests/taskexecutor_test.cpp
+++ b/tests/taskexecutor_test.cpp
@@ -340,6 +340,18 @@
     EXPECT_EQ(sent<TaskDone>(it.out.take()).at(0).result.status, TaskStatus::Unknown);
 }
 
+// The leave of a replaced upstream may arrive after the announcement of its successor.
+TEST(UpstreamRegistry, LateLeaveOfAnotherIncarnationIsIgnored)
+{
+    Executor it;
+    it.announce(1, "u2");
+    EXPECT_EQ(it.upstreams.leave("u1"), Change::None);
+    EXPECT_EQ(it.upstreams.current()->incarnation, "u2");
+    EXPECT_EQ(it.upstreams.leave("u2"), Change::Left);
+    it.announce(1, "u2"); // a late repeat
+    EXPECT_FALSE(it.upstreams.current());
+}
+
 TEST(TaskExecutor, CancelStopsARunningTask)
 {
     Executor it;
