--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -37,7 +37,10 @@
 
 std::size_t appendBody(char *data, std::size_t size, std::size_t n, void *transfer)
 {
-    static_cast<Transfer *>(transfer)->reply.body.append(data, size * n);
+    auto &it = *static_cast<Transfer *>(transfer);
+    if (it.reply.body.size() + size * n > it.call.maxReplyBytes)
+        return 0; // libcurl closes the connection
+    it.reply.body.append(data, size * n);
     return size * n;
 }
 
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -24,6 +24,7 @@
     // Uses a new connection and closes it afterwards. libcurl may resend a request when a reused
     // connection closes before the first response byte; on a new connection it never does.
     bool freshConnection = false;
+    std::size_t maxReplyBytes = 64 << 20; // a larger body ends the call as Broken
 };
 
 struct HttpReply
