--- a/src/upstreamclient.cpp
+++ b/src/upstreamclient.cpp
@@ -13,6 +13,9 @@
 
 // The upstream stops a task when its lease lapses; its answer to that needs some time to arrive.
 constexpr Duration AnswerMargin = std::chrono::seconds(2);
+// A result travels in one message and is kept for id_memory; a larger one counts as failed. The
+// process links take messages of up to 4 MB.
+constexpr std::size_t MaxResultBytes = 256 << 10;
 constexpr char IncarnationHeader[] = "X-Upstream-Incarnation";
 
 std::string write(const Json::Value &value)
@@ -96,6 +99,7 @@
             = "00-" + effect.trace.traceId + '-' + effect.trace.spanId + "-01";
     call.body = write(body);
     call.timeout = effect.lease + AnswerMargin;
+    call.maxReplyBytes = MaxResultBytes;
     call.freshConnection = true; // rule R10: libcurl must not resend a start
     m_http.start(std::move(call), [this, key](const Result<HttpReply, HttpCallError> &answer) {
         onAnswer(key, answer);
--- a/tests/upstreamclient_test.cpp
+++ b/tests/upstreamclient_test.cpp
@@ -106,6 +106,15 @@
     EXPECT_EQ(arrived["/run"].size(), 1U);
 }
 
+// A result that no message can carry would be repeated for ever, and would take memory before.
+TEST_F(UpstreamClientTest, TooLargeResultIsAFailure)
+{
+    answer = [this](RequestId id, const HttpRequest &) {
+        server->respond(id, {200, std::string(300'000, 'x')});
+    };
+    EXPECT_EQ(run("t1").status, TaskStatus::Failed);
+}
+
 TEST_F(UpstreamClientTest, RefusedConnectionProvesThatNothingStarted)
 {
     const std::string address = server->address();
