--- a/src/reservationqueue.cpp
+++ b/src/reservationqueue.cpp
@@ -50,7 +50,8 @@
     return take(it);
 }
 
-std::optional<Reservation> ReservationQueue::takeBest(const std::set<Incarnation> &skippedHomes)
+std::optional<Reservation>
+ReservationQueue::takeBest(const std::function<bool(Incarnation)> &mayOffer)
 {
     Class *bestClass = nullptr;
     Team *bestTeam = nullptr;
@@ -64,9 +65,8 @@
             if (classTeam && team.used >= classTeam->used)
                 continue;
             const auto it
-                = std::find_if(team.fifo.begin(), team.fifo.end(), [&](const auto &entry) {
-                      return !skippedHomes.contains(entry.second.home);
-                  });
+                = std::find_if(team.fifo.begin(), team.fifo.end(),
+                               [&](const auto &entry) { return mayOffer(entry.second.home); });
             if (it != team.fifo.end()) {
                 classTeam = &team;
                 classBest = &it->second;
--- a/src/reservationqueue.h
+++ b/src/reservationqueue.h
@@ -8,6 +8,7 @@
 #include "startmemory.h"
 #include "types.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,8 +34,8 @@
     // Commands
     void add(Reservation reservation);
     std::optional<Reservation> remove(const TaskRef &ref);
-    // Takes the best reservation whose home is not in `skippedHomes`.
-    std::optional<Reservation> takeBest(const std::set<Incarnation> &skippedHomes);
+    // Takes the best reservation of a home that `mayOffer` accepts.
+    std::optional<Reservation> takeBest(const std::function<bool(Incarnation)> &mayOffer);
     std::vector<Reservation> takeAll();
     std::vector<Reservation> takeExpired(TimePoint now);
     // Counts slot time of a task against the shares; negative to take a charge back.
--- a/src/taskexecutor.cpp
+++ b/src/taskexecutor.cpp
@@ -437,11 +437,10 @@
     if (m_queue.size() == 0 || freeSlots() == 0)
         return;
     chargeRunning(now);
-    std::set<Incarnation> silent;
-    for (const auto &[home, until] : m_silentHomes)
-        silent.insert(home);
+    const auto mayOffer
+        = [&](Incarnation home) { return !m_silentHomes.contains(home) && isReachable(home); };
     while (freeSlots() > 0) {
-        std::optional<Reservation> best = m_queue.takeBest(silent);
+        std::optional<Reservation> best = m_queue.takeBest(mayOffer);
         if (!best)
             return;
         m_queue.charge(best->jobClass, best->team, StartCharge, m_ledger.fleetConfig());
--- a/tests/taskexecutor_test.cpp
+++ b/tests/taskexecutor_test.cpp
@@ -442,7 +442,7 @@
         add("bulk");
     add("urgent");
     for (int n = 0; n < 4000; ++n) {
-        const Reservation it = *queue.takeBest({});
+        const Reservation it = *queue.takeBest([](Incarnation) { return true; });
         const Duration runTime = it.jobClass == "bulk" ? 500ms : 50ms;
         queue.charge(it.jobClass, it.team, runTime, config);
         used[it.jobClass] += runTime;
--- a/tools/upstreamstandin.cpp
+++ b/tools/upstreamstandin.cpp
@@ -313,7 +313,8 @@
     flags.add_options()("help", "show the options");
     flags.add_options()("listen", po::value(&options.listen)->default_value("127.0.0.1:0"),
                         "ip:port to listen on");
-    flags.add_options()("agent", po::value(&options.agent), "ip:port of the agent beside it");
+    flags.add_options()("agent", po::value(&options.agent),
+                        "address of the agent beside it, with or without http://");
     flags.add_options()("upstream", po::value(&options.upstream)->default_value("walk-desk"),
                         "name of the upstream");
     flags.add_options()("incarnation", po::value(&options.incarnation),
@@ -339,6 +340,9 @@
         std::cout << flags;
         return false;
     }
+    const std::string scheme = "http://";
+    if (options.agent.starts_with(scheme))
+        options.agent.erase(0, scheme.size());
     if (options.incarnation.empty()) {
         const auto time = std::chrono::system_clock::now().time_since_epoch().count();
         options.incarnation = std::to_string(getpid()) + '-' + std::to_string(time);
