--- a/tools/upstreamstandin.cpp
+++ b/tools/upstreamstandin.cpp
@@ -90,7 +90,7 @@
         limits.maxConnections = m_options.connections;
         auto listened = HttpServer::listen(
             m_loop, m_options.listen, limits,
-            [this](RequestId id, HttpRequest request) { handle(id, request); });
+            [this](RequestId id, const HttpRequest &request) { handle(id, request); });
         if (!isOk(listened)) {
             std::cerr << errorOf(listened).reason << '\n';
             return false;
@@ -142,7 +142,8 @@
         m_heartbeat.startIn(std::chrono::milliseconds(m_options.leaseMs) / 3);
     }
 
-    void callAgent(const char *method, const Json::Value &body, std::function<void(bool)> done)
+    void callAgent(const char *method, const Json::Value &body,
+                   const std::function<void(bool)> &done)
     {
         if (m_options.agent.empty())
             return m_loop.post([done] { done(true); });
@@ -312,7 +313,8 @@
     flags.add_options()("help", "show the options");
     flags.add_options()("listen", po::value(&options.listen)->default_value("127.0.0.1:0"),
                         "ip:port to listen on");
-    flags.add_options()("agent", po::value(&options.agent), "ip:port of the agent beside it");
+    flags.add_options()("agent", po::value(&options.agent),
+                        "address of the agent beside it, with or without http://");
     flags.add_options()("upstream", po::value(&options.upstream)->default_value("walk-desk"),
                         "name of the upstream");
     flags.add_options()("incarnation", po::value(&options.incarnation),
@@ -338,6 +340,9 @@
         std::cout << flags;
         return false;
     }
+    const std::string scheme = "http://";
+    if (options.agent.starts_with(scheme))
+        options.agent.erase(0, scheme.size());
     if (options.incarnation.empty()) {
         const auto time = std::chrono::system_clock::now().time_since_epoch().count();
         options.incarnation = std::to_string(getpid()) + '-' + std::to_string(time);
