home: a repeated not_run answer carries the rest of its retry time

Two copies of a request got the same not_run answer with the full retry time each, so the caller of the later one could be told to stay away after the first one's resubmission had already run.

--- a/src/jobhome.cpp
+++ b/src/jobhome.cpp
@@ -147,7 +147,7 @@
     if (known != nullptr && !isForgotten(*known, now - ageOf(message, now))) {
         if (known->spec.contentHash != spec.contentHash)
             return refuse(from, spec.key, SubmitRefusal::ContentMismatch, out);
-        return reply(from, *known, out);
+        return reply(from, *known, now, out);
     }
     const ShardKnowledge knowledge = m_parts.shards.knowledge(shard);
     if (knowledge == ShardKnowledge::Moving)
@@ -160,7 +160,7 @@
     decide(job, now, out);
     // Unless it was answered at once or not kept.
     if (Job *kept = find(spec.key); kept != nullptr && kept->state != JobState::Answered)
-        reply(from, *kept, out);
+        reply(from, *kept, now, out);
 }
 
 void JobHome::onCancel(Incarnation from, const CancelJob &message, TimePoint now, Outbox &out)
@@ -171,12 +171,12 @@
     if (job == nullptr)
         return answerUnseen(from, message.key, out);
     if (job->state != JobState::Running) // a waiting job: the witnesses may know more
-        return reply(from, *job, out);
+        return reply(from, *job, now, out);
     addEntry(*job, from);
     giveUp(*job, "cancelled", std::nullopt, now, out);
 }
 
-void JobHome::onQuery(Incarnation from, const QueryJob &message, TimePoint, Outbox &out)
+void JobHome::onQuery(Incarnation from, const QueryJob &message, TimePoint now, Outbox &out)
 {
     if (!isHome(shardOf(message.key), message.epoch))
         return refuse(from, message.key, SubmitRefusal::NotHome, out);
@@ -184,7 +184,7 @@
     if (job == nullptr)
         return answerUnseen(from, message.key, out);
     addEntry(*job, from);
-    reply(from, *job, out);
+    reply(from, *job, now, out);
 }
 
 bool JobHome::isHome(ShardId shard, Epoch epoch) const
@@ -301,10 +301,15 @@
     return std::nullopt;
 }
 
-void JobHome::reply(Incarnation to, Job &job, Outbox &out)
+// A retry time counts from the first answer, so that all who asked may come back at the same time.
+void JobHome::reply(Incarnation to, Job &job, TimePoint now, Outbox &out)
 {
     if (job.state == JobState::Answered) {
-        out.send(to, JobAnswer{job.spec.key, job.epoch, job.answer});
+        JobAnswer answer{job.spec.key, job.epoch, job.answer};
+        std::optional<Duration> &retryAfter = answer.answer.retryAfter;
+        if (retryAfter)
+            retryAfter = std::max(*retryAfter - (now - job.answeredAt), Duration::zero());
+        out.send(to, std::move(answer));
         return;
     }
     addEntry(job, to);
--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -190,7 +190,7 @@
     static std::optional<Answer> provedAnswer(const WitnessedJob &seen, const JobSpec *spec);
     static WitnessedJob witnessOf(const Job &job);
     std::optional<Answer> refusalOf(const Job &job, TimePoint now);
-    static void reply(Incarnation to, Job &job, Outbox &out);
+    static void reply(Incarnation to, Job &job, TimePoint now, Outbox &out);
     static void addEntry(Job &job, Incarnation entry);
     void finish(Job &job, Answer answer, TimePoint now, Outbox &out);
     void forget(Job &job);
--- a/tests/fleethistory_test.cpp
+++ b/tests/fleethistory_test.cpp
@@ -118,6 +118,17 @@
     EXPECT_THAT(brokenPromises(history), IsEmpty());
 }
 
+// The request that came back in time was refused as well, so nothing may have run.
+TEST(FleetHistory, RejectsAStartOfAResubmissionThatWasRefused)
+{
+    FleetHistory history = completedJob();
+    history.answered = {notRunAt(0), notRunAt(3)};
+    history.answered[1].caller = 3;
+    history.submitted.push_back({at(2), 3, Key, 2, false});
+    history.started = {{at(4), Key, 0}};
+    EXPECT_THAT(brokenPromises(history), ElementsAre(HasSubstr("not_run")));
+}
+
 TEST(FleetHistory, RejectsARevisionThatGoesBack)
 {
     FleetHistory history;
