tests: a doubled message gives no proof that nothing was delivered

The fake network reported a refused second copy of a message whose first copy had arrived, and the entry rightly forgot the key (rule R3). Real connections never double a request.

--- a/tests/virtualfleet.cpp
+++ b/tests/virtualfleet.cpp
@@ -203,11 +203,14 @@
             continue;
         const Duration wait
             = isDisturbed && chance(0.2) ? delay(1'000, 1'500'000) : delay(200, 900);
-        after(wait, [this, from, to, envelope] { deliver(from, to, envelope); });
+        // Of a doubled message nobody can tell that no copy has arrived.
+        const bool isProof = copies == 1;
+        after(wait, [this, from, to, envelope, isProof] { deliver(from, to, envelope, isProof); });
     }
 }
 
-void VirtualFleet::deliver(Incarnation from, Incarnation to, const Envelope &envelope)
+void VirtualFleet::deliver(Incarnation from, Incarnation to, const Envelope &envelope,
+                           bool isRefusalProof)
 {
     const auto silent = m_silentUntil.find(std::minmax(from, to));
     if (silent != m_silentUntil.end() && silent->second > m_now)
@@ -220,7 +223,7 @@
             it.agent ? it.agent->onEnvelope(envelope, m_now, out)
                      : it.entry->onEnvelope(envelope, m_now, out);
         });
-    } else if (process->second.refusesConnections) {
+    } else if (process->second.refusesConnections && isRefusalProof) {
         handle(from, [this, to, envelope](Process &it, Outbox &out) {
             for (const Message &message : envelope.messages) {
                 it.agent ? it.agent->onUndelivered(to, message, m_now, out)
--- a/tests/virtualfleet.h
+++ b/tests/virtualfleet.h
@@ -112,7 +112,7 @@
     void perform(Process &process, Outbox &out);
     void armTimer(Process &process);
     void transmit(Incarnation from, Incarnation to, Envelope envelope);
-    void deliver(Incarnation from, Incarnation to, const Envelope &envelope);
+    void deliver(Incarnation from, Incarnation to, const Envelope &envelope, bool isRefusalProof);
     void append(Incarnation by, Record record);
     void readLog(Incarnation reader);
     void startTask(std::size_t place, Incarnation agent, const StartOnUpstream &start);
