--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -273,9 +273,30 @@
 }
 
 // A leave record before the last acknowledgement would leave a gap in the heir's memory.
+TEST_F(ShutdownTest, LeavesOnlyAfterEveryPartIsAcknowledged)
+{
+    for (const char *id : {"a", "b"}) {
+        submit({1}, id);
+        answer({1}, id);
+    }
+    m_fleet.m_cut.insert({{3}, {1}});
+    Outbox out;
+    m_fleet.entry({1}).beginShutdown(m_fleet.m_now, out);
+    const auto parts = sentOf<AdoptWitness>(out.take());
+    ASSERT_EQ(parts.size(), 2u);
+    for (int i = 0; i < 5; ++i) { // a doubled acknowledgement counts once
+        m_fleet.entry({1}).onEnvelope({{3}, {1}, {}, {AdoptAck{{1}, parts[0].second.part}}},
+                                      m_fleet.m_now, out);
+        EXPECT_TRUE(appendsOf<LeaveRecord>(out.take()).empty());
+    }
+    m_fleet.entry({1}).onEnvelope({{3}, {1}, {}, {AdoptAck{{1}, parts[1].second.part}}},
+                                  m_fleet.m_now, out);
+    EXPECT_EQ(appendsOf<LeaveRecord>(out.take()).size(), 1u);
+}
+
 TEST_F(ShutdownTest, SilentHeirIsReplacedBeforeTheLeaveRecord)
 {
-    for (int i = 0; i < 20; ++i) {
+    for (int i = 0; i < 20; ++i) { // more parts than may be in flight
         submit({1}, "j" + std::to_string(i));
         answer({1}, "j" + std::to_string(i));
     }
