--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -223,6 +223,8 @@
     std::size_t reservationLimit(const std::string &upstream) const;
     void sendStart(TaskPlace place, Incarnation agent, TimePoint now, Outbox &out);
     void sendCopy(TaskPlace place, Try &attempt, TimePoint now, Outbox &out);
+    static std::string flowOf(const JobSpec &spec);
+    void reservationEnded(TaskPlace place, Incarnation agent);
     Try removeTry(TaskPlace place, Incarnation agent, std::uint32_t attempt);
     void requeue(TaskPlace place, Duration pause, TimePoint now);
     void afterNoStart(TaskPlace place, Duration pause, TimePoint now, Outbox &out);
--- a/src/jobhomeplacement.cpp
+++ b/src/jobhomeplacement.cpp
@@ -173,7 +173,8 @@
     auto agent = m_parts.placement.chooseFree(upstream, needs, now, excluded);
     if (!agent && task.tries.size() < MaxReservations
         && statsOf(upstream).reserved < reservationLimit(upstream))
-        agent = m_parts.placement.chooseForReservation(upstream, needs, now, excluded);
+        agent = m_parts.placement.chooseForReservation(upstream, needs, now, excluded,
+                                                       flowOf(job.spec));
     if (!agent)
         return false;
     sendStart(place, *agent, now, out);
@@ -237,6 +238,18 @@
     wakeAt(*place.job, attempt.nextSend);
 }
 
+// Executors share their slots by class and team, so reservations are limited for each of them.
+std::string JobHome::flowOf(const JobSpec &spec)
+{
+    return spec.jobClass + '/' + spec.team;
+}
+
+void JobHome::reservationEnded(TaskPlace place, Incarnation agent)
+{
+    --statsOf(place.job->spec.upstream).reserved;
+    m_parts.placement.reservationEnded(agent, flowOf(place.job->spec));
+}
+
 JobHome::Try JobHome::removeTry(TaskPlace place, Incarnation agent, std::uint32_t number)
 {
     Task &task = place.job->tasks[place.index];
@@ -244,7 +257,7 @@
     Try removed = *found;
     task.tries.erase(task.tries.begin() + (found - task.tries.data()));
     if (removed.state == TryState::Reserved)
-        --statsOf(place.job->spec.upstream).reserved;
+        reservationEnded(place, agent);
     m_parts.placement.taskEnded(agent);
     const auto isHere = [&](const Try &it) { return it.agent == agent; };
     if (std::ranges::none_of(task.tries, isHere)) {
--- a/src/jobhometasks.cpp
+++ b/src/jobhometasks.cpp
@@ -77,7 +77,7 @@
     attempt->nextSend = now + ReservationRepeat;
     wakeAt(*place.job, attempt->nextSend);
     ++statsOf(place.job->spec.upstream).reserved;
-    m_parts.placement.reserved(from);
+    m_parts.placement.reserved(from, flowOf(place.job->spec));
     if (place.job->state == JobState::GivingUp) {
         // The cancellation that is on its way removes the reservation.
         removeTry(place, from, message.attempt);
@@ -181,7 +181,7 @@
     if (held == nullptr || held->state == TryState::Running || (bound != nullptr && bound != held))
         return decline();
     if (held->state == TryState::Reserved)
-        --statsOf(place.job->spec.upstream).reserved;
+        reservationEnded(place, from);
     held->state = TryState::Sent;
     held->since = now;
     held->attempt = ++task.attempts;
--- a/tools/measure.cpp
+++ b/tools/measure.cpp
@@ -1,7 +1,7 @@
 // Measures the policies in virtual time against baselines and ideals and prints one table. Every
 // parameter and the seed come from the command line, so that a figure can be reproduced.
 
-#include "fleetmodel.h"
+#include "nodemodel.h"
 
 #include <boost/program_options.hpp>
 
@@ -62,6 +62,9 @@
     const RunResult central = CentralQueue(options, workload).run();
     printResponses("empty", workload, emptyFleet(options, workload), central);
     printResponses("central", workload, central, central);
+    printResponses("nodes", workload, NodeFleet(options, workload).run(), central);
+    if (only == "nodes")
+        return 0;
     printResponses("digest", workload, Fleet<DigestPolicy>(options, workload).run(), central);
     if (only == "digest")
         return 0;
@@ -88,6 +91,12 @@
     return count;
 }
 
+RunResult runFleet(const Options &options, const Workload &workload)
+{
+    return options.fakes ? Fleet<DigestPolicy>(options, workload).run()
+                         : NodeFleet(options, workload).run();
+}
+
 // One class floods: what the other classes and teams complete in time, with and without the flood.
 int measureFlood(const Options &options)
 {
@@ -95,8 +104,8 @@
     quiet.flood.clear();
     const Workload calm = makeWorkload(quiet);
     const Workload flooded = makeWorkload(options);
-    const RunResult before = Fleet<DigestPolicy>(quiet, calm).run();
-    const RunResult after = Fleet<DigestPolicy>(options, flooded).run();
+    const RunResult before = runFleet(quiet, calm);
+    const RunResult after = runFleet(options, flooded);
     std::printf("flood of %s from %.0f s to %.0f s\n%-8s %-10s %8s %8s %8s\n",
                 options.flood.c_str(), options.faultFrom, options.faultUntil, "class", "team",
                 "without", "with", "kept");
@@ -136,7 +145,7 @@
 int measureFailures(const Options &options)
 {
     const Workload workload = makeWorkload(options);
-    const RunResult result = Fleet<DigestPolicy>(options, workload).run();
+    const RunResult result = runFleet(options, workload);
     std::size_t failed = 0;
     for (const JobEnd &it : result.jobs)
         failed += it.end == End::Failed ? 1 : 0;
@@ -173,7 +182,7 @@
     };
     all.add_options()("help", "print this list");
     add("scenario", scenario, "responses, flood or failures");
-    add("only", only, "'digest' leaves the baselines out");
+    add("only", only, "'nodes' or 'digest' leaves out what follows it");
     add("seed", o.seed, "of every random choice");
     add("jobs", o.jobs, "regular jobs");
     add("workers", o.workers, "workers, one agent each");
@@ -186,6 +195,7 @@
     add("stragglers", o.stragglers, "part of the tasks that take five times as long");
     add("speed-spread", o.speedSpread, "worker speeds lie within 1 -+ this");
     add("declared-error", o.declaredError, "largest factor of declared / real time");
+    add("fakes", o.fakes, "floods and failures on fakes instead of the agent nodes");
     add("gossip", o.gossip, "envelopes carry digests of other agents");
     add("bind-oldest", o.bindOldest, "an offered slot goes to the oldest task of its flow");
     add("longest-first", o.longestFirst, "tasks of a job by falling declared time");
--- a/tools/workload.h
+++ b/tools/workload.h
@@ -26,6 +26,7 @@
     double stragglers = 0.01;  // part of the tasks that take five times as long
     double speedSpread = 0.3;  // worker speeds are within 1 -+ this
     double declaredError = 10; // declared time / run time is within this factor
+    bool fakes = false;        // homes and executors are fakes instead of the agent nodes
     bool gossip = true;        // envelopes carry the digests of other agents too
     bool bindOldest = true;    // an offered slot goes to the oldest task of its flow
     bool longestFirst = true;  // tasks of a job in the order of their declared times
