--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -190,7 +190,7 @@
     static std::optional<Answer> provedAnswer(const WitnessedJob &seen, const JobSpec *spec);
     static WitnessedJob witnessOf(const Job &job);
     std::optional<Answer> refusalOf(const Job &job, TimePoint now);
-    static void reply(Incarnation to, Job &job, Outbox &out);
+    static void reply(Incarnation to, Job &job, TimePoint now, Outbox &out);
     static void addEntry(Job &job, Incarnation entry);
     void finish(Job &job, Answer answer, TimePoint now, Outbox &out);
     void forget(Job &job);
@@ -223,6 +223,8 @@
     std::size_t reservationLimit(const std::string &upstream) const;
     void sendStart(TaskPlace place, Incarnation agent, TimePoint now, Outbox &out);
     void sendCopy(TaskPlace place, Try &attempt, TimePoint now, Outbox &out);
+    static std::string flowOf(const JobSpec &spec);
+    void reservationEnded(TaskPlace place, Incarnation agent);
     Try removeTry(TaskPlace place, Incarnation agent, std::uint32_t attempt);
     void requeue(TaskPlace place, Duration pause, TimePoint now);
     void afterNoStart(TaskPlace place, Duration pause, TimePoint now, Outbox &out);
