admission: estimate the wait from the rate that a queue gets

The estimate counted on the home's part of the slots or the tasks in flight there, although agents share their slots by class and team whatever the home. Now a queue that begins counts on its fair part of the whole fleet, and from then on on the measured slot time per second.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -23,6 +23,9 @@
 // Time constant of the memory of refused work, which is expected to come back.
 constexpr double RefusedMemory = 10;
 
+// Time constant of the measured rate of a queue; a few run times long.
+constexpr double RateMemory = 3;
+
 constexpr double MinRetryAfter = 1;   // seconds
 constexpr double MaxRetryAfter = 120; // longer would outlast most callers' own patience
 
@@ -79,9 +82,9 @@
     TeamQueue &queue = target.classes[std::string(jobClass)].teams[std::string(team)];
     const double cost = taskCost(target, queue);
     const double work = cost * static_cast<double>(taskCount);
-    const double fairSlots = serviceSlots(target, jobClass, team);
+    const double ownSlots = serviceSlots(target, jobClass, team, m_now);
     const double quota = quotaSlots(team);
-    const double slots = std::min(fairSlots, quota);
+    const double slots = std::min(ownSlots, quota);
 
     double wait = queue.backlog / slots;
     // The own tasks of the job run side by side on the slots that it can get.
@@ -101,7 +104,7 @@
     const bool isFull = queueTarget > 0 && wait > queueTarget;
     if (!isLate && !isFull)
         return std::nullopt;
-    const bool byQuota = queue.backlog / fairSlots <= queueTarget && quota < fairSlots;
+    const bool byQuota = queue.backlog / ownSlots <= queueTarget && quota < ownSlots;
     const double excess = isFull ? wait - queueTarget : std::max(0.0, finish - toSeconds(deadline));
     return AdmissionRefusal{!isFull   ? "deadline"
                             : byQuota ? "quota"
@@ -204,6 +207,8 @@
     queue.tag += (seconds - charge) / teamWeight(team);
     if (!runTime)
         return;
+    queue.rate = measuredRate(queue, m_now) + seconds / RateMemory;
+    queue.ratedAt = m_now;
     queue.runTime.add(seconds);
     target.runTime.add(seconds);
     // A home whose part of the quota is not whole, for example 0.2 of a task, fills the rounded-up
@@ -281,28 +286,43 @@
     return upstream.runTime.samples > 0 ? upstream.runTime.mean : DefaultRunTime;
 }
 
-// Slots that a team can count on at this home: its guaranteed part, or what it holds now if that is
-// more because other classes, teams or homes leave theirs unused.
-double Admission::serviceSlots(const UpstreamQueue &upstream, std::string_view jobClass,
-                               std::string_view team) const
+// The team's fair part of all slots of the fleet, as far as this home knows who else is active.
+double Admission::fairSlots(const UpstreamQueue &upstream, std::string_view jobClass,
+                            std::string_view team) const
 {
     double classes = 0;
     double teams = 0;
-    double running = 0;
     for (const auto &[name, inClass] : upstream.classes) {
         bool busy = name == jobClass;
         for (const auto &[teamName, queue] : inClass.teams) {
-            const bool own = name == jobClass && teamName == team;
-            const bool active = own || queue.running > 0 || !queue.tasks.empty();
+            const bool active = (name == jobClass && teamName == team) || queue.running > 0
+                                || !queue.tasks.empty();
             busy = busy || active;
-            running += own ? queue.running : 0;
             teams += name == jobClass && active ? teamWeight(teamName) : 0;
         }
         classes += busy ? classShare(name) : 0;
     }
-    const double home = std::max(1.0, upstream.slots * m_homeShare);
-    const double guaranteed = home * classShare(jobClass) / classes * teamWeight(team) / teams;
-    return std::max(guaranteed, running);
+    return std::max(1.0,
+                    upstream.slots * classShare(jobClass) / classes * teamWeight(team) / teams);
+}
+
+// Slots that a team can count on at this home. Agents share their slots by class and team whatever
+// the home, so a team that queues at few homes gets more than these homes' part of the fleet. A
+// queue that has just begun counts on its fair part; from then on, what it gets is measured.
+double Admission::serviceSlots(const UpstreamQueue &upstream, std::string_view jobClass,
+                               std::string_view team, TimePoint now) const
+{
+    const double fair = fairSlots(upstream, jobClass, team);
+    const TeamQueue &queue = upstream.classes.find(jobClass)->second.teams.find(team)->second;
+    if (queue.tasks.empty())
+        return fair;
+    return std::max(fair * m_homeShare, measuredRate(queue, now));
+}
+
+double Admission::measuredRate(const TeamQueue &queue, TimePoint now)
+{
+    const double age = std::max(0.0, toSeconds(now - queue.ratedAt));
+    return queue.rate * std::exp(-age / RateMemory);
 }
 
 double Admission::quotaSlots(std::string_view team) const
@@ -373,8 +393,14 @@
     // saved.
     if (inClass.queued == 0)
         inClass.tag = std::max(inClass.tag, target.virtualTime);
-    if (queue.tasks.empty())
+    if (queue.tasks.empty()) {
         queue.tag = std::max(queue.tag, inClass.virtualTime);
+        // A task that comes back at once does not begin a new queue.
+        if (toSeconds(m_now - queue.emptiedAt) > RateMemory || queue.rate <= 0) {
+            queue.rate = fairSlots(target, task.jobClass, task.team);
+            queue.ratedAt = m_now;
+        }
+    }
     queue.backlog += taskCost(target, queue);
     ++inClass.queued;
     ++target.queued;
@@ -393,6 +419,7 @@
     // Costs change while tasks wait, so each task takes its part of the sum.
     queue.backlog -= queue.backlog / static_cast<double>(queue.tasks.size());
     queue.tasks.erase(task);
+    queue.emptiedAt = m_now;
     --inClass.queued;
     --target.queued;
     m_locations.erase(token);
--- a/src/admission.h
+++ b/src/admission.h
@@ -85,7 +85,10 @@
         double running = 0;                       // tasks started and not ended
         double charged = 0;                       // slot-seconds charged for them in advance
         RunTime runTime;
-        double refused = 0; // slot-seconds refused lately, see decayRefused()
+        double rate = 0; // slot-seconds per second that it gets, see measuredRate()
+        TimePoint ratedAt{};
+        TimePoint emptiedAt{}; // when a task last left the queue
+        double refused = 0;    // slot-seconds refused lately, see decayRefused()
         TimePoint refusedAt{};
     };
 
@@ -127,8 +130,11 @@
     double classShare(std::string_view jobClass) const;
     double teamWeight(std::string_view team) const;
     double taskCost(const UpstreamQueue &upstream, const TeamQueue &queue) const;
+    double fairSlots(const UpstreamQueue &upstream, std::string_view jobClass,
+                     std::string_view team) const;
     double serviceSlots(const UpstreamQueue &upstream, std::string_view jobClass,
-                        std::string_view team) const;
+                        std::string_view team, TimePoint now) const;
+    static double measuredRate(const TeamQueue &queue, TimePoint now);
     double quotaSlots(std::string_view team) const;
     bool isWithinQuota(std::string_view team, TimePoint now);
     void refill(Quota &quota, double startsPerSecond, TimePoint now) const;
--- a/tools/measure.cpp
+++ b/tools/measure.cpp
@@ -46,10 +46,12 @@
     }
     const auto own = responses(workload, result, "");
     const auto ideal = responses(workload, central, "");
-    std::printf("  %5.2f %5.2f  %5.2f %6.3f\n", percentile(own, 0.5) / percentile(ideal, 0.5),
+    std::printf("  %5.2f %5.2f  %5.2f %6.3f %6.1f%%\n",
+                percentile(own, 0.5) / percentile(ideal, 0.5),
                 percentile(own, 0.99) / percentile(ideal, 0.99),
                 static_cast<double>(result.messages) / static_cast<double>(workload.tasks.size()),
-                static_cast<double>(result.wasted) / static_cast<double>(workload.tasks.size()));
+                static_cast<double>(result.wasted) / static_cast<double>(workload.tasks.size()),
+                100 * static_cast<double>(own.size()) / static_cast<double>(workload.jobs.size()));
 }
 
 // Seconds from arrival to answer; the last columns are ratios to the central queue and messages and
@@ -58,7 +60,7 @@
 {
     const Workload workload = makeWorkload(options);
     std::printf("%-12s  %14s  %14s  %14s  %14s  %11s  %12s\n", "policy", "all p50/p99", "urgent",
-                "normal", "bulk", "p50x  p99x", "msgs  wasted");
+                "normal", "bulk", "p50x  p99x", "msgs  wasted   done");
     const RunResult central = CentralQueue(options, workload).run();
     printResponses("empty", workload, emptyFleet(options, workload), central);
     printResponses("central", workload, central, central);
@@ -188,6 +190,7 @@
     add("workers", o.workers, "workers, one agent each");
     add("data-centres", o.dataCentres, "data centres");
     add("slots", o.slots, "slots per worker");
+    add("deadline", o.deadline, "of every job, seconds");
     add("load", o.load, "offered work / capacity");
     add("delay-ms", o.delayMs, "one way between data centres");
     add("near-delay-ms", o.nearDelayMs, "one way within a data centre");
--- a/tools/workload.h
+++ b/tools/workload.h
@@ -19,6 +19,7 @@
     std::size_t workers = 11;
     std::size_t dataCentres = 4;
     std::uint32_t slots = 8;
+    double deadline = 30;      // of every job, seconds
     double load = 0.8;         // offered work / capacity
     double delayMs = 1;        // one way between data centres
     double nearDelayMs = 0.2;  // one way within a data centre
@@ -98,6 +99,7 @@
     job.jobClass = std::move(jobClass);
     job.team = std::move(team);
     job.isFlood = isFlood;
+    job.deadline = options.deadline;
     job.home = random.below(options.workers);
     job.firstTask = workload.tasks.size();
     job.tasks = static_cast<std::size_t>(logUniform(random, 1, MaxTasksPerJob + 1));
