--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,147 @@
+// Placement on digests: free slots, own sends, data centres, weights and reservations.
+
+#include "placement.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cactuscove {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char Upstream[] = "walk-desk";
+
+LoadDigest digest(std::uint64_t agent, std::uint32_t freeSlots, std::uint32_t queued = 0)
+{
+    LoadDigest it;
+    it.agent = Incarnation{agent};
+    it.upstream = Upstream;
+    it.freeSlots = freeSlots;
+    it.slots = 8;
+    it.queued = queued;
+    it.capacity = {1, 1024};
+    return it;
+}
+
+class PlacementTest : public ::testing::Test
+{
+protected:
+    void add(std::uint64_t agent, std::string_view dataCentre, std::uint32_t freeSlots)
+    {
+        placement.setAgent(Incarnation{agent}, dataCentre);
+        placement.observe(digest(agent, freeSlots), now);
+    }
+    std::optional<Incarnation> free(const TaskNeeds &needs = {})
+    {
+        return placement.chooseFree(Upstream, needs, now, {});
+    }
+
+    TimePoint now{std::chrono::seconds(10)};
+    Placement placement{"near", 1};
+};
+
+// Guards against herding: one home must not send more tasks to an agent than it has free slots.
+TEST_F(PlacementTest, OwnSendsCountAgainstFreeSlots)
+{
+    add(1, "near", 3);
+    for (int i = 0; i < 3; ++i) {
+        ASSERT_TRUE(free());
+        placement.taskSent(Incarnation{1});
+    }
+    EXPECT_FALSE(free());
+    // A digest from before the sends could be counted must not bring the slots back.
+    now += milliseconds(1);
+    placement.observe(digest(1, 3), now);
+    EXPECT_FALSE(free());
+    now += milliseconds(100);
+    placement.observe(digest(1, 1), now);
+    EXPECT_TRUE(free());
+}
+
+// Guards against messages overtaking each other: an older digest must not replace a newer one.
+TEST_F(PlacementTest, OlderDigestIsIgnored)
+{
+    add(1, "near", 0);
+    LoadDigest old = digest(1, 8);
+    old.age = milliseconds(50);
+    placement.observe(old, now + milliseconds(10));
+    EXPECT_FALSE(free());
+}
+
+// Guards against needless hops to other data centres.
+TEST_F(PlacementTest, NearAgentsComeFirst)
+{
+    add(1, "far", 8);
+    add(2, "near", 1);
+    EXPECT_EQ(free(), Incarnation{2});
+    placement.taskSent(Incarnation{2});
+    EXPECT_EQ(free(), Incarnation{1});
+}
+
+// Guards against starts on ejected, draining or too small agents.
+TEST_F(PlacementTest, UnfitAgentsAreLeftOut)
+{
+    add(1, "near", 8);
+    EXPECT_FALSE(free({2, 0}));
+    EXPECT_FALSE(placement.canRunSomewhere(Upstream, {2, 0}));
+    placement.setWeight(Incarnation{1}, 0);
+    EXPECT_FALSE(free());
+    placement.setWeight(Incarnation{1}, 1);
+    LoadDigest draining = digest(1, 8);
+    draining.draining = true;
+    placement.observe(draining, now);
+    EXPECT_FALSE(free());
+    EXPECT_FALSE(placement.hasUpstream(Upstream));
+}
+
+// Guards against one flow holding every place at the agents (p50 1.47x of the central queue without
+// a limit), and against a limit that stays reached after the reservation has ended.
+TEST_F(PlacementTest, OneReservationOfAFlowAtEachAgent)
+{
+    add(1, "near", 0);
+    const auto choose = [this](std::string_view flow) {
+        return placement.chooseForReservation(Upstream, {}, now, {}, flow);
+    };
+    ASSERT_TRUE(choose("bulk/billing"));
+    placement.taskSent(Incarnation{1});
+    EXPECT_FALSE(choose("bulk/billing")); // its answer can only be a reservation
+    placement.reserved(Incarnation{1}, "bulk/billing");
+    EXPECT_FALSE(choose("bulk/billing"));
+    EXPECT_TRUE(choose("urgent/bookings"));
+    placement.reservationEnded(Incarnation{1}, "bulk/billing");
+    EXPECT_TRUE(choose("bulk/billing"));
+}
+
+// Guards against starvation of a worker by the random choice, and against choosing busy agents.
+RC_GTEST_PROP(PlacementProperty, ChosenAgentHasAFreeSlot, ())
+{
+    Placement placement("near", *rc::gen::arbitrary<std::uint64_t>());
+    const auto slots = *rc::gen::container<std::vector<int>>(11, rc::gen::inRange(0, 4));
+    const TimePoint now{std::chrono::seconds(1)};
+    for (std::size_t i = 0; i < slots.size(); ++i) {
+        placement.setAgent(Incarnation{i + 1}, i % 2 == 0 ? "near" : "far");
+        placement.observe(digest(i + 1, static_cast<std::uint32_t>(slots[i])), now);
+    }
+    std::vector<int> left = slots;
+    while (const auto agent = placement.chooseFree(Upstream, {}, now, {})) {
+        RC_ASSERT(left[agent->value - 1]-- > 0);
+        placement.taskSent(*agent);
+    }
+    RC_ASSERT(left == std::vector<int>(11, 0));
+}
+
+// Guards against a baseline that does not compile against the concept or skips agents.
+TEST(PlacementBaselines, RoundRobinVisitsEveryAgent)
+{
+    BasicPlacement<RoundRobinPolicy> placement("near", 1);
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        placement.setAgent(Incarnation{i}, "near");
+        placement.observe(digest(i, 0), TimePoint{});
+    }
+    for (const std::uint64_t expected : {1, 2, 3, 1})
+        EXPECT_EQ(placement.chooseFree(Upstream, {}, TimePoint{}, {}), Incarnation{expected});
+}
+
+} // namespace
+} // namespace cactuscove
--- /dev/null
+++ b/tests/workerhealth_test.cpp
@@ -0,0 +1,138 @@
+// Ejection of failing workers, probes, and the retry budget.
+
+#include "retrybudget.h"
+#include "workerhealth.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cactuscove {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class WorkerHealthTest : public ::testing::Test
+{
+protected:
+    WorkerHealthTest()
+    {
+        health.configure("walk-desk", 0.5, 0.5);
+        for (std::uint64_t i = 1; i <= 11; ++i)
+            health.setAgent(Incarnation{i}, "walk-desk");
+    }
+
+    void fail(std::uint64_t agent, int times)
+    {
+        for (int i = 0; i < times; ++i)
+            health.failed(Incarnation{agent}, now);
+    }
+    int ejected() const
+    {
+        int count = 0;
+        for (std::uint64_t i = 1; i <= 11; ++i)
+            count += health.isEjected(Incarnation{i}, now) ? 1 : 0;
+        return count;
+    }
+
+    TimePoint now{seconds(100)};
+    WorkerHealth health;
+};
+
+// Guards against a worker that fails everything and so always looks free. 11 homes that each need
+// four failures, with probes after that, stay below 1% of the starts only if few probes follow.
+TEST_F(WorkerHealthTest, WorkerThatFailsEverythingGetsOnlyProbes)
+{
+    fail(1, 4);
+    EXPECT_TRUE(health.isEjected(Incarnation{1}, now));
+    EXPECT_EQ(health.weight(Incarnation{1}, now), 0);
+    int probes = 0;
+    for (int ms = 0; ms < 60000; ms += 10) {
+        now += milliseconds(10);
+        if (health.mayProbe(Incarnation{1}, now)) {
+            health.probeSent(Incarnation{1}, now);
+            EXPECT_FALSE(health.mayProbe(Incarnation{1}, now));
+            health.failed(Incarnation{1}, now);
+            ++probes;
+        }
+    }
+    // 1% of 90 starts/s at 50% load, split over 11 homes, for 60 s is 4.9 starts.
+    EXPECT_GE(probes, 1);
+    EXPECT_LE(probes, 4);
+}
+
+// Guards against a recovered worker that stays away.
+TEST_F(WorkerHealthTest, SuccessfulProbesBringAWorkerBack)
+{
+    fail(1, 4);
+    now += seconds(15);
+    for (int i = 0; i < 10 && health.isEjected(Incarnation{1}, now); ++i) {
+        ASSERT_TRUE(health.mayProbe(Incarnation{1}, now));
+        health.probeSent(Incarnation{1}, now);
+        health.succeeded(Incarnation{1}, milliseconds(100), now);
+    }
+    EXPECT_FALSE(health.isEjected(Incarnation{1}, now));
+    EXPECT_GT(health.weight(Incarnation{1}, now), 0.5);
+}
+
+// Guards against ejecting the whole fleet when the fault is not the workers' own.
+TEST_F(WorkerHealthTest, AtMostHalfOfTheWorkersAreEjected)
+{
+    for (std::uint64_t i = 1; i <= 11; ++i)
+        fail(i, 20);
+    EXPECT_EQ(ejected(), 5);
+    for (std::uint64_t i = 1; i <= 11; ++i)
+        EXPECT_EQ(health.weight(Incarnation{i}, now) == 0, health.isEjected(Incarnation{i}, now));
+}
+
+// Guards against losing workers to chance: 5% independent failures must not eject them. A row of
+// four comes once in 160,000 results.
+TEST_F(WorkerHealthTest, FewFailuresOnlyLowerTheWeight)
+{
+    for (int i = 0; i < 2000; ++i) {
+        if (i % 20 == 0)
+            fail(1, 1);
+        else
+            health.succeeded(Incarnation{1}, milliseconds(100), now);
+        ASSERT_FALSE(health.isEjected(Incarnation{1}, now));
+    }
+    fail(1, 2);
+    EXPECT_LT(health.weight(Incarnation{1}, now), 1);
+    EXPECT_GT(health.weight(Incarnation{1}, now), 0);
+}
+
+// Guards against retry storms: retries never exceed a tenth of the successes, in any order of
+// successes and wishes to retry, also right after a start.
+RC_GTEST_PROP(RetryBudgetProperty, RetriesStayWithinATenthOfSuccesses, ())
+{
+    RetryBudget budget = RetryBudget::create(0.1, 10);
+    int successes = 0;
+    int retries = 0;
+    for (const bool isSuccess : *rc::gen::arbitrary<std::vector<bool>>()) {
+        if (isSuccess) {
+            budget.success();
+            ++successes;
+        } else {
+            retries += budget.tryRetry() ? 1 : 0;
+        }
+        RC_ASSERT(retries * 10 <= successes);
+    }
+}
+
+// Guards against a budget that rounding keeps one success short, or that saves up without limit.
+TEST(RetryBudget, TenSuccessesEarnOneRetryUpToTheBurst)
+{
+    RetryBudget budget = RetryBudget::create(0.1, 2);
+    for (int i = 0; i < 10; ++i)
+        budget.success();
+    EXPECT_TRUE(budget.tryRetry());
+    EXPECT_FALSE(budget.tryRetry());
+    for (int i = 0; i < 1000; ++i)
+        budget.success();
+    EXPECT_TRUE(budget.tryRetry());
+    EXPECT_TRUE(budget.tryRetry());
+    EXPECT_FALSE(budget.tryRetry());
+}
+
+} // namespace
+} // namespace cactuscove
