home: failures of tasks whose job has ended count for worker health

The first failed task of a job that must not be repeated ends the job, and the results of its other tasks were not counted.

--- a/src/jobhometasks.cpp
+++ b/src/jobhometasks.cpp
@@ -119,8 +119,15 @@
 {
     out.send(from, TaskDoneAck{message.ref, message.attempt});
     const TaskPlace place = locate(message.ref);
-    if (place.job == nullptr)
+    if (place.job == nullptr) {
+        // The first failure of a job that must not be repeated ends it. The failures of its other
+        // tasks still count, or a failing worker would be noticed by one task of each job only.
+        if (message.result.status == TaskStatus::Failed) {
+            m_parts.health.failed(from, now);
+            updateWeight(from, now);
+        }
         return;
+    }
     Task &task = place.job->tasks[place.index];
     const Try *attempt = findTry(task, from, message.attempt);
     if (message.result.status == TaskStatus::Completed) {
