--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -27,6 +27,14 @@
     return ec == std::errc() && end == digits.data() + digits.size() && !ip.empty();
 }
 
+namespace {
+
+// Most clients read the response only after the whole body is sent, so a body over the limit is
+// read and dropped. One that is longer than this many times the limit is refused unread.
+constexpr std::size_t DrainFactor = 8;
+
+} // namespace
+
 class HttpServer::Impl
 {
 public:
@@ -73,6 +81,7 @@
         bool dispatched = false;
         bool suspended = false;
         bool tooLarge = false;
+        bool refuseUnread = false;
         bool dropped = false;
     };
 
@@ -81,6 +90,8 @@
                                std::size_t *dataSize, void **state);
     static void onCompleted(void *self, MHD_Connection *connection, void **state,
                             MHD_RequestTerminationCode code);
+    static void onConnection(void *self, MHD_Connection *connection, void **requests,
+                             MHD_ConnectionNotificationCode code);
 
     Exchange *beginExchange(MHD_Connection *connection, const char *url, const char *method);
     MHD_Result onBody(Exchange &exchange, const char *data, std::size_t *dataSize);
@@ -143,7 +154,8 @@
         MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&bindAddress),
         MHD_OPTION_CONNECTION_LIMIT, m_limits.maxConnections, MHD_OPTION_CONNECTION_TIMEOUT,
         static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_NOTIFY_COMPLETED,
-        &Impl::onCompleted, this, MHD_OPTION_END);
+        &Impl::onCompleted, this, MHD_OPTION_NOTIFY_CONNECTION, &Impl::onConnection, this,
+        MHD_OPTION_END);
     if (!m_daemon)
         return HttpServerError{"cannot listen on " + std::string(address)};
 
@@ -193,12 +205,16 @@
                               &exchange->request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectQuery,
                               &exchange->request.query);
+    auto *requests = static_cast<std::size_t *>(
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
+    exchange->request.isFirstOnConnection = (*requests)++ == 0;
     const auto length = exchange->request.headers.find("content-length");
     if (length != exchange->request.headers.end()) {
         std::size_t bytes = 0;
         const std::string &text = length->second;
         const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), bytes);
         exchange->tooLarge = ec != std::errc() || bytes > m_limits.maxBodyBytes;
+        exchange->refuseUnread = ec != std::errc() || bytes / DrainFactor > m_limits.maxBodyBytes;
     }
     return m_exchanges.emplace(exchange->id, std::move(exchange)).first->second.get();
 }
@@ -211,8 +227,7 @@
     if (!*state) {
         Exchange *begun = impl.beginExchange(connection, url, method);
         *state = begun;
-        // A declared length over the limit is refused before the body is read.
-        return begun->tooLarge ? impl.finish(*begun) : MHD_YES;
+        return begun->refuseUnread ? impl.finish(*begun) : MHD_YES;
     }
     auto &exchange = *static_cast<Exchange *>(*state);
     if (*dataSize > 0)
@@ -278,6 +293,18 @@
         impl.m_onClosed(id);
 }
 
+// Counts the requests of each connection in its socket context.
+void HttpServer::Impl::onConnection(void *, MHD_Connection *, void **requests,
+                                    MHD_ConnectionNotificationCode code)
+{
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        *requests = new std::size_t(0);
+    } else {
+        delete static_cast<std::size_t *>(*requests);
+        *requests = nullptr;
+    }
+}
+
 void HttpServer::Impl::respond(RequestId id, HttpResponse response)
 {
     const auto it = m_exchanges.find(id);
