links: at most 24 load digests per envelope

Cause: an entry's envelopes carried the digests of all agents, so the bytes of its feeds grew with the square of the number of agents. Ruled out: the ledger records (idle fleet, no records). Digests now go out in turn; the two fleets of today (22 agents) still fit into one.

--- a/src/peerlinks.cpp
+++ b/src/peerlinks.cpp
@@ -19,6 +19,9 @@
 // A silent peer must not grow the queue without bound; senders repeat from their own timers.
 constexpr std::size_t MaxPendingPerPeer = 8192;
 constexpr std::chrono::seconds CallTimeout{2};
+// Digests per envelope: both fleets of today (22 agents) fit. Without a limit the bytes of an
+// entry's feeds grow with the square of the number of agents.
+constexpr std::size_t MaxLoadsPerEnvelope = 24;
 constexpr int GoneStatus = 410; // another incarnation answers at this address
 
 // Names in the order of the alternatives of Message.
@@ -107,11 +110,24 @@
         post(to, m_peers[to]);
 }
 
-Envelope PeerLinks::envelopeFor(Incarnation to, std::vector<Message> messages) const
+// The next digests in turn, so that every peer sees every agent's load over several envelopes.
+std::vector<LoadDigest> PeerLinks::nextLoads()
+{
+    std::vector<LoadDigest> all = m_hooks.loads();
+    if (all.size() <= MaxLoadsPerEnvelope)
+        return all;
+    std::vector<LoadDigest> some;
+    for (std::size_t n = 0; n < MaxLoadsPerEnvelope; ++n)
+        some.push_back(std::move(all[(m_loadCursor + n) % all.size()]));
+    m_loadCursor = (m_loadCursor + MaxLoadsPerEnvelope) % all.size();
+    return some;
+}
+
+Envelope PeerLinks::envelopeFor(Incarnation to, std::vector<Message> messages)
 {
     for (const Message &it : messages)
         m_metrics.add("cactuscove_messages_sent_total", {{"type", MessageNames[it.index()]}});
-    return {m_self, to, m_hooks.loads(), std::move(messages)};
+    return {m_self, to, nextLoads(), std::move(messages)};
 }
 
 void PeerLinks::post(Incarnation to, Peer &peer)
--- a/src/peerlinks.h
+++ b/src/peerlinks.h
@@ -55,7 +55,8 @@
                  Result<HttpReply, HttpCallError> result);
     void receive(const Envelope &envelope);
     void reportUndelivered(const Envelope &sent);
-    Envelope envelopeFor(Incarnation to, std::vector<Message> messages) const;
+    Envelope envelopeFor(Incarnation to, std::vector<Message> messages);
+    std::vector<LoadDigest> nextLoads();
 
     EventLoop &m_loop;
     HttpClient &m_client;
@@ -64,6 +65,7 @@
     PeerLinkHooks m_hooks;
     std::unordered_map<Incarnation, Peer> m_peers;
     std::size_t m_openCalls = 0;
+    std::size_t m_loadCursor = 0; // of the next digest to send
     RpcDispatcher m_dispatcher;
     int m_status = 200; // of the request that the dispatcher is handling
 };
