--- a/tests/taskexecutor_test.cpp
+++ b/tests/taskexecutor_test.cpp
@@ -340,6 +340,18 @@
     EXPECT_EQ(sent<TaskDone>(it.out.take()).at(0).result.status, TaskStatus::Unknown);
 }
 
+// The leave of a replaced upstream may arrive after the announcement of its successor.
+TEST(UpstreamRegistry, LateLeaveOfAnotherIncarnationIsIgnored)
+{
+    Executor it;
+    it.announce(1, "u2");
+    EXPECT_EQ(it.upstreams.leave("u1"), Change::None);
+    EXPECT_EQ(it.upstreams.current()->incarnation, "u2");
+    EXPECT_EQ(it.upstreams.leave("u2"), Change::Left);
+    it.announce(1, "u2"); // a late repeat
+    EXPECT_FALSE(it.upstreams.current());
+}
+
 TEST(TaskExecutor, CancelStopsARunningTask)
 {
     Executor it;
@@ -430,7 +442,7 @@
         add("bulk");
     add("urgent");
     for (int n = 0; n < 4000; ++n) {
-        const Reservation it = *queue.takeBest({});
+        const Reservation it = *queue.takeBest([](Incarnation) { return true; });
         const Duration runTime = it.jobClass == "bulk" ? 500ms : 50ms;
         queue.charge(it.jobClass, it.team, runTime, config);
         used[it.jobClass] += runTime;
