health: agents report the failure rate of their upstream in the load digest

Each home ejected a failing worker only after four failed tasks of its own, 44 over 11 homes; the probe interval and the failures of ended jobs were ruled out before. The executor sees the results of all homes, so LoadDigest gains failurePercent, and WorkerHealth::reported() ejects by it.

--- a/src/jobhomeplacement.cpp
+++ b/src/jobhomeplacement.cpp
@@ -39,6 +39,10 @@
     if (!m_agents.contains(digest.agent))
         return;
     m_parts.placement.observe(digest, now);
+    if (digest.failurePercent > 0) {
+        m_parts.health.reported(digest.agent, digest.failurePercent / 100.0, now);
+        updateWeight(digest.agent, now);
+    }
     const KnownLoad load{digest.upstream, digest.draining ? 0 : digest.slots};
     const auto [it, isNew] = m_loadKnown.try_emplace(digest.agent);
     if (!isNew && it->second == load)
--- a/src/messagefields.h
+++ b/src/messagefields.h
@@ -102,11 +102,15 @@
 
 constexpr auto fieldsOf(Tag<LoadDigest>)
 {
-    return std::tuple{
-        required("agent", &LoadDigest::agent),       optional("upstream", &LoadDigest::upstream),
-        optional("free", &LoadDigest::freeSlots),    optional("slots", &LoadDigest::slots),
-        optional("queued", &LoadDigest::queued),     optional("capacity", &LoadDigest::capacity),
-        optional("draining", &LoadDigest::draining), optional("age", &LoadDigest::age)};
+    return std::tuple{required("agent", &LoadDigest::agent),
+                      optional("upstream", &LoadDigest::upstream),
+                      optional("free", &LoadDigest::freeSlots),
+                      optional("slots", &LoadDigest::slots),
+                      optional("queued", &LoadDigest::queued),
+                      optional("capacity", &LoadDigest::capacity),
+                      optional("draining", &LoadDigest::draining),
+                      optional("age", &LoadDigest::age),
+                      optional("failures", &LoadDigest::failurePercent)};
 }
 
 constexpr auto fieldsOf(Tag<TaskRef>)
--- a/src/taskexecutor.cpp
+++ b/src/taskexecutor.cpp
@@ -22,6 +22,9 @@
 // Charged when a slot is given away, so that slots that free together go to different classes and
 // teams. It is the lower end of the usual run times (50 ms to 1 s).
 constexpr Duration StartCharge = std::chrono::milliseconds(50);
+// Weight of the newest result in the failure rate: as in WorkerHealth, four failures in a row pass
+// the default ejection threshold of 0.5.
+constexpr double NewestShare = 0.2;
 
 // Decisions have no random generator, so the id of a span is a hash of what it covers.
 std::string spanIdOf(const TaskRef &ref, std::uint32_t attempt, Incarnation self)
@@ -97,6 +100,8 @@
     using Change = UpstreamRegistry::Change;
     if (change == Change::Replaced || change == Change::Lapsed)
         loseRunning(now, out);
+    if (change != Change::None)
+        m_failureRate = 0;
     if (!m_upstreams.current())
         refuseReservations(TaskRefusal::NoUpstream, now, out);
     offerSlots(now, out);
@@ -159,6 +164,7 @@
         digest.slots = slotLimit();
         digest.freeSlots = freeSlots();
         digest.capacity = upstream->capacity;
+        digest.failurePercent = static_cast<std::uint32_t>(100 * m_failureRate);
     }
     return digest;
 }
@@ -284,6 +290,10 @@
     chargeRunning(now);
     m_running.erase(key);
     TaskRun *run = findRun(key);
+    if (result.status == TaskStatus::Completed || result.status == TaskStatus::Failed) {
+        const double sample = result.status == TaskStatus::Failed ? 1 : 0;
+        m_failureRate += NewestShare * (sample - m_failureRate);
+    }
     out.add(EmitSpan{"task.run",
                      run->span,
                      run->parentSpanId,
--- a/src/taskexecutor.h
+++ b/src/taskexecutor.h
@@ -99,6 +99,7 @@
     const Ledger &m_ledger;
     UpstreamRegistry &m_upstreams;
     bool m_isDraining = false;
+    double m_failureRate = 0; // of the upstream's results, exponentially weighted, in [0, 1]
     std::array<Epoch, ShardCount> m_raised{}; // highest epoch of a Raise, by shard
     StartMemory m_memory;
     std::map<RunKey, std::string> m_running;          // with the incarnation of the upstream
--- a/src/types.h
+++ b/src/types.h
@@ -154,7 +154,8 @@
     std::uint32_t queued = 0;
     TaskNeeds capacity; // what a single task may need here
     bool draining = false;
-    Duration age{}; // since the agent observed it, at the time of sending
+    Duration age{};                   // since the agent observed it, at the time of sending
+    std::uint32_t failurePercent = 0; // of the newest results of its upstream
     bool operator==(const LoadDigest &) const = default;
 };
 
--- a/src/workerhealth.cpp
+++ b/src/workerhealth.cpp
@@ -79,12 +79,29 @@
         return;
     }
     state.failureRate += NewestShare * (1 - state.failureRate);
-    if (state.failureRate > limitsOf(state.upstream).ejectionThreshold
-        && mayEjectOneMore(state.upstream)) {
-        state.ejected = true;
-        state.probeInterval = FirstProbeInterval;
-        state.nextProbe = now + state.probeInterval;
-    }
+    eject(state, now);
+}
+
+void WorkerHealth::reported(Incarnation agent, double failureRate, TimePoint now)
+{
+    const auto it = m_agents.find(agent);
+    if (it == m_agents.end() || it->second.ejected)
+        return;
+    const double own = it->second.failureRate;
+    it->second.failureRate = std::max(own, failureRate);
+    eject(it->second, now);
+    if (!it->second.ejected)
+        it->second.failureRate = own;
+}
+
+void WorkerHealth::eject(State &state, TimePoint now) const
+{
+    if (state.failureRate <= limitsOf(state.upstream).ejectionThreshold
+        || !mayEjectOneMore(state.upstream))
+        return;
+    state.ejected = true;
+    state.probeInterval = FirstProbeInterval;
+    state.nextProbe = now + state.probeInterval;
 }
 
 void WorkerHealth::probeSent(Incarnation agent, TimePoint now)
--- a/src/workerhealth.h
+++ b/src/workerhealth.h
@@ -19,6 +19,9 @@
     void removeAgent(Incarnation agent);
     void succeeded(Incarnation agent, Duration runTime, TimePoint now);
     void failed(Incarnation agent, TimePoint now); // not for tasks that can run nowhere
+    // The failure rate that the agent itself reports. It counts the tasks of every home, so that
+    // each home need not lose tasks of its own first.
+    void reported(Incarnation agent, double failureRate, TimePoint now);
     // A task was sent to an ejected agent; the next probe waits for its result or the interval.
     void probeSent(Incarnation agent, TimePoint now);
 
@@ -44,6 +47,7 @@
         TimePoint nextProbe{};
     };
 
+    void eject(State &state, TimePoint now) const;
     const Limits &limitsOf(const std::string &upstream) const;
     bool mayEjectOneMore(const std::string &upstream) const;
 
--- a/tests/workerhealth_test.cpp
+++ b/tests/workerhealth_test.cpp
@@ -61,6 +61,18 @@
     EXPECT_LE(probes, 4);
 }
 
+// Guards against every home losing tasks of its own to a worker that others know to fail, and
+// against reports that eject more than the limit.
+TEST_F(WorkerHealthTest, ReportedFailureRateEjectsWithoutOwnFailures)
+{
+    health.reported(Incarnation{1}, 0.4, now);
+    EXPECT_FALSE(health.isEjected(Incarnation{1}, now));
+    EXPECT_EQ(health.weight(Incarnation{1}, now), 1);
+    for (std::uint64_t i = 1; i <= 11; ++i)
+        health.reported(Incarnation{i}, 0.9, now);
+    EXPECT_EQ(ejected(), 5);
+}
+
 // Guards against a recovered worker that stays away.
 TEST_F(WorkerHealthTest, SuccessfulProbesBringAWorkerBack)
 {
