--- a/src/jobhomeplacement.cpp
+++ b/src/jobhomeplacement.cpp
@@ -22,7 +22,8 @@
 // Tasks with unusual needs must not block the others of their upstream.
 constexpr std::size_t MaxPassedOver = 8;
 
-constexpr double RetryBurst = 10;
+// Saved-up retries of all homes come at once in a storm: with 10 each, 11 homes start 110.
+constexpr double RetryBurst = 1;
 
 constexpr std::size_t RunTimeSamples = 256;
 constexpr std::size_t MinSamplesForHedge = 32;
