--- a/tests/virtualfleet.cpp
+++ b/tests/virtualfleet.cpp
@@ -402,13 +402,11 @@
         if (!isLastEntry)
             m_processes.at(entry).pausedUntil = end;
         break;
-    case StepKind::SilenceLink:
-        if (agent.value != 0) {
-            const Incarnation other
-                = pick(random(2) == 0 ? Role::Entry : Role::Agent, step.target / 4);
-            m_silentUntil[std::minmax(agent, other)] = end;
-        }
+    case StepKind::SilenceLink: {
+        const Role role = step.target / 4 % 2 == 0 ? Role::Entry : Role::Agent;
+        m_silentUntil[std::minmax(agent, pick(role, step.target / 8))] = end;
         break;
+    }
     case StepKind::DisturbNet:
         m_disturbedUntil = end;
         break;
--- a/tests/virtualfleet.h
+++ b/tests/virtualfleet.h
@@ -26,7 +26,7 @@
     LoseHost,     // an agent disappears without refusing connections
     PauseAgent,   // for `length`
     PauseEntry,   // for `length`
-    SilenceLink,  // between two processes, both ways, for `length`
+    SilenceLink,  // between an agent and another process, both ways, for `length`
     DisturbNet,   // loss, duplication and long delays for `length`
     LogOutage,    // for `length`
     LoseReplies,  // appends take effect and their replies are lost, for `length`
--- a/tests/virtualfleet_test.cpp
+++ b/tests/virtualfleet_test.cpp
@@ -101,7 +101,7 @@
                                                [](int n) { return static_cast<StepKind>(n); })),
         rc::gen::set(&Step::at, rc::gen::map(rc::gen::inRange(0, 20'000),
                                              [](int ms) { return Duration(ms * 1ms); })),
-        rc::gen::set(&Step::target, rc::gen::inRange<std::uint32_t>(0, 40)),
+        rc::gen::set(&Step::target, rc::gen::inRange<std::uint32_t>(0, 64)),
         rc::gen::set(&Step::length, rc::gen::map(rc::gen::inRange(50, 12'000),
                                                  [](int ms) { return Duration(ms * 1ms); })));
 }
@@ -118,6 +118,36 @@
     return steps;
 }
 
+// Target of SilenceLink for the agent and the entry at these positions.
+std::uint32_t linkTarget(std::uint32_t agent, std::uint32_t entry)
+{
+    for (std::uint32_t target = 0;; ++target) {
+        if (target % 3 == agent && target / 4 % 2 == 0 && target / 8 % 2 == entry)
+            return target;
+    }
+}
+
+// Rule R2: a home that one entry takes for dead goes on with an old ledger, and another entry that
+// does not read the log still sends it jobs. The fence must keep it from starting what the new home
+// starts as well.
+TEST(VirtualFleet, AnOldHomeAndAnEntryWithoutTheLogStartNothingTwice)
+{
+    for (std::uint32_t agent = 0; agent < 3; ++agent) {
+        for (std::uint32_t entry = 0; entry < 2; ++entry) {
+            VirtualFleet fleet({.seed = 7, .slots = 8});
+            fleet.run({}, 8s);
+            std::vector<Step> steps{{StepKind::SilenceLink, 0s, linkTarget(agent, entry), 8s},
+                                    {StepKind::SilenceLog, 1s, 1 - entry, 6s}};
+            for (std::uint32_t job = 0; job < 80; ++job) {
+                steps.push_back({StepKind::Submit, 2s + job * 40ms, job, Duration(0)});
+                steps.push_back({StepKind::Copy, 2s + job * 40ms, job, Duration(1)});
+            }
+            fleet.run(steps, 40s);
+            EXPECT_THAT(brokenPromises(fleet.history()), IsEmpty()) << agent << ' ' << entry;
+        }
+    }
+}
+
 std::uint64_t seedFromEnvironment()
 {
     const char *value = std::getenv("FLEET_SEED"); // "random" for a fresh one
@@ -134,7 +164,7 @@
     rc::detail::TestParams params;
     params.seed = seedFromEnvironment();
     const char *runs = std::getenv("FLEET_RUNS");
-    params.maxSuccess = runs == nullptr ? 100 : std::atoi(runs);
+    params.maxSuccess = runs == nullptr ? 300 : std::atoi(runs);
     rc::detail::TestMetadata metadata;
     metadata.description = "random faults, FLEET_SEED=" + std::to_string(params.seed);
     const auto result = rc::detail::checkTestable(
