--- a/src/jobhometasks.cpp
+++ b/src/jobhometasks.cpp
@@ -77,7 +77,7 @@
     attempt->nextSend = now + ReservationRepeat;
     wakeAt(*place.job, attempt->nextSend);
     ++statsOf(place.job->spec.upstream).reserved;
-    m_parts.placement.reserved(from);
+    m_parts.placement.reserved(from, flowOf(place.job->spec));
     if (place.job->state == JobState::GivingUp) {
         // The cancellation that is on its way removes the reservation.
         removeTry(place, from, message.attempt);
@@ -119,8 +119,15 @@
 {
     out.send(from, TaskDoneAck{message.ref, message.attempt});
     const TaskPlace place = locate(message.ref);
-    if (place.job == nullptr)
+    if (place.job == nullptr) {
+        // The first failure of a job that must not be repeated ends it. The failures of its other
+        // tasks still count, or a failing worker would be noticed by one task of each job only.
+        if (message.result.status == TaskStatus::Failed) {
+            m_parts.health.failed(from, now);
+            updateWeight(from, now);
+        }
         return;
+    }
     Task &task = place.job->tasks[place.index];
     const Try *attempt = findTry(task, from, message.attempt);
     if (message.result.status == TaskStatus::Completed) {
@@ -181,7 +188,7 @@
     if (held == nullptr || held->state == TryState::Running || (bound != nullptr && bound != held))
         return decline();
     if (held->state == TryState::Reserved)
-        --statsOf(place.job->spec.upstream).reserved;
+        reservationEnded(place, from);
     held->state = TryState::Sent;
     held->since = now;
     held->attempt = ++task.attempts;
--- a/src/reservationqueue.cpp
+++ b/src/reservationqueue.cpp
@@ -50,7 +50,8 @@
     return take(it);
 }
 
-std::optional<Reservation> ReservationQueue::takeBest(const std::set<Incarnation> &skippedHomes)
+std::optional<Reservation>
+ReservationQueue::takeBest(const std::function<bool(Incarnation)> &mayOffer)
 {
     Class *bestClass = nullptr;
     Team *bestTeam = nullptr;
@@ -64,9 +65,8 @@
             if (classTeam && team.used >= classTeam->used)
                 continue;
             const auto it
-                = std::find_if(team.fifo.begin(), team.fifo.end(), [&](const auto &entry) {
-                      return !skippedHomes.contains(entry.second.home);
-                  });
+                = std::find_if(team.fifo.begin(), team.fifo.end(),
+                               [&](const auto &entry) { return mayOffer(entry.second.home); });
             if (it != team.fifo.end()) {
                 classTeam = &team;
                 classBest = &it->second;
@@ -123,13 +123,12 @@
     return &jobClass.teams.find(it->second.team)->second.fifo.at(it->second.arrival);
 }
 
-std::vector<TaskRef> ReservationQueue::refsOf(ShardId shard) const
+std::vector<TaskRef> ReservationQueue::refs() const
 {
     std::vector<TaskRef> result;
-    for (const auto &[ref, place] : m_index) {
-        if (shardOf(ref.key) == shard)
-            result.push_back(ref);
-    }
+    result.reserve(m_index.size());
+    for (const auto &[ref, place] : m_index)
+        result.push_back(ref);
     return result;
 }
 
--- a/tests/taskexecutor_test.cpp
+++ b/tests/taskexecutor_test.cpp
@@ -261,6 +261,20 @@
     EXPECT_EQ(starts(it.send(binding)), 0U);
 }
 
+// A late answer that finds the slot taken must not leave a reservation that its own copy could
+// start: the home has been told that the attempt ended.
+TEST(TaskExecutor, OfferAnswerWithoutAFreeSlotEndsTheAttempt)
+{
+    Executor it;
+    it.send(it.startOf(Task1));
+    it.send(it.startOf(Task2));
+    StartTask binding = it.startOf(Task2, 2);
+    binding.isOfferReply = true;
+    EXPECT_EQ(refusal(it.send(binding)), TaskRefusal::Tombstone);
+    EXPECT_EQ(sent<SlotOffer>(it.finish(Task1)).size(), 0U);
+    EXPECT_EQ(starts(it.send(binding)), 0U);
+}
+
 // A home behind a silent connection must not hold the slot, nor lose its reservation.
 TEST(TaskExecutor, UnansweredOfferIsRepeatedOnceThenTheNextIsOffered)
 {
@@ -326,6 +340,18 @@
     EXPECT_EQ(sent<TaskDone>(it.out.take()).at(0).result.status, TaskStatus::Unknown);
 }
 
+// The leave of a replaced upstream may arrive after the announcement of its successor.
+TEST(UpstreamRegistry, LateLeaveOfAnotherIncarnationIsIgnored)
+{
+    Executor it;
+    it.announce(1, "u2");
+    EXPECT_EQ(it.upstreams.leave("u1"), Change::None);
+    EXPECT_EQ(it.upstreams.current()->incarnation, "u2");
+    EXPECT_EQ(it.upstreams.leave("u2"), Change::Left);
+    it.announce(1, "u2"); // a late repeat
+    EXPECT_FALSE(it.upstreams.current());
+}
+
 TEST(TaskExecutor, CancelStopsARunningTask)
 {
     Executor it;
@@ -416,7 +442,7 @@
         add("bulk");
     add("urgent");
     for (int n = 0; n < 4000; ++n) {
-        const Reservation it = *queue.takeBest({});
+        const Reservation it = *queue.takeBest([](Incarnation) { return true; });
         const Duration runTime = it.jobClass == "bulk" ? 500ms : 50ms;
         queue.charge(it.jobClass, it.team, runTime, config);
         used[it.jobClass] += runTime;
--- a/tools/measure.cpp
+++ b/tools/measure.cpp
@@ -1,7 +1,7 @@
 // Measures the policies in virtual time against baselines and ideals and prints one table. Every
 // parameter and the seed come from the command line, so that a figure can be reproduced.
 
-#include "fleetmodel.h"
+#include "nodemodel.h"
 
 #include <boost/program_options.hpp>
 
@@ -46,10 +46,12 @@
     }
     const auto own = responses(workload, result, "");
     const auto ideal = responses(workload, central, "");
-    std::printf("  %5.2f %5.2f  %5.2f %6.3f\n", percentile(own, 0.5) / percentile(ideal, 0.5),
+    std::printf("  %5.2f %5.2f  %5.2f %6.3f %6.1f%%\n",
+                percentile(own, 0.5) / percentile(ideal, 0.5),
                 percentile(own, 0.99) / percentile(ideal, 0.99),
                 static_cast<double>(result.messages) / static_cast<double>(workload.tasks.size()),
-                static_cast<double>(result.wasted) / static_cast<double>(workload.tasks.size()));
+                static_cast<double>(result.wasted) / static_cast<double>(workload.tasks.size()),
+                100 * static_cast<double>(own.size()) / static_cast<double>(workload.jobs.size()));
 }
 
 // Seconds from arrival to answer; the last columns are ratios to the central queue and messages and
@@ -58,10 +60,13 @@
 {
     const Workload workload = makeWorkload(options);
     std::printf("%-12s  %14s  %14s  %14s  %14s  %11s  %12s\n", "policy", "all p50/p99", "urgent",
-                "normal", "bulk", "p50x  p99x", "msgs  wasted");
+                "normal", "bulk", "p50x  p99x", "msgs  wasted   done");
     const RunResult central = CentralQueue(options, workload).run();
     printResponses("empty", workload, emptyFleet(options, workload), central);
     printResponses("central", workload, central, central);
+    printResponses("nodes", workload, NodeFleet(options, workload).run(), central);
+    if (only == "nodes")
+        return 0;
     printResponses("digest", workload, Fleet<DigestPolicy>(options, workload).run(), central);
     if (only == "digest")
         return 0;
@@ -88,6 +93,12 @@
     return count;
 }
 
+RunResult runFleet(const Options &options, const Workload &workload)
+{
+    return options.fakes ? Fleet<DigestPolicy>(options, workload).run()
+                         : NodeFleet(options, workload).run();
+}
+
 // One class floods: what the other classes and teams complete in time, with and without the flood.
 int measureFlood(const Options &options)
 {
@@ -95,8 +106,8 @@
     quiet.flood.clear();
     const Workload calm = makeWorkload(quiet);
     const Workload flooded = makeWorkload(options);
-    const RunResult before = Fleet<DigestPolicy>(quiet, calm).run();
-    const RunResult after = Fleet<DigestPolicy>(options, flooded).run();
+    const RunResult before = runFleet(quiet, calm);
+    const RunResult after = runFleet(options, flooded);
     std::printf("flood of %s from %.0f s to %.0f s\n%-8s %-10s %8s %8s %8s\n",
                 options.flood.c_str(), options.faultFrom, options.faultUntil, "class", "team",
                 "without", "with", "kept");
@@ -136,7 +147,7 @@
 int measureFailures(const Options &options)
 {
     const Workload workload = makeWorkload(options);
-    const RunResult result = Fleet<DigestPolicy>(options, workload).run();
+    const RunResult result = runFleet(options, workload);
     std::size_t failed = 0;
     for (const JobEnd &it : result.jobs)
         failed += it.end == End::Failed ? 1 : 0;
@@ -173,12 +184,13 @@
     };
     all.add_options()("help", "print this list");
     add("scenario", scenario, "responses, flood or failures");
-    add("only", only, "'digest' leaves the baselines out");
+    add("only", only, "'nodes' or 'digest' leaves out what follows it");
     add("seed", o.seed, "of every random choice");
     add("jobs", o.jobs, "regular jobs");
     add("workers", o.workers, "workers, one agent each");
     add("data-centres", o.dataCentres, "data centres");
     add("slots", o.slots, "slots per worker");
+    add("deadline", o.deadline, "of every job, seconds");
     add("load", o.load, "offered work / capacity");
     add("delay-ms", o.delayMs, "one way between data centres");
     add("near-delay-ms", o.nearDelayMs, "one way within a data centre");
@@ -186,8 +198,9 @@
     add("stragglers", o.stragglers, "part of the tasks that take five times as long");
     add("speed-spread", o.speedSpread, "worker speeds lie within 1 -+ this");
     add("declared-error", o.declaredError, "largest factor of declared / real time");
-    add("reservations", o.reservationsPerTask, "per queued task, 0 to 2");
+    add("fakes", o.fakes, "floods and failures on fakes instead of the agent nodes");
     add("gossip", o.gossip, "envelopes carry digests of other agents");
+    add("bind-oldest", o.bindOldest, "an offered slot goes to the oldest task of its flow");
     add("longest-first", o.longestFirst, "tasks of a job by falling declared time");
     add("queue-target-scale", o.queueTargetScale, "of 2, 5 and 10 s; 0 switches refusals off");
     add("resubmits", o.resubmits, "times that a refused job comes back");
