--- a/tools/fleetmodel.h
+++ b/tools/fleetmodel.h
@@ -428,7 +428,7 @@
             const std::size_t task = it.queue.front();
             it.queue.pop_front();
             execute(worker, homeOf(task), task);
-        } else if (auto best = it.reservations.takeBest({})) {
+        } else if (auto best = it.reservations.takeBest([](Incarnation) { return true; })) {
             it.reservations.charge(best->jobClass, best->team, StartCharge, m_config);
             const std::size_t home = best->home.value - 1;
             const std::size_t token = std::stoul(best->ref.key.value);
