--- a/tests/virtualfleet.cpp
+++ b/tests/virtualfleet.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-void VirtualFleet::handle(Incarnation to, Handler handler)
+void VirtualFleet::handle(Incarnation to, const Handler &handler)
 {
     Process &process = m_processes.at(to);
     if (!process.isAlive)
@@ -173,7 +173,7 @@
         envelope.to = to;
         envelope.loads = process.agent ? process.agent->loads(m_now) : process.entry->loads(m_now);
         m_messages += envelope.messages.size();
-        transmit(self, to, std::move(envelope));
+        transmit(self, to, envelope);
     }
 }
 
@@ -194,7 +194,7 @@
     });
 }
 
-void VirtualFleet::transmit(Incarnation from, Incarnation to, Envelope envelope)
+void VirtualFleet::transmit(Incarnation from, Incarnation to, const Envelope &envelope)
 {
     const bool isDisturbed = m_disturbedUntil > m_now;
     const int copies = isDisturbed && chance(0.1) ? 2 : 1;
@@ -234,7 +234,7 @@
 }
 
 // The shell's part: an unclear append is repeated under its id until the log has it.
-void VirtualFleet::append(Incarnation by, Record record)
+void VirtualFleet::append(Incarnation by, const Record &record)
 {
     if (!m_processes.at(by).isAlive)
         return;
@@ -300,7 +300,7 @@
 }
 
 void VirtualFleet::finishTask(Incarnation agent, const TaskRef &ref, std::uint32_t attempt,
-                              TaskResult result)
+                              const TaskResult &result)
 {
     after(delay(100, 400), [this, agent, ref, attempt, result] {
         handle(agent, [this, ref, attempt, result](Process &it, Outbox &out) {
--- a/tests/virtualfleet.h
+++ b/tests/virtualfleet.h
@@ -111,16 +111,16 @@
     void after(Duration delay, Action action) { at(m_now + delay, std::move(action)); }
     Process &spawn(Role role, std::size_t place);
     void kill(Process &process, bool refusesConnections, Duration replacedAfter);
-    void handle(Incarnation to, Handler handler); // later if the process is paused
+    void handle(Incarnation to, const Handler &handler); // later if the process is paused
     void perform(Process &process, Outbox &out);
     void armTimer(Process &process);
-    void transmit(Incarnation from, Incarnation to, Envelope envelope);
+    void transmit(Incarnation from, Incarnation to, const Envelope &envelope);
     void deliver(Incarnation from, Incarnation to, const Envelope &envelope, bool isRefusalProof);
-    void append(Incarnation by, Record record);
+    void append(Incarnation by, const Record &record);
     void readLog(Incarnation reader);
     void startTask(std::size_t place, Incarnation agent, const StartOnUpstream &start);
     void finishTask(Incarnation agent, const TaskRef &ref, std::uint32_t attempt,
-                    TaskResult result);
+                    const TaskResult &result);
     void announce(std::size_t place);
     void ask(std::uint64_t caller, std::uint32_t job, Incarnation entry);
     void onAnswer(const AnswerCaller &answer);
--- a/tests/virtualfleet_test.cpp
+++ b/tests/virtualfleet_test.cpp
@@ -15,11 +15,11 @@
 
 static const char *nameOf(StepKind kind)
 {
-    static constexpr const char *Names[]
+    static constexpr const char *names[]
         = {"Submit",       "Copy",       "Cancel",      "KillAgent",  "KillEntry",  "LoseHost",
            "PauseAgent",   "PauseEntry", "SilenceLink", "DisturbNet", "LogOutage",  "LoseReplies",
            "KillUpstream", "LeaveAgent", "LeaveEntry",  "Configure",  "SilenceLog", "StaleClaim"};
-    return Names[static_cast<int>(kind)];
+    return names[static_cast<int>(kind)];
 }
 
 // RapidCheck finds it by the namespace of Step.
