http: libcurl cannot resend a request body

Cause: on a reused connection that closes before the first response byte, libcurl sends the request again. Bodies now come from a read callback without a way to start over. Ruled out: counting 410 only on fresh connections, because it would cost a second round per peer. Before: Http.AResendIsNotAnsweredByTheSuccessor fails with 'status 410'; after: Broken.

--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -22,6 +22,7 @@
     HttpCall call;
     HttpClient::Callback callback;
     HttpReply reply;
+    std::size_t bodyRead = 0;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
 
@@ -35,6 +36,17 @@
     }
 };
 
+// The body is read without a way to start over. So libcurl cannot send it a second time on another
+// connection when a reused one closes before the first response byte: the call ends as Broken.
+std::size_t readBody(char *buf, std::size_t size, std::size_t n, void *transfer)
+{
+    auto &it = *static_cast<Transfer *>(transfer);
+    const std::size_t count = std::min(size * n, it.call.body.size() - it.bodyRead);
+    std::copy_n(it.call.body.data() + it.bodyRead, count, buf);
+    it.bodyRead += count;
+    return count;
+}
+
 std::size_t appendBody(char *data, std::size_t size, std::size_t n, void *transfer)
 {
     auto &it = *static_cast<Transfer *>(transfer);
@@ -220,9 +232,11 @@
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
     if (!it.body.empty() || it.method == "POST" || it.method == "PUT") {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(it.body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, it.body.data());
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, &readBody);
+        curl_easy_setopt(easy, CURLOPT_READDATA, transfer.get());
         transfer->headers = curl_slist_append(transfer->headers, "Content-Type: application/json");
         // Without this, libcurl waits for "100 Continue" before it sends a larger body.
         transfer->headers = curl_slist_append(transfer->headers, "Expect:");
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -116,10 +117,12 @@
 
 // A raw server that answers the first request on a connection, reads the second one, then closes
 // the connection and its listener. libcurl then resends to a refused port.
+// With `successor` another server answers 410 at the same port.
 class DyingServer
 {
 public:
-    DyingServer()
+    explicit DyingServer(bool successor = false)
+        : m_hasSuccessor(successor)
     {
         m_listener = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
@@ -148,10 +151,31 @@
         const std::string_view reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
         EXPECT_GT(send(fd, reply.data(), reply.size(), 0), 0);
         EXPECT_GT(recv(fd, buf, sizeof(buf), 0), 0);
+        close(fd);
+        if (m_hasSuccessor)
+            answerGone();
         close(m_listener);
+    }
+
+    // Ends without a request after a while.
+    void answerGone() const
+    {
+        pollfd waiting{m_listener, POLLIN, 0};
+        if (poll(&waiting, 1, 500) != 1)
+            return;
+        const int fd = accept(m_listener, nullptr, nullptr);
+        char buf[4096];
+        // libcurl connects before it finds that it cannot send the body again.
+        if (recv(fd, buf, sizeof(buf), 0) <= 0) {
+            close(fd);
+            return;
+        }
+        const std::string_view reply = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+        EXPECT_GT(send(fd, reply.data(), reply.size(), 0), 0);
         close(fd);
     }
 
+    bool m_hasSuccessor;
     int m_listener = -1;
     std::thread m_thread;
 };
@@ -167,5 +191,17 @@
     EXPECT_NE(errorOf(second).kind, HttpFailure::NotSent) << errorOf(second).detail;
 }
 
+// A 410 to a resend must not pass as the answer to the request: the server that died may have
+// handled the first copy, so the message is not provably undelivered.
+TEST_F(Http, AResendIsNotAnsweredByTheSuccessor)
+{
+    DyingServer dying(true);
+    const std::string target = "http://127.0.0.1:" + std::to_string(dying.port) + "/";
+    ASSERT_TRUE(isOk(call({"POST", target, {}, "one"})));
+    const Reply second = call({"POST", target, {}, "two"});
+    ASSERT_FALSE(isOk(second)) << "status " << valueOf(second).status;
+    EXPECT_EQ(errorOf(second).kind, HttpFailure::Broken);
+}
+
 } // namespace
 } // namespace cactuscove
