--- /dev/null
+++ b/src/agentnodeimpl.h
@@ -0,0 +1,111 @@
+// State of an agent node, shared by the units that implement it. Not for other modules.
+
+#pragma once
+
+#include "agentnode.h"
+#include "jobhome.h"
+#include "placement.h"
+#include "shardownership.h"
+#include "taskexecutor.h"
+#include "workerhealth.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace cactuscove {
+
+class AgentNode::Impl
+{
+public:
+    explicit Impl(NodeSettings settings)
+        : m_settings(std::move(settings))
+        , m_self(m_settings.self.incarnation)
+        , m_executor(m_self, m_ledger, m_upstreams)
+        , m_shards(m_self, m_ledger)
+        , m_admission(m_settings.seed + 1)
+        , m_placement(m_settings.self.dataCentre, m_settings.seed + 2)
+        , m_jobs(m_self, {m_ledger, m_shards, m_admission, m_placement, m_health},
+                 m_settings.seed + 3)
+    {
+        m_shards.setJobs(&m_jobs);
+    }
+
+    void start(TimePoint now, Outbox &out);
+    void onEnvelope(const Envelope &envelope, TimePoint now, Outbox &out);
+    void onLogRecords(std::span<const LogRecord> records, TimePoint now, Outbox &out);
+    void onLogSnapshot(const SnapshotRecord &snapshot, TimePoint now, Outbox &out);
+    void onUpstreamChange(UpstreamRegistry::Change change, TimePoint now, Outbox &out);
+    void onTimer(TimePoint now, Outbox &out);
+    void beginShutdown(TimePoint now, Outbox &out);
+    // Follow-ups of any event: messages to itself, new knowledge, freed slots, shutdown steps.
+    void settle(Outbox &inner, TimePoint now, Outbox &out);
+
+    TimePoint nextTimer() const;
+    bool isActive() const { return m_ledger.member(m_self) != nullptr; }
+    bool needsLog(TimePoint now) const;
+    std::vector<LoadDigest> loads() const;
+
+    TaskExecutor &executor() { return m_executor; }
+    JobHome &jobs() { return m_jobs; }
+    UpstreamRegistry &upstreams() { return m_upstreams; }
+    const Ledger &ledger() const { return m_ledger; }
+    bool isShutdownComplete() const { return m_stage == Stage::Left; }
+
+private:
+    enum class Stage { Serving, Draining, HandingOver, Leaving, Left };
+
+    // The memory of a process that left, or is about to.
+    struct Adopted
+    {
+        std::map<std::uint32_t, std::vector<AdoptedJob>> parts;
+        TimePoint receivedAt; // of the newest part
+    };
+
+    void dispatch(Incarnation from, const Message &message, TimePoint now, Outbox &out);
+    void onFeed(Incarnation from, const Feed &feed, TimePoint now, Outbox &out);
+    void applyRecords(std::span<const LogRecord> records, LedgerChanges &changes);
+    bool applySnapshot(const SnapshotRecord &snapshot, LedgerChanges &changes);
+    void onLedgerChange(const LedgerChanges &changes, TimePoint now, Outbox &out);
+    void adoptArrivedTables(TimePoint now);
+    void answerRaise(Incarnation from, const Raise &raise, TimePoint now, Outbox &out) const;
+    void onAdoptAck(Incarnation from, const AdoptAck &ack, TimePoint now, Outbox &out);
+    void onAdoptWitness(Incarnation from, const AdoptWitness &message, TimePoint now, Outbox &out);
+    void appendRegistration(Outbox &out);
+    void checkRegistration(Outbox &out);
+    void stepShutdown(TimePoint now, Outbox &out);
+    void handOver(TimePoint now, Outbox &out);
+    void packMemory(Incarnation subject, std::vector<AdoptedJob> jobs);
+    void sendParts(TimePoint now, Outbox &out);
+    bool isAnswererFor(Incarnation subject) const;
+    void forgetAdopted(TimePoint now);
+
+    NodeSettings m_settings;
+    Incarnation m_self;
+    Ledger m_ledger;
+    UpstreamRegistry m_upstreams;
+    TaskExecutor m_executor;
+    ShardOwnership m_shards;
+    Admission m_admission;
+    Placement m_placement;
+    WorkerHealth m_health;
+    JobHome m_jobs;
+    std::map<Incarnation, Adopted> m_adopted; // memories of processes that left, by subject
+
+    TimePoint m_startedAt = NeverTime;
+    std::optional<TimePoint> m_lastFeed;
+    TimePoint m_logContact{};     // the ledger holds all that the log held then
+    std::string m_registrationId; // of the newest registration asked for
+    std::uint32_t m_registrations = 0;
+
+    Stage m_stage = Stage::Serving;
+    Incarnation m_heir;
+    std::set<Incarnation> m_refusedHeirs; // did not answer in time
+    std::deque<AdoptWitness> m_unadopted; // parts that the heir has not acknowledged yet
+    std::uint32_t m_lastPart = 0;         // part numbers are never reused, also for another heir
+    TimePoint m_heirDue = NeverTime;
+    TimePoint m_nextParts = NeverTime;
+    TimePoint m_handOverEnd = NeverTime; // set once nothing runs here any more
+};
+
+} // namespace cactuscove
--- a/src/agentprocess.cpp
+++ b/src/agentprocess.cpp
@@ -98,9 +98,7 @@
 
     void onUpstreamResult(const TaskRef &ref, std::uint32_t attempt, TaskResult result)
     {
-        static constexpr const char *statusNames[]
-            = {"completed", "failed", "not_started", "unknown"};
-        const std::string status = statusNames[static_cast<int>(result.status)];
+        const std::string status(nameOf(result.status));
         const TimePoint now = m_parts.loop.now();
         m_parts.metrics.add("cactuscove_upstream_starts_total", {{"result", status}});
         if (auto node = m_running.extract({ref, attempt})) {
--- a/src/callerresponses.cpp
+++ b/src/callerresponses.cpp
@@ -13,19 +13,6 @@
 
 namespace {
 
-const char *nameOf(Outcome outcome)
-{
-    switch (outcome) {
-    case Outcome::Completed:
-        return "completed";
-    case Outcome::NotRun:
-        return "not_run";
-    case Outcome::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 // not_run without a retry time cannot be helped by coming back.
 int statusOf(const Answer &answer)
 {
@@ -69,7 +56,7 @@
 HttpResponse answerResponse(const JobKey &key, const Answer &answer, const std::string &traceId)
 {
     Json::Value json = identityOf(key, traceId);
-    json["outcome"] = nameOf(answer.outcome);
+    json["outcome"] = std::string(nameOf(answer.outcome));
     if (!answer.reason.empty())
         json["reason"] = answer.reason;
     if (answer.retryAfter)
--- a/src/entryprocess.cpp
+++ b/src/entryprocess.cpp
@@ -15,19 +15,6 @@
 
 constexpr std::string_view JobsPath = "/v1/jobs";
 
-const char *nameOf(Outcome outcome)
-{
-    switch (outcome) {
-    case Outcome::Completed:
-        return "completed";
-    case Outcome::NotRun:
-        return "not_run";
-    case Outcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 class EntryProcess : public NodeProcess<EntryNode>
 {
 public:
@@ -124,7 +111,7 @@
         const Waiting &waiting = node.mapped();
         const TimePoint now = m_parts.loop.now();
         if (const auto *answer = std::get_if<Answer>(&effect.reply)) {
-            const std::string outcome = nameOf(answer->outcome);
+            const std::string outcome(nameOf(answer->outcome));
             m_parts.metrics.add("cactuscove_jobs_answered_total",
                                 {{"outcome", outcome}, {"reason", answer->reason}});
             m_parts.metrics.observeSeconds(
--- a/src/jobhome.cpp
+++ b/src/jobhome.cpp
@@ -30,19 +30,6 @@
     return std::ranges::find(list, incarnation) != list.end();
 }
 
-std::string_view nameOf(Outcome outcome)
-{
-    switch (outcome) {
-    case Outcome::Completed:
-        return "completed";
-    case Outcome::NotRun:
-        return "not_run";
-    case Outcome::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 } // namespace
 
 JobHome::JobHome(Incarnation self, JobHomeParts parts, std::uint64_t seed)
--- a/src/jobrouter.cpp
+++ b/src/jobrouter.cpp
@@ -42,19 +42,6 @@
     return answer;
 }
 
-std::string_view nameOf(Outcome outcome)
-{
-    switch (outcome) {
-    case Outcome::Completed:
-        return "completed";
-    case Outcome::NotRun:
-        return "not_run";
-    case Outcome::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 } // namespace
 
 JobRouter::JobRouter(Incarnation self, const Ledger &ledger)
--- a/src/taskexecutor.cpp
+++ b/src/taskexecutor.cpp
@@ -37,21 +37,6 @@
     return text;
 }
 
-std::string_view nameOf(TaskStatus status)
-{
-    switch (status) {
-    case TaskStatus::Completed:
-        return "completed";
-    case TaskStatus::Failed:
-        return "failed";
-    case TaskStatus::NotStarted:
-        return "not_started";
-    case TaskStatus::Unknown:
-        break;
-    }
-    return "unknown";
-}
-
 // 0 is no limit.
 std::uint32_t limitedBy(std::uint32_t value, std::uint32_t limit)
 {
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -1,4 +1,4 @@
-// Hashing of job keys to shards.
+// Hashing of job keys to shards, and names of enumerators.
 
 #include "types.h"
 
@@ -22,4 +22,32 @@
     return shardOf(hashOf(key));
 }
 
+std::string_view nameOf(TaskStatus status)
+{
+    switch (status) {
+    case TaskStatus::Completed:
+        return "completed";
+    case TaskStatus::Failed:
+        return "failed";
+    case TaskStatus::NotStarted:
+        return "not_started";
+    case TaskStatus::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Completed:
+        return "completed";
+    case Outcome::NotRun:
+        return "not_run";
+    case Outcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
 } // namespace cactuscove
--- a/src/types.h
+++ b/src/types.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cactuscove {
@@ -101,6 +102,8 @@
     Unknown,    // may have started
 };
 
+std::string_view nameOf(TaskStatus status); // as in logs and metrics
+
 struct TaskResult
 {
     TaskStatus status = TaskStatus::Unknown;
@@ -112,6 +115,8 @@
 
 enum class Outcome { Completed, NotRun, Unknown };
 
+std::string_view nameOf(Outcome outcome); // as callers see it
+
 struct TaskAnswer
 {
     std::string id;
