--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -118,7 +118,8 @@
 class Fleet:
     """2 entries and 3 agents with one upstream each unless told otherwise."""
 
-    def __init__(self, entries=2, agents=3, options=()):
+    def __init__(self, entries=2, agents=3, options=(), spans=False):
+        self.spans = spans
         self.options = options  # of every entry and agent
         self.directory = tempfile.mkdtemp(prefix="cactuscove-")
         self.processes = []
@@ -138,6 +139,9 @@
         return process
 
     def start_role(self, role, *extra, listen="127.0.0.1:0"):
+        if self.spans:
+            path = os.path.join(self.directory, f"{role}{self.count[role] + 1}.spans")
+            extra += (f"--trace-file={path}",)
         return self.start(role, "cactuscove", role, f"--listen={listen}", "--data-centre=d1",
                           "--office=hollisdale", f"--log-url=http://{self.log.address}",
                           *self.options, *extra)
