--- a/tests/system/fault_test.py
+++ b/tests/system/fault_test.py
@@ -1,4 +1,4 @@
-"""What must always hold, with real processes under the failures of the brief."""
+"""What must always hold, with real processes under failures: kills, pauses, outages, cuts, races."""
 import json
 import os
 import re
