--- a/tests/virtualfleet_test.cpp
+++ b/tests/virtualfleet_test.cpp
@@ -192,6 +192,7 @@
     params.seed = seedFromEnvironment();
     const char *runs = std::getenv("FLEET_RUNS");
     params.maxSuccess = runs == nullptr ? 300 : std::atoi(runs);
+    params.disableShrinking = std::getenv("FLEET_NO_SHRINK") != nullptr;
     rc::detail::TestMetadata metadata;
     metadata.description = "random faults, FLEET_SEED=" + std::to_string(params.seed);
     const auto result = rc::detail::checkTestable(
