--- a/src/nodeprocess.h
+++ b/src/nodeprocess.h
@@ -94,8 +94,6 @@
     }
 
 protected:
-    using Parts = ProcessParts;
-
     explicit NodeProcess(ProcessSettings settings)
         : m_parts(std::move(settings))
         , m_timer(m_parts.loop, [this] { onTimer(); })
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -71,7 +71,6 @@
 // nothing for.
 TEST_F(Http, AnswersLater)
 {
-    Timer timer(loop, [] {});
     std::optional<RequestId> waiting;
     std::unique_ptr<Timer> later;
     serve([&](RequestId id, HttpRequest) {
