--- /dev/null
+++ b/src/dispatchagent.cpp
@@ -0,0 +1,358 @@
+// Shell of the best-effort agent: the worker's reports come in, calls to it go out, one connection
+// to each entry.
+
+#include "dispatchagent.h"
+
+#include "bootclock.h"
+#include "dispatchprocess.h"
+#include "taskrunner.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <utility>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Loads change with each start and end; entries get the newest at most this often.
+constexpr Duration LoadInterval = 4ms;
+constexpr Duration ShortestRedial = 50ms;
+constexpr Duration LongestRedial = 1s;
+// A dialled connection that is not open by then is given up: its packets are lost or the path is
+// cut.
+constexpr Duration DialTimeout = 300ms;
+// Part of the shutdown time in which runs may end by themselves.
+constexpr double DrainShare = 0.8;
+
+class DispatchAgent : public DispatchProcess
+{
+public:
+    explicit DispatchAgent(LoadedSettings loaded)
+        : DispatchProcess(Role::Agent, std::move(loaded.settings), std::move(loaded.path))
+        , m_runner(runnerSettings(), bootNow())
+        , m_timer(m_loop, [this] { step([](auto &, auto, auto &) {}); })
+        , m_beatTimer(m_loop, [this] { beat(); })
+        , m_loadTimer(m_loop, [this] { sendLoads(); })
+        , m_shutdownTimer(m_loop, [this] { m_loop.stop(); })
+    {}
+
+    std::optional<DispatchError> start()
+    {
+        auto server = HttpServer::listen(
+            m_loop, m_settings.workerAddress, {},
+            [this](RequestId id, const HttpRequest &request) { onRequest(id, request); });
+        if (!isOk(server))
+            return DispatchError{errorOf(server).reason};
+        m_server = std::move(valueOf(server));
+        if (auto error = serveMetrics())
+            return error;
+        followEntries();
+        m_beatTimer.startIn(BeatInterval);
+        return std::nullopt;
+    }
+
+private:
+    // A connection that this agent dials, to an entry that may not be there.
+    struct Dial
+    {
+        std::unique_ptr<FramedLink> link; // none while waiting to dial again
+        TimePoint dialledAt{};
+        TimePoint heardAt{};
+        TimePoint redialAt{};
+        Duration redialPause = ShortestRedial;
+        std::optional<PeerHello> entry; // once it has introduced itself
+        TimePoint entryClock{};
+        bool isInventoryComplete = false;
+        std::uint64_t loadVersion = 0; // sent
+    };
+
+    TaskRunnerSettings runnerSettings() const
+    {
+        TaskRunnerSettings settings;
+        settings.leaseTime = m_settings.leaseTime;
+        settings.stopTime = m_settings.stopTime;
+        // Tasks of a silent entry must be gone before its callers come back to another one.
+        settings.entrySilence
+            = std::min<Duration>(settings.entrySilence, m_settings.resubmitPause / 2);
+        return settings;
+    }
+
+    template <typename Input>
+    void step(Input input)
+    {
+        RunnerOutbox out;
+        const TimePoint now = bootNow();
+        input(m_runner, now, out);
+        m_runner.onTimer(now, out);
+        for (RunnerEffect &it : out)
+            std::visit([this](auto &effect) { perform(effect); }, it);
+        const TimePoint next = m_runner.nextTimer();
+        if (next == NeverTime)
+            m_timer.stop();
+        else
+            m_timer.startIn(next - now);
+        if (m_runner.loadVersion() != m_loadVersion && !m_isLoadDue) {
+            m_isLoadDue = true;
+            const Duration since = now - m_loadsSentAt;
+            if (since >= LoadInterval)
+                m_loop.post([this] { sendLoads(); });
+            else
+                m_loadTimer.startIn(LoadInterval - since);
+        }
+        if (m_shuttingDown && m_runner.openTasks() == 0 && !std::exchange(m_isStopDue, true))
+            m_shutdownTimer.startIn(BeatInterval); // the last ends are on their way to the entries
+    }
+
+    void perform(StartRun &effect)
+    {
+        const WorkerCallId call = effect.call;
+        m_metrics.add("cactuscove_worker_calls_total", {{"call", "start"}});
+        m_http.start(platform::callOf(effect), [this, call](const platform::CallResult &result) {
+            step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+                runner.onStartReply(call, platform::parseStartReply(result), now, out);
+            });
+        });
+    }
+
+    void perform(StopRun &effect)
+    {
+        const WorkerCallId call = effect.call;
+        m_metrics.add("cactuscove_worker_calls_total", {{"call", "stop"}});
+        m_http.start(platform::callOf(effect), [this, call](const platform::CallResult &result) {
+            step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+                runner.onStopReply(call, platform::parseStopReply(result), now, out);
+            });
+        });
+    }
+
+    void perform(HoldRuns &effect)
+    {
+        const WorkerCallId call = effect.call;
+        m_metrics.add("cactuscove_worker_calls_total", {{"call", "hold"}});
+        m_http.start(platform::callOf(effect), [this, call](const platform::CallResult &result) {
+            step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+                runner.onHoldReply(call, platform::parseHoldReply(result), now, out);
+            });
+        });
+    }
+
+    void perform(SendToEntry &effect)
+    {
+        for (auto &[address, dial] : m_dials)
+            if (dial.entry && dial.entry->instance == effect.entry)
+                dial.link->send(std::move(effect.message));
+    }
+
+    void perform(LogEvent &effect) { log(effect); }
+
+    void onRequest(RequestId id, const HttpRequest &request)
+    {
+        const auto news = platform::parseWorkerNews(request);
+        if (!isOk(news)) {
+            const auto &error = errorOf(news);
+            log({Severity::Warning,
+                 "heartbeat_refused",
+                 {{"path", request.path}, {"reason", error.reason}}});
+            return m_server->respond(id, {error.status, "{}"});
+        }
+        const platform::WorkerNews &it = valueOf(news);
+        step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+            if (it.info)
+                runner.onWorker(*it.info, now, out);
+            else
+                runner.onWorkerLeft(it.workerId, now, out);
+        });
+        m_server->respond(id, {200, "{}"});
+    }
+
+    // Entries
+
+    void onEntryAddress(const std::string &address) override { dial(address, m_dials[address]); }
+
+    void dial(const std::string &address, Dial &it)
+    {
+        it.entry.reset();
+        it.link.reset();
+        it.dialledAt = it.heardAt = bootNow();
+        auto link = FramedLink::dial(
+            m_loop, address,
+            {[this, &it] {
+                 it.link->send(PeerHello{
+                     m_settings.instance, m_self, Role::Agent, m_settings.dataCentre, {}});
+             },
+             [this, &it](const std::vector<PeerMessage> &messages) { onMessages(it, messages); },
+             [this, address, &it](std::string_view reason) { onClosed(address, it, reason); }});
+        if (isOk(link))
+            it.link = std::move(valueOf(link));
+        else
+            onClosed(address, it, errorOf(link).reason);
+    }
+
+    void onClosed(const std::string &address, Dial &it, std::string_view reason)
+    {
+        if (it.entry)
+            log({Severity::Warning,
+                 "entry_lost",
+                 {{"entry", it.entry->name},
+                  {"address", address},
+                  {"reason", std::string(reason)},
+                  {"heard_ms", std::to_string((bootNow() - it.heardAt) / 1ms)}}});
+        // An entry that was there is dialled at once: it may have lost only this connection.
+        const bool wasThere = it.entry.has_value();
+        it.redialPause = wasThere ? ShortestRedial : std::min(it.redialPause * 2, LongestRedial);
+        it.redialAt = bootNow() + (wasThere ? Duration{} : it.redialPause);
+        it.entry.reset();
+        it.link.reset();
+        if (wasThere)
+            dial(address, it);
+    }
+
+    void onMessages(Dial &it, const std::vector<PeerMessage> &messages)
+    {
+        it.heardAt = bootNow();
+        step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+            if (it.entry)
+                runner.onEntryHeard(it.entry->instance, now);
+            for (const PeerMessage &message : messages)
+                onMessage(it, message, now, out);
+        });
+    }
+
+    void onMessage(Dial &it, const PeerMessage &message, TimePoint now, RunnerOutbox &out)
+    {
+        if (const auto *hello = std::get_if<PeerHello>(&message))
+            return onHello(it, *hello, now, out);
+        if (!it.entry)
+            return;
+        if (const auto *assign = std::get_if<AssignTask>(&message))
+            m_runner.onAssign(it.entry->instance, *assign, now, out);
+        else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
+            m_runner.onWithdraw(it.entry->instance, *withdraw, now, out);
+        else if (const auto *beat = std::get_if<PeerBeat>(&message))
+            it.entryClock = beat->sentAt;
+        else if (const auto *known = std::get_if<KnownEntries>(&message))
+            for (const std::string &address : known->addresses)
+                m_loop.post([this, address] { addEntryAddress(address, "entry"); });
+    }
+
+    void onHello(Dial &it, const PeerHello &hello, TimePoint now, RunnerOutbox &out)
+    {
+        if (hello.role != Role::Entry)
+            return;
+        it.entry = hello;
+        it.redialPause = ShortestRedial;
+        log({Severity::Info,
+             "entry_connected",
+             {{"entry", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
+        m_runner.onEntryHello(hello.instance, hello.name, now, out);
+        it.link->send(beatFor(it));
+        sendInventory(it);
+        for (const WorkerUpdate &update : m_runner.workers())
+            it.link->send(update);
+        sendLoadsTo(it);
+    }
+
+    void sendInventory(Dial &it)
+    {
+        TaskInventory inventory = m_runner.inventoryOf(it.entry->instance);
+        it.isInventoryComplete = inventory.isComplete;
+        it.link->send(std::move(inventory));
+    }
+
+    void sendLoadsTo(Dial &it)
+    {
+        for (WorkerLoad &load : m_runner.loadsFor(it.entry->instance))
+            it.link->send(std::move(load));
+        it.loadVersion = m_runner.loadVersion();
+    }
+
+    void sendLoads()
+    {
+        m_isLoadDue = false;
+        m_loadVersion = m_runner.loadVersion();
+        m_loadsSentAt = bootNow();
+        for (auto &[address, it] : m_dials) {
+            if (!it.entry || it.loadVersion == m_loadVersion)
+                continue;
+            if (!it.isInventoryComplete)
+                sendInventory(it);
+            sendLoadsTo(it);
+        }
+    }
+
+    PeerBeat beatFor(const Dial &it) const
+    {
+        const auto heard = std::count_if(m_dials.begin(), m_dials.end(),
+                                         [](const auto &dial) { return dial.second.entry; });
+        return {bootNow(), it.entryClock, static_cast<std::uint32_t>(heard)};
+    }
+
+    void beat()
+    {
+        m_beatTimer.startIn(BeatInterval);
+        const TimePoint now = bootNow();
+        for (auto &[address, it] : m_dials) {
+            const Duration silence = now - it.heardAt;
+            if (it.link && it.entry && silence > LinkSilence) {
+                onClosed(address, it, "silent");
+            } else if (it.link && !it.entry && now - it.dialledAt > DialTimeout) {
+                onClosed(address, it, "not open in time");
+            } else if (!it.link && now >= it.redialAt) {
+                dial(address, it);
+            } else if (it.entry) {
+                if (!it.isInventoryComplete)
+                    sendInventory(it);
+                it.link->send(beatFor(it));
+            }
+        }
+    }
+
+    void beginShutdown() override
+    {
+        step([](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+            runner.beginShutdown(now, out);
+        });
+        if (m_runner.openTasks() > 0)
+            m_shutdownTimer.startIn(
+                std::chrono::duration_cast<Duration>(m_settings.shutdownTime * DrainShare));
+    }
+
+    std::string metricsText() override
+    {
+        m_metrics.set("cactuscove_open_tasks", {}, static_cast<double>(m_runner.openTasks()));
+        return m_metrics.text();
+    }
+
+    TaskRunner m_runner;
+    Timer m_timer;
+    Timer m_beatTimer;
+    Timer m_loadTimer;
+    Timer m_shutdownTimer;
+    std::unique_ptr<HttpServer> m_server;
+    std::map<std::string, Dial> m_dials; // by address
+    std::uint64_t m_loadVersion = 0;     // sent to all that were connected
+    TimePoint m_loadsSentAt{};
+    bool m_isLoadDue = false;
+    bool m_isStopDue = false;
+};
+
+} // namespace
+
+int runDispatchAgent(std::span<const std::string>)
+{
+    auto loaded = loadPlatformSettings(Role::Agent);
+    if (!loaded)
+        return 2;
+    DispatchAgent process(std::move(*loaded));
+    if (const auto error = process.start()) {
+        std::fprintf(stderr, "cactuscove dispatch-agent: %s\n", error->reason.c_str());
+        return 1;
+    }
+    return process.run();
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/dispatchcodec.cpp
@@ -0,0 +1,328 @@
+// MessagePack by msgpack-cxx. Each message lists its fields once, for both directions.
+
+#include "dispatchcodec.h"
+
+#include <msgpack.hpp>
+
+#include <array>
+#include <type_traits>
+#include <utility>
+
+namespace cactuscove {
+
+namespace {
+
+// Lists the fields of each type for a Writer or a Reader.
+template <typename A>
+void fields(A &a, Resources &it)
+{
+    a(it.cpuMillis, it.memoryMb, it.accelerators);
+}
+
+template <typename A>
+void fields(A &a, TaskId &it)
+{
+    a(it.jobId, it.index);
+}
+
+template <typename A>
+void fields(A &a, WorkerInfo &it)
+{
+    a(it.id, it.upstream, it.address, it.dataCentre, it.capacity, it.labels, it.isDraining,
+      it.bornAtMs, it.sequence);
+}
+
+template <typename A>
+void fields(A &a, PeerHello &it)
+{
+    a(it.name, it.instance.value, it.role, it.dataCentre, it.address);
+}
+
+template <typename A>
+void fields(A &a, PeerBeat &it)
+{
+    a(it.sentAt, it.echo, it.entries);
+}
+
+template <typename A>
+void fields(A &a, KnownEntries &it)
+{
+    a(it.addresses);
+}
+
+template <typename A>
+void fields(A &a, AssignTask &it)
+{
+    a(it.task, it.attempt, it.workerId, it.queue, it.payload, it.needs, it.priority, it.expectedRun,
+      it.startBy, it.endBy, it.number);
+}
+
+template <typename A>
+void fields(A &a, WithdrawTask &it)
+{
+    a(it.task, it.attempt);
+}
+
+template <typename A>
+void fields(A &a, WorkerUpdate &it)
+{
+    a(it.worker, it.isGone);
+}
+
+template <typename A>
+void fields(A &a, WorkerLoad &it)
+{
+    a(it.workerId, it.free, it.slowness, it.failureShare, it.assignments);
+}
+
+template <typename A>
+void fields(A &a, TaskStarted &it)
+{
+    a(it.task, it.attempt);
+}
+
+template <typename A>
+void fields(A &a, TaskEnded &it)
+{
+    a(it.task, it.attempt, it.end, it.runTime);
+}
+
+template <typename A>
+void fields(A &a, StartRefused &it)
+{
+    a(it.task, it.attempt, it.reason);
+}
+
+template <typename A>
+void fields(A &a, TaskInventory &it)
+{
+    a(it.started, it.waiting, it.ended, it.isComplete);
+}
+
+template <typename T>
+concept Described
+    = std::is_class_v<T> && !std::is_same_v<
+          T, std::string> && !std::is_same_v<T, TimePoint> && !std::is_same_v<T, Duration>;
+
+class FieldCounter
+{
+public:
+    template <typename... T>
+    void operator()(T &...)
+    {
+        count = sizeof...(T);
+    }
+    std::uint32_t count = 0;
+};
+
+class Writer
+{
+public:
+    explicit Writer(msgpack::sbuffer &buf)
+        : m_packer(buf)
+    {}
+
+    template <typename... T>
+    void operator()(T &...values)
+    {
+        (write(values), ...);
+    }
+
+    void array(std::uint32_t n) { m_packer.pack_array(n); }
+    void index(std::uint64_t n) { m_packer.pack(n); }
+
+private:
+    void write(TimePoint value) { m_packer.pack(value.time_since_epoch().count()); }
+    void write(Duration value) { m_packer.pack(value.count()); }
+
+    template <typename T>
+    void write(std::vector<T> &values)
+    {
+        m_packer.pack_array(static_cast<std::uint32_t>(values.size()));
+        for (T &it : values)
+            write(it);
+    }
+
+    template <typename T>
+    void write(T &value)
+    {
+        if constexpr (Described<T>) {
+            FieldCounter counter;
+            fields(counter, value);
+            m_packer.pack_array(counter.count);
+            fields(*this, value);
+        } else if constexpr (std::is_enum_v<T>) {
+            m_packer.pack(static_cast<std::uint32_t>(value));
+        } else {
+            m_packer.pack(value);
+        }
+    }
+
+    msgpack::packer<msgpack::sbuffer> m_packer;
+};
+
+// Highest value of each enumeration that is read from the wire.
+template <typename T>
+constexpr std::uint32_t LastOf = 0;
+template <>
+constexpr std::uint32_t LastOf<Role> = static_cast<std::uint32_t>(Role::Agent);
+template <>
+constexpr std::uint32_t LastOf<TaskEnd> = static_cast<std::uint32_t>(TaskEnd::Lost);
+template <>
+constexpr std::uint32_t LastOf<StartRefusal> = static_cast<std::uint32_t>(StartRefusal::Duplicate);
+
+// Throws msgpack::type_error on a field that is missing or of another type; decodeFrame() catches
+// it.
+class Reader
+{
+public:
+    explicit Reader(const msgpack::object_array &array)
+        : m_array(array)
+    {}
+
+    template <typename... T>
+    void operator()(T &...values)
+    {
+        (read(values, next()), ...);
+    }
+
+    const msgpack::object &next()
+    {
+        if (m_next >= m_array.size)
+            throw msgpack::type_error();
+        return m_array.ptr[m_next++];
+    }
+
+private:
+    static const msgpack::object_array &arrayOf(const msgpack::object &object)
+    {
+        if (object.type != msgpack::type::ARRAY)
+            throw msgpack::type_error();
+        return object.via.array;
+    }
+
+    static void read(TimePoint &value, const msgpack::object &object)
+    {
+        value = TimePoint(Duration(object.as<std::int64_t>()));
+    }
+
+    static void read(Duration &value, const msgpack::object &object)
+    {
+        value = Duration(object.as<std::int64_t>());
+    }
+
+    template <typename T>
+    static void read(std::vector<T> &values, const msgpack::object &object)
+    {
+        const msgpack::object_array &array = arrayOf(object);
+        values.resize(array.size);
+        for (std::uint32_t i = 0; i < array.size; ++i)
+            read(values[i], array.ptr[i]);
+    }
+
+    template <typename T>
+    static void read(T &value, const msgpack::object &object)
+    {
+        if constexpr (Described<T>) {
+            Reader reader(arrayOf(object));
+            fields(reader, value);
+        } else if constexpr (std::is_enum_v<T>) {
+            const auto number = object.as<std::uint32_t>();
+            if (number > LastOf<T>)
+                throw msgpack::type_error();
+            value = static_cast<T>(number);
+        } else {
+            value = object.as<T>();
+        }
+    }
+
+    const msgpack::object_array &m_array;
+    std::uint32_t m_next = 0;
+};
+
+template <std::size_t... I>
+PeerMessage readMessage(std::size_t index, Reader &reader, std::index_sequence<I...>)
+{
+    PeerMessage message;
+    const auto readAs = [&]<std::size_t N>() {
+        auto &it = message.emplace<N>();
+        fields(reader, it);
+        return true;
+    };
+    if (!((index == I && readAs.template operator()<I>()) || ...))
+        throw msgpack::type_error();
+    return message;
+}
+
+} // namespace
+
+std::string encodeFrame(std::span<const PeerMessage> messages)
+{
+    msgpack::sbuffer buf;
+    Writer writer(buf);
+    writer.array(static_cast<std::uint32_t>(messages.size()));
+    for (const PeerMessage &message : messages) {
+        std::visit(
+            [&](const auto &it) {
+                // A Writer only reads; the field lists are shared with the Reader.
+                auto &value = const_cast<std::remove_cvref_t<decltype(it)> &>(it);
+                FieldCounter counter;
+                fields(counter, value);
+                writer.array(counter.count + 1);
+                writer.index(message.index());
+                fields(writer, value);
+            },
+            message);
+    }
+    const auto size = static_cast<std::uint32_t>(buf.size());
+    const std::array<char, FrameHeaderBytes> header{
+        static_cast<char>(size >> 24), static_cast<char>(size >> 16), static_cast<char>(size >> 8),
+        static_cast<char>(size)};
+    std::string frame;
+    frame.reserve(header.size() + buf.size());
+    frame.append(header.data(), header.size());
+    frame.append(buf.data(), buf.size());
+    return frame;
+}
+
+Result<std::size_t, FrameError> frameSize(std::string_view bytes)
+{
+    if (bytes.size() < FrameHeaderBytes)
+        return std::size_t(0);
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < FrameHeaderBytes; ++i)
+        size = size << 8 | static_cast<unsigned char>(bytes[i]);
+    if (size > MaxFrameBytes)
+        return FrameError{"frame of " + std::to_string(size) + " bytes"};
+    return FrameHeaderBytes + size;
+}
+
+Result<std::vector<PeerMessage>, FrameError> decodeFrame(std::string_view frame)
+{
+    if (frame.size() < FrameHeaderBytes)
+        return FrameError{"no header"};
+    const std::string_view body = frame.substr(FrameHeaderBytes);
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(body.data(), body.size());
+        if (handle.get().type != msgpack::type::ARRAY)
+            return FrameError{"not an array of messages"};
+        const msgpack::object_array &array = handle.get().via.array;
+        std::vector<PeerMessage> messages;
+        messages.reserve(array.size);
+        for (std::uint32_t i = 0; i < array.size; ++i) {
+            if (array.ptr[i].type != msgpack::type::ARRAY)
+                return FrameError{"message " + std::to_string(i) + ": not an array"};
+            Reader reader(array.ptr[i].via.array);
+            const auto index = reader.next().as<std::size_t>();
+            messages.push_back(readMessage(
+                index, reader, std::make_index_sequence<std::variant_size_v<PeerMessage>>()));
+        }
+        return messages;
+    } catch (const msgpack::type_error &) {
+        return FrameError{"field missing or of another type"};
+    } catch (const msgpack::unpack_error &ex) {
+        return FrameError{ex.what()};
+    }
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/dispatchentry.cpp
@@ -0,0 +1,449 @@
+// Shell of the best-effort entry: callers, agents, other entries, the store and the balancer.
+
+#include "dispatchentry.h"
+
+#include "bootclock.h"
+#include "dispatchprocess.h"
+#include "jobdispatcher.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A caller that does not say how long it waits.
+constexpr Duration DefaultPatience = 30s;
+// The balancer asks each second and needs two refusals; until then new connections still come.
+constexpr Duration ServeAfterShutdown = 2500ms;
+constexpr Duration NotReadyRetry = 1s;
+constexpr Duration QuietInterval = 20ms;
+constexpr Duration RedialPause = 500ms;
+// A connection of an agent that says nothing at all is closed after this.
+constexpr Duration DeadLink = 2s;
+
+class DispatchEntry : public DispatchProcess
+{
+public:
+    explicit DispatchEntry(LoadedSettings loaded)
+        : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
+        , m_dispatcher({m_settings.dataCentre, m_self.value, proofTime(m_settings)})
+        , m_timer(m_loop, [this] { step([](auto &, auto, auto &) {}); })
+        , m_beatTimer(m_loop, [this] { beat(); })
+        , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
+        , m_quietTimer(m_loop, [this] { awaitQuiet(); })
+    {}
+
+    std::optional<DispatchError> start()
+    {
+        HttpServerLimits limits;
+        limits.watchCallers = true;
+        auto callers = HttpServer::listen(
+            m_loop, m_settings.callerAddress, limits,
+            [this](RequestId id, const HttpRequest &request) { onRequest(id, request); },
+            [this](RequestId id) { onCallerClosed(id); });
+        if (!isOk(callers))
+            return DispatchError{errorOf(callers).reason};
+        m_callers = std::move(valueOf(callers));
+        auto readiness = HttpServer::listen(
+            m_loop, m_settings.readinessAddress, {},
+            [this](RequestId id, const HttpRequest &request) { onReadiness(id, request); });
+        if (!isOk(readiness))
+            return DispatchError{errorOf(readiness).reason};
+        m_readiness = std::move(valueOf(readiness));
+        auto listener = FramedListener::listen(m_loop, m_settings.linkAddress,
+                                               [this](int fd) { onAccepted(fd); });
+        if (!isOk(listener))
+            return DispatchError{errorOf(listener).reason};
+        m_listener = std::move(valueOf(listener));
+        if (auto error = serveMetrics())
+            return error;
+        followEntries();
+        m_entriesFollower->publish(m_settings.instance, m_settings.linkAddress);
+        followOperators();
+        m_beatTimer.startIn(BeatInterval);
+        return std::nullopt;
+    }
+
+private:
+    // A connection that an agent or another entry opened, or one to another entry.
+    struct Link
+    {
+        std::unique_ptr<FramedLink> link;
+        std::string dialled; // address; empty for an accepted connection
+        TimePoint heardAt{};
+        std::optional<PeerHello> peer;
+        TimePoint peerClock{};
+    };
+
+    using LinkId = std::uint64_t;
+
+    static Duration proofTime(const platform::PlatformSettings &settings)
+    {
+        // The lease runs on the worker's clock, which may be 2% slow; the rest is for stops and
+        // calls.
+        return settings.leaseTime + settings.leaseTime / 50 + settings.stopTime + 700ms;
+    }
+
+    template <typename Input>
+    void step(Input input)
+    {
+        DispatcherOutbox out;
+        const TimePoint now = bootNow();
+        input(m_dispatcher, now, out);
+        m_dispatcher.onTimer(now, out);
+        for (DispatcherEffect &it : out)
+            std::visit([this](auto &effect) { perform(effect); }, it);
+        const TimePoint next = m_dispatcher.nextTimer();
+        if (next == NeverTime)
+            m_timer.stop();
+        else
+            m_timer.startIn(next - now);
+    }
+
+    void perform(AnswerJob &effect)
+    {
+        const RequestId id{effect.caller.value};
+        const auto arrived = m_arrivals.extract(id);
+        if (arrived.empty())
+            return;
+        const DispatchAnswer &answer = effect.answer;
+        m_metrics.add(
+            "cactuscove_jobs_answered_total",
+            {{"outcome", std::string(nameOf(answer.outcome))}, {"reason", answer.reason}});
+        m_metrics.observeSeconds(
+            "cactuscove_job_seconds", {{"outcome", std::string(nameOf(answer.outcome))}},
+            std::chrono::duration<double>(bootNow() - arrived.mapped()).count());
+        respond(id, platform::formatAnswer(answer));
+    }
+
+    void perform(SendToAgent &effect)
+    {
+        const auto it = m_agentLinks.find(effect.agent);
+        if (it != m_agentLinks.end())
+            m_links.at(it->second).link->send(std::move(effect.message));
+    }
+
+    void perform(LogEvent &effect) { log(effect); }
+
+    // Callers
+
+    void respond(RequestId id, HttpResponse response)
+    {
+        // The balancer sends the caller's next connection elsewhere.
+        if (m_shuttingDown)
+            response.headers["Connection"] = "close";
+        m_callers->respond(id, std::move(response));
+    }
+
+    void onRequest(RequestId id, const HttpRequest &request)
+    {
+        if (m_dispatcher.config().version == 0 || m_refusing)
+            return respond(id, platform::formatNotReady(NotReadyRetry));
+        const auto host = request.headers.find("host");
+        const QueueMatch match = matchQueue(
+            m_dispatcher.config(), host == request.headers.end() ? "" : host->second, request.path);
+        if (!match.queue)
+            return respond(id, platform::formatNoQueue());
+        if (request.method == "GET" && match.rest.empty())
+            return respond(id,
+                           platform::formatQueueState(m_dispatcher.waitingJobs(match.queue->name)));
+        if (!platform::isJobId(match.rest))
+            return respond(id, platform::formatError({"id", "not a job's id"}));
+        if (request.method != "POST")
+            return respond(id, platform::formatUnknownJob());
+        auto job = platform::parseJob(match.rest, request.body);
+        if (!isOk(job)) {
+            log({Severity::Info,
+                 "job_invalid",
+                 {{"job", std::string(match.rest)},
+                  {"queue", match.queue->name},
+                  {"field", errorOf(job).field},
+                  {"reason", errorOf(job).reason}}});
+            return respond(id, platform::formatError(errorOf(job)));
+        }
+        valueOf(job).queue = match.queue->name;
+        m_arrivals[id] = bootNow();
+        const Duration patience = platform::callerPatience(request).value_or(DefaultPatience);
+        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+            dispatcher.submit(CallerId{id.value}, std::move(valueOf(job)), patience, now, out);
+        });
+    }
+
+    void onCallerClosed(RequestId id)
+    {
+        if (m_arrivals.erase(id) == 0)
+            return; // answered
+        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+            dispatcher.callerGone(CallerId{id.value}, now, out);
+        });
+    }
+
+    void onReadiness(RequestId id, const HttpRequest &request)
+    {
+        if (!platform::isReadinessRequest(request))
+            return m_readiness->respond(id, {404, "{}"});
+        const bool isReady = !m_shuttingDown && m_dispatcher.config().version != 0
+                             && m_dispatcher.workers().connectedAgents() > 0;
+        if (m_wasReady != isReady) {
+            m_wasReady = isReady;
+            log({Severity::Info,
+                 isReady ? "ready" : "not_ready",
+                 {{"config", std::to_string(m_dispatcher.config().version)},
+                  {"agents", std::to_string(m_dispatcher.workers().connectedAgents())}}});
+        }
+        m_readiness->respond(id, {isReady ? 200 : 503, "{}"});
+    }
+
+    // Operators
+
+    void followOperators()
+    {
+        StoreFollowerSettings settings;
+        settings.store = m_settings.storeAddress;
+        settings.topic = platform::operatorTopic();
+        settings.seed = m_self.value;
+        m_operatorsFollower = std::make_unique<StoreFollower>(
+            m_loop, m_http, std::move(settings),
+            StoreFollower::Handlers{
+                [this](const platform::StoreRecord &record) { onOperatorRecord(record); },
+                [this](bool isReachable, const std::string &detail) {
+                    log({isReachable ? Severity::Info : Severity::Warning,
+                         isReachable ? "store_regained" : "store_lost",
+                         {{"topic", "operators"},
+                          {"detail", detail},
+                          {"config", std::to_string(m_dispatcher.config().version)}}});
+                }});
+    }
+
+    // A configuration never goes back within the life of a process.
+    void onOperatorRecord(const platform::StoreRecord &record)
+    {
+        if (record.key != platform::ConfigKey)
+            return;
+        auto config = platform::parseConfig(record.value);
+        if (!isOk(config))
+            return log({Severity::Error,
+                        "config_unreadable",
+                        {{"offset", std::to_string(record.offset.value)},
+                         {"reason", errorOf(config).reason}}});
+        if (valueOf(config).version <= m_dispatcher.config().version)
+            return;
+        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+            dispatcher.configure(std::move(valueOf(config)), now, out);
+        });
+        m_metrics.set("cactuscove_config_revision", {},
+                      static_cast<double>(m_dispatcher.config().version));
+    }
+
+    // Agents and other entries
+
+    FramedLink::Handlers handlersOf(LinkId id)
+    {
+        return {[this, id] { sendHello(m_links.at(id)); },
+                [this, id](const std::vector<PeerMessage> &messages) { onMessages(id, messages); },
+                [this, id](std::string_view reason) { closeLink(id, reason); }};
+    }
+
+    void sendHello(Link &it)
+    {
+        it.link->send(PeerHello{m_settings.instance, m_self, Role::Entry, m_settings.dataCentre,
+                                m_settings.linkAddress});
+        it.link->send(knownEntries());
+    }
+
+    KnownEntries knownEntries() const
+    {
+        KnownEntries known;
+        known.addresses.assign(m_entryAddresses.begin(), m_entryAddresses.end());
+        return known;
+    }
+
+    void onAccepted(int fd)
+    {
+        const LinkId id = ++m_lastLink;
+        Link &it = m_links[id];
+        it.heardAt = bootNow();
+        it.link = FramedLink::adopt(m_loop, fd, handlersOf(id));
+        sendHello(it);
+    }
+
+    void onEntryAddress(const std::string &address) override
+    {
+        m_dialAt[address] = bootNow();
+        for (auto &[id, it] : m_links)
+            if (it.peer)
+                it.link->send(knownEntries());
+    }
+
+    void dialEntry(const std::string &address)
+    {
+        const LinkId id = ++m_lastLink;
+        auto link = FramedLink::dial(m_loop, address, handlersOf(id));
+        if (!isOk(link))
+            return;
+        Link &it = m_links[id];
+        it.heardAt = bootNow();
+        it.dialled = address;
+        it.link = std::move(valueOf(link));
+    }
+
+    void closeLink(LinkId id, std::string_view reason)
+    {
+        const auto it = m_links.find(id);
+        if (it == m_links.end())
+            return;
+        const std::optional<PeerHello> peer = it->second.peer;
+        const TimePoint heardAt = it->second.heardAt;
+        if (!it->second.dialled.empty())
+            m_dialAt[it->second.dialled] = bootNow() + RedialPause;
+        m_links.erase(it);
+        if (!peer)
+            return;
+        log({Severity::Warning,
+             peer->role == Role::Agent ? "agent_lost" : "entry_lost",
+             {{"name", peer->name},
+              {"incarnation", std::to_string(peer->instance.value)},
+              {"reason", std::string(reason)},
+              {"heard_ms", std::to_string((bootNow() - heardAt) / 1ms)}}});
+        const auto agent = m_agentLinks.find(peer->instance);
+        if (agent == m_agentLinks.end() || agent->second != id)
+            return; // the agent has a newer connection
+        m_agentLinks.erase(agent);
+        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+            dispatcher.onDisconnected(peer->instance, now, out);
+        });
+    }
+
+    void onMessages(LinkId id, const std::vector<PeerMessage> &messages)
+    {
+        Link &it = m_links.at(id);
+        it.heardAt = bootNow();
+        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+            for (const PeerMessage &message : messages) {
+                if (const auto *hello = std::get_if<PeerHello>(&message))
+                    onHello(id, it, *hello, now, out);
+                else if (const auto *known = std::get_if<KnownEntries>(&message))
+                    for (const std::string &address : known->addresses)
+                        m_loop.post([this, address] { addEntryAddress(address, "entry"); });
+                else if (it.peer && it.peer->role == Role::Agent) {
+                    if (const auto *beat = std::get_if<PeerBeat>(&message))
+                        it.peerClock = beat->sentAt;
+                    dispatcher.onMessage(it.peer->instance, message, now, out);
+                }
+            }
+        });
+    }
+
+    void onHello(LinkId id, Link &it, const PeerHello &hello, TimePoint now, DispatcherOutbox &out)
+    {
+        it.peer = hello;
+        log({Severity::Info,
+             hello.role == Role::Agent ? "agent_connected" : "entry_connected",
+             {{"name", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
+        if (hello.role == Role::Entry) {
+            m_loop.post([this, address = hello.address] { addEntryAddress(address, "hello"); });
+            return;
+        }
+        const auto [agent, isNew] = m_agentLinks.try_emplace(hello.instance, id);
+        if (!isNew) {
+            // The agent reads only its newest connection: what is unsent on the older one is lost.
+            const LinkId older = std::exchange(agent->second, id);
+            m_dispatcher.onDisconnected(hello.instance, now, out);
+            m_loop.post([this, older] { closeLink(older, "replaced"); });
+        }
+        m_dispatcher.onConnected(hello, now, out);
+    }
+
+    void beat()
+    {
+        m_beatTimer.startIn(BeatInterval);
+        const TimePoint now = bootNow();
+        std::vector<LinkId> silent;
+        for (auto &[id, it] : m_links) {
+            if (now - it.heardAt > DeadLink)
+                silent.push_back(id);
+            else if (it.link->isOpen())
+                it.link->send(PeerBeat{now, it.peerClock, 0});
+        }
+        for (const LinkId id : silent)
+            closeLink(id, "silent");
+        for (auto &[address, at] : m_dialAt)
+            if (now >= at) {
+                at = NeverTime; // until the connection ends
+                m_loop.post([this, to = address] { dialEntry(to); });
+            }
+    }
+
+    // Shutdown
+
+    void beginShutdown() override
+    {
+        m_refuseTimer.startIn(std::min(ServeAfterShutdown, m_settings.shutdownTime / 2));
+    }
+
+    void refuseNewJobs()
+    {
+        m_refusing = true;
+        step([](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+            dispatcher.beginShutdown(now, out);
+        });
+        awaitQuiet();
+    }
+
+    void awaitQuiet()
+    {
+        if (m_dispatcher.openJobs() == 0 && m_callers->openRequests() == 0)
+            m_loop.stop();
+        else
+            m_quietTimer.startIn(QuietInterval);
+    }
+
+    std::string metricsText() override
+    {
+        m_metrics.set("cactuscove_open_jobs", {}, static_cast<double>(m_dispatcher.openJobs()));
+        m_metrics.set("cactuscove_up_members", {{"role", "agent"}},
+                      static_cast<double>(m_dispatcher.workers().connectedAgents()));
+        m_metrics.set("cactuscove_open_requests", {},
+                      static_cast<double>(m_callers->openRequests()));
+        return m_metrics.text();
+    }
+
+    JobDispatcher m_dispatcher;
+    Timer m_timer;
+    Timer m_beatTimer;
+    Timer m_refuseTimer;
+    Timer m_quietTimer;
+    std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_readiness;
+    std::unique_ptr<FramedListener> m_listener;
+    std::unique_ptr<StoreFollower> m_operatorsFollower;
+    std::map<LinkId, Link> m_links;
+    std::map<Incarnation, LinkId> m_agentLinks; // newest connection of each agent
+    std::map<std::string, TimePoint> m_dialAt;  // other entries, by address
+    std::map<RequestId, TimePoint> m_arrivals;  // jobs that are not answered
+    LinkId m_lastLink = 0;
+    std::optional<bool> m_wasReady;
+    bool m_refusing = false;
+};
+
+} // namespace
+
+int runDispatchEntry(std::span<const std::string>)
+{
+    auto loaded = loadPlatformSettings(Role::Entry);
+    if (!loaded)
+        return 2;
+    DispatchEntry process(std::move(*loaded));
+    if (const auto error = process.start()) {
+        std::fprintf(stderr, "cactuscove dispatch-entry: %s\n", error->reason.c_str());
+        return 1;
+    }
+    return process.run();
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/dispatchmessages.h
@@ -0,0 +1,115 @@
+// Messages between entries and agents for best-effort jobs. An agent connects to every entry that
+// it knows; a message belongs to the connection that it came on.
+
+#pragma once
+
+#include "dispatchtypes.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cactuscove {
+
+// First message in each direction on a new connection.
+struct PeerHello
+{
+    std::string name;     // of the instance, the same across restarts
+    Incarnation instance; // of this run of the process
+    Role role = Role::Agent;
+    std::string dataCentre;
+    std::string address; // where entries accept connections; empty for an agent
+};
+
+// Keeps a connection alive and relates the two clocks. A clock here is the time since the boot of
+// the sender's machine and counts suspension.
+struct PeerBeat
+{
+    TimePoint sentAt;          // sender's clock
+    TimePoint echo;            // newest `sentAt` that the sender has received, receiver's clock
+    std::uint32_t entries = 0; // entries that the sender hears, itself included
+};
+
+// Addresses at which entries accept connections, so that an agent that knows one finds the others.
+struct KnownEntries
+{
+    std::vector<std::string> addresses;
+};
+
+// Entry to agent: run this task once there is room.
+struct AssignTask
+{
+    TaskId task;
+    std::uint32_t attempt = 0;
+    std::string workerId;
+    std::string queue;
+    std::string payload;
+    Resources needs;
+    int priority = 0;
+    Duration expectedRun{};
+    TimePoint startBy;        // agent's clock; a task that has not started by then is refused
+    TimePoint endBy;          // agent's clock; a task that still runs then is stopped
+    std::uint64_t number = 0; // of this assignment on this connection, from 1
+};
+
+// Entry to agent: do not start the task, or stop it.
+struct WithdrawTask
+{
+    TaskId task;
+    std::uint32_t attempt = 0;
+};
+
+// Agent to entry: a worker beside the agent, on each change.
+struct WorkerUpdate
+{
+    WorkerInfo worker;
+    bool isGone = false;
+};
+
+// Agent to entry: what is left of a worker's room, on each change.
+struct WorkerLoad
+{
+    std::string workerId;
+    Resources free;                // less what runs and what is queued; may be negative
+    double slowness = 1;           // run times here against the entries' expectation
+    double failureShare = 0;       // of the newest ends
+    std::uint64_t assignments = 0; // newest AssignTask::number that `free` takes into account
+};
+
+struct TaskStarted
+{
+    TaskId task;
+    std::uint32_t attempt = 0;
+};
+
+struct TaskEnded
+{
+    TaskId task;
+    std::uint32_t attempt = 0;
+    TaskEnd end = TaskEnd::Lost;
+    Duration runTime{};
+};
+
+struct StartRefused
+{
+    TaskId task;
+    std::uint32_t attempt = 0;
+    StartRefusal reason = StartRefusal::Expired;
+};
+
+// Agent to entry, after its hello: every task of this entry that the agent knows. An assignment
+// that is missing here was not received and never will be.
+struct TaskInventory
+{
+    std::vector<TaskStarted> started; // and not ended
+    std::vector<TaskStarted> waiting; // accepted and not started
+    std::vector<TaskEnded> ended;     // lately
+    bool isComplete = true;           // false: tasks of an earlier run of the agent may still run
+};
+
+using PeerMessage
+    = std::variant<PeerHello, PeerBeat, KnownEntries, AssignTask, WithdrawTask, WorkerUpdate,
+                   WorkerLoad, TaskStarted, TaskEnded, StartRefused, TaskInventory>;
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/dispatchprocess.cpp
@@ -0,0 +1,151 @@
+// Start, reload and stop of the best-effort processes.
+
+#include "dispatchprocess.h"
+
+#include "logging.h"
+#include "settings.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <unistd.h>
+
+namespace cactuscove {
+
+namespace {
+
+Incarnation newIncarnation()
+{
+    std::random_device device;
+    const std::uint64_t value = static_cast<std::uint64_t>(device()) << 32 | device();
+    return Incarnation{value | 1}; // 0 names no process
+}
+
+std::string_view nameOf(Role role)
+{
+    return role == Role::Entry ? "entry" : "agent";
+}
+
+} // namespace
+
+std::optional<LoadedSettings> loadPlatformSettings(Role role)
+{
+    const char *path = std::getenv(platform::SettingsVariable);
+    if (!path || !*path) {
+        std::fprintf(stderr, "cactuscove: %s is not set\n", platform::SettingsVariable);
+        return std::nullopt;
+    }
+    auto settings = platform::readSettings(path, role);
+    if (isOk(settings))
+        return LoadedSettings{std::move(valueOf(settings)), path};
+    for (const std::string &it : errorOf(settings).lines)
+        std::fprintf(stderr, "cactuscove: %s: %s\n", path, it.c_str());
+    return std::nullopt;
+}
+
+DispatchProcess::DispatchProcess(Role role, platform::PlatformSettings settings,
+                                 std::string settingsPath)
+    : m_role(role)
+    , m_settings(std::move(settings))
+    , m_settingsPath(std::move(settingsPath))
+    , m_self(newIncarnation())
+    , m_log(m_loop, nameOf(role), m_settings.instance, STDOUT_FILENO)
+    , m_http(m_loop)
+{}
+
+void DispatchProcess::log(const LogEvent &event)
+{
+    m_metrics.add("cactuscove_events_total", {{"event", event.name}});
+    m_log.write(event);
+}
+
+int DispatchProcess::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int signal : {SIGTERM, SIGINT})
+        m_loop.onSignal(signal, [this] {
+            if (m_shuttingDown)
+                return;
+            m_shuttingDown = true;
+            log({Severity::Info, "shutdown_started", {}});
+            beginShutdown();
+        });
+    m_loop.onSignal(SIGHUP, [this] { reload(); });
+    log({Severity::Info,
+         "process_started",
+         {{"version", std::string(version())},
+          {"incarnation", std::to_string(m_self.value)},
+          {"data_centre", m_settings.dataCentre},
+          {"seeds", std::to_string(m_settings.seedLinks.size())}}});
+    for (const std::string &it : m_settings.seedLinks)
+        addEntryAddress(it, "settings");
+    m_loop.run();
+    log({Severity::Info, "process_stopped", {}});
+    m_log.flush();
+    return 0;
+}
+
+// Addresses of this process cannot change while it runs; the other instances' can.
+void DispatchProcess::reload()
+{
+    const auto settings = platform::readSettings(m_settingsPath, m_role);
+    if (!isOk(settings)) {
+        for (const std::string &it : errorOf(settings).lines)
+            log({Severity::Error, "settings_refused", {{"reason", it}}});
+        return;
+    }
+    log({Severity::Info, "settings_reloaded", {{"path", m_settingsPath}}});
+    m_settings.seedLinks = valueOf(settings).seedLinks;
+    for (const std::string &it : m_settings.seedLinks)
+        addEntryAddress(it, "settings");
+}
+
+bool DispatchProcess::addEntryAddress(const std::string &address, std::string_view source)
+{
+    std::string ip;
+    std::uint16_t port = 0;
+    if (address == m_settings.linkAddress || !splitAddress(address, ip, port)
+        || !m_entryAddresses.insert(address).second)
+        return false;
+    log({Severity::Info, "entry_known", {{"address", address}, {"source", std::string(source)}}});
+    onEntryAddress(address);
+    return true;
+}
+
+void DispatchProcess::followEntries()
+{
+    StoreFollowerSettings settings;
+    settings.store = m_settings.storeAddress;
+    settings.topic = platform::ownTopic(EntriesTopic);
+    settings.wait = std::chrono::seconds(4);
+    settings.timeout = std::chrono::milliseconds(4500);
+    settings.seed = m_self.value;
+    m_entriesFollower = std::make_unique<StoreFollower>(
+        m_loop, m_http, std::move(settings),
+        StoreFollower::Handlers{
+            [this](const platform::StoreRecord &record) { addEntryAddress(record.value, "store"); },
+            [this](bool isReachable, const std::string &detail) {
+                m_metrics.set("cactuscove_log_reachable", {}, isReachable);
+                log({isReachable ? Severity::Info : Severity::Warning,
+                     isReachable ? "store_regained" : "store_lost",
+                     {{"topic", EntriesTopic}, {"detail", detail}}});
+            }});
+}
+
+std::optional<DispatchError> DispatchProcess::serveMetrics()
+{
+    auto server = HttpServer::listen(
+        m_loop, m_settings.metricsAddress, {}, [this](RequestId id, const HttpRequest &request) {
+            if (request.path == "/metrics")
+                m_metricsServer->respond(id, {200, metricsText(), "text/plain; version=0.0.4", {}});
+            else
+                m_metricsServer->respond(id, {404, "{\"error\":\"not_found\"}\n"});
+        });
+    if (!isOk(server))
+        return DispatchError{errorOf(server).reason};
+    m_metricsServer = std::move(valueOf(server));
+    return std::nullopt;
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/dispatchprocess.h
@@ -0,0 +1,86 @@
+// What the two best-effort processes share: settings, loop, log, metrics, known entries.
+
+#pragma once
+
+#include "eventlog.h"
+#include "eventloop.h"
+#include "framedlink.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "metrics.h"
+#include "platform.h"
+#include "storefollower.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cactuscove {
+
+// Each side sends at least this often, so that silence is found soon.
+inline constexpr Duration BeatInterval = std::chrono::milliseconds(100);
+// A connection on which nothing came for this long is replaced.
+inline constexpr Duration LinkSilence = std::chrono::milliseconds(350);
+
+// Topic with the link address of each entry, by its instance's name.
+inline constexpr char EntriesTopic[] = "entries";
+
+struct DispatchError
+{
+    std::string reason;
+};
+
+class DispatchProcess
+{
+public:
+    virtual ~DispatchProcess() = default;
+    DispatchProcess(const DispatchProcess &) = delete;
+    DispatchProcess &operator=(const DispatchProcess &) = delete;
+
+    int run();
+
+protected:
+    DispatchProcess(Role role, platform::PlatformSettings settings, std::string settingsPath);
+
+    void log(const LogEvent &event);
+    // Follows the entries' topic; addEntry() gets each address that is not known yet.
+    void followEntries();
+    bool addEntryAddress(const std::string &address, std::string_view source);
+    std::optional<DispatchError> serveMetrics();
+
+    virtual void onEntryAddress(const std::string &address) = 0;
+    virtual void beginShutdown() = 0;
+    virtual std::string metricsText() = 0;
+
+    Role m_role;
+    platform::PlatformSettings m_settings;
+    std::string m_settingsPath;
+    Incarnation m_self;
+    EventLoop m_loop;
+    EventLog m_log;
+    Metrics m_metrics;
+    HttpClient m_http;
+    std::set<std::string> m_entryAddresses; // known, the own one not included
+    std::unique_ptr<StoreFollower> m_entriesFollower;
+    bool m_shuttingDown = false;
+
+private:
+    void reload();
+
+    std::unique_ptr<HttpServer> m_metricsServer;
+};
+
+// Reads the settings file that the environment names. Prints every mistake; none: the file and its
+// path.
+struct LoadedSettings
+{
+    platform::PlatformSettings settings;
+    std::string path;
+};
+
+std::optional<LoadedSettings> loadPlatformSettings(Role role);
+
+} // namespace cactuscove
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -6,10 +6,12 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <unordered_map>
@@ -83,6 +85,7 @@
         bool tooLarge = false;
         bool refuseUnread = false;
         bool dropped = false;
+        std::unique_ptr<IoWatcher> callerWatcher; // while suspended
     };
 
     static MHD_Result onAccess(void *self, MHD_Connection *connection, const char *url,
@@ -99,6 +102,7 @@
     void runDaemon();
     void scheduleRun();
     void resume(Exchange &exchange);
+    void watchCaller(Exchange &exchange);
 
     EventLoop &m_loop;
     HttpServerLimits m_limits;
@@ -264,6 +268,8 @@
     if (!exchange.response) {
         exchange.suspended = true;
         MHD_suspend_connection(exchange.connection);
+        if (m_limits.watchCallers)
+            watchCaller(exchange);
         return MHD_YES;
     }
 
@@ -329,10 +335,29 @@
     if (!exchange.suspended)
         return; // still inside the handler
     exchange.suspended = false;
+    exchange.callerWatcher.reset();
     MHD_resume_connection(exchange.connection);
     scheduleRun();
 }
 
+// The daemon does not look at a suspended connection.
+void HttpServer::Impl::watchCaller(Exchange &exchange)
+{
+    const int fd = MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+                       ->connect_fd;
+    exchange.callerWatcher = std::make_unique<IoWatcher>(m_loop, fd, [this, &exchange, fd](int) {
+        char byte = 0;
+        const ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+            return;
+        if (n > 0)
+            exchange.callerWatcher->watch(IoWatcher::None); // the caller's next request
+        else
+            drop(exchange.id);
+    });
+    exchange.callerWatcher->watch(IoWatcher::Readable);
+}
+
 void HttpServer::Impl::stopAccepting()
 {
     const MHD_socket fd = MHD_quiesce_daemon(m_daemon);
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -39,6 +39,9 @@
     std::size_t maxBodyBytes = 4 << 20;   // a larger body gets 413
     std::chrono::seconds idleTimeout{15}; // closes slow and half-open connections
     unsigned maxConnections = 4096;
+    // Ends a request as soon as its caller closes the connection. Otherwise that shows only when
+    // the response is written.
+    bool watchCallers = false;
 };
 
 struct HttpServerError
--- /dev/null
+++ b/src/jobdispatcher.h
@@ -0,0 +1,203 @@
+// Coordinates best-effort jobs at the entry that took them: accepts or refuses, places tasks,
+// repeats failed ones, answers. Nothing else knows the job.
+//
+// A task is placed again only after a proof that its last attempt does not run and never will: an
+// end or a refusal by its agent, the inventory of the agent after a new connection, the hello of
+// the agent's next process, or the time after which every bound in taskrunner.h has expired. A
+// caller is told that a job was not run only if no attempt of any task was started.
+//
+// No socket and no clock: inputs carry the time, which must count suspension of the machine.
+
+#pragma once
+
+#include "dispatchmessages.h"
+#include "loadcontrol.h"
+#include "outbox.h"
+#include "runtimemodel.h"
+#include "workerdirectory.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace cactuscove {
+
+// How a best-effort job ended for its caller.
+enum class JobOutcome {
+    Completed, // every task ended done
+    Failed,    // a task failed as often as its queue allows
+    Refused,   // nothing of it was started, and nothing will be
+    Unknown,   // given up; parts may have run
+};
+
+std::string_view nameOf(JobOutcome outcome); // as in logs and metrics
+
+struct DispatchAnswer
+{
+    JobOutcome outcome = JobOutcome::Unknown;
+    std::string reason;    // empty for Completed
+    Duration retryAfter{}; // for Refused: when there will be room
+};
+
+struct AnswerJob
+{
+    CallerId caller;
+    DispatchAnswer answer;
+};
+
+struct SendToAgent
+{
+    Incarnation agent;
+    PeerMessage message;
+};
+
+using DispatcherEffect = std::variant<AnswerJob, SendToAgent, LogEvent>;
+using DispatcherOutbox = std::vector<DispatcherEffect>;
+
+struct DispatcherSettings
+{
+    std::string dataCentre;
+    std::uint64_t seed = 0;
+    // A run that an agent was told to start has ended this long after the agent was last heard.
+    Duration proofTime = std::chrono::milliseconds(1800);
+};
+
+class JobDispatcher
+{
+public:
+    explicit JobDispatcher(DispatcherSettings settings);
+
+    // Commands
+    void configure(DispatchConfig config, TimePoint now, DispatcherOutbox &out);
+    // `patience` is how long the caller waits from now.
+    void submit(CallerId caller, BestEffortJob job, Duration patience, TimePoint now,
+                DispatcherOutbox &out);
+    void callerGone(CallerId caller, TimePoint now, DispatcherOutbox &out);
+    void onConnected(const PeerHello &agent, TimePoint now, DispatcherOutbox &out);
+    void onDisconnected(Incarnation agent, TimePoint now, DispatcherOutbox &out);
+    void onMessage(Incarnation agent, const PeerMessage &message, TimePoint now,
+                   DispatcherOutbox &out);
+    void onTimer(TimePoint now, DispatcherOutbox &out);
+    void beginShutdown(TimePoint now, DispatcherOutbox &out);
+
+    // Queries
+    const DispatchConfig &config() const { return m_config; }
+    const QueueSettings *findQueue(std::string_view name) const;
+    std::size_t openJobs() const { return m_jobs.size(); }
+    std::size_t waitingJobs(std::string_view queue) const; // nothing of which has started
+    const WorkerDirectory &workers() const { return m_directory; }
+    TimePoint nextTimer() const;
+
+private:
+    enum class State {
+        Waiting,
+        Assigned, // sent to an agent, not known to have started
+        Running,
+        Withdrawn, // asked to be stopped; the agent's proof is awaited
+        Unproven,  // its agent is not connected; may run
+        Done,
+    };
+
+    struct Task
+    {
+        State state = State::Waiting;
+        std::uint32_t attempt = 0; // newest
+        int failures = 0;
+        WorkerKey worker;
+        std::string agentName;
+        TimePoint provenAt = NeverTime; // Unproven: has ended by then
+        std::optional<WorkerKey> avoid;
+    };
+
+    using JobNumber = std::uint64_t;
+
+    struct Job
+    {
+        std::vector<CallerId> callers; // of this id; empty once all have left
+        BestEffortJob spec;
+        int priority = 0;
+        int maxAttempts = 1;
+        std::string upstream;
+        TimePoint arrivedAt{};
+        TimePoint objectiveAt{}; // an answer by then meets the queue's objective
+        TimePoint deadline{};    // the caller waits no longer
+        Duration expectedRun{};
+        bool everStarted = false;
+        std::optional<DispatchAnswer>
+            closing;         // its tasks are being withdrawn; then this is the answer
+        TimePoint closeBy{}; // without the proofs by then the outcome is Unknown
+        std::vector<Task> tasks;
+        std::size_t waiting = 0;
+        std::size_t done = 0;
+        TimePoint firstStartAt{};
+    };
+
+    // Attempts of a job that comes again must be higher than those that may still run.
+    struct PastJob
+    {
+        std::uint32_t attempt = 0;
+        TimePoint endedAt{};
+    };
+
+    // Order in which jobs get room: urgent first, begun jobs before others, then by arrival.
+    struct Rank
+    {
+        int priority = 0;
+        bool isNew = true;
+        JobNumber number = 0;
+        auto operator<=>(const Rank &) const = default; // NOLINT(modernize-use-nullptr)
+    };
+
+    Rank rankOf(JobNumber number, const Job &job) const;
+    CoreMs workOf(const Job &job) const; // of one task
+    void setState(JobNumber number, Job &job, Task &task, State state);
+    void place(TimePoint now, DispatcherOutbox &out);
+    bool placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
+                   DispatcherOutbox &out);
+    void step(TimePoint now, DispatcherOutbox &out);
+    void expire(TimePoint now, DispatcherOutbox &out);
+    void beginClosing(JobNumber number, Job &job, DispatchAnswer answer, TimePoint now,
+                      DispatcherOutbox &out);
+    void finish(JobNumber number, DispatchAnswer answer, TimePoint now, DispatcherOutbox &out);
+    void withdraw(const Job &job, std::uint32_t index, DispatcherOutbox &out) const;
+    void refuse(CallerId caller, const BestEffortJob &job, std::string reason, Duration retryAfter,
+                DispatcherOutbox &out);
+    void onStarted(Incarnation agent, const TaskStarted &message, TimePoint now,
+                   DispatcherOutbox &out);
+    void onEnded(Incarnation agent, const TaskEnded &message, TimePoint now, DispatcherOutbox &out);
+    void onStartRefused(Incarnation agent, const StartRefused &message, TimePoint now,
+                        DispatcherOutbox &out);
+    void onInventory(Incarnation agent, const TaskInventory &inventory, TimePoint now,
+                     DispatcherOutbox &out);
+    // The attempt does not run and never will: the task waits again or the job ends.
+    void onProof(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
+                 DispatcherOutbox &out);
+    void checkClosed(JobNumber number, TimePoint now, DispatcherOutbox &out);
+    // The open job whose task has this attempt at this agent; none for messages that came too late.
+    std::pair<JobNumber, Job *> findJob(const TaskId &task, Incarnation agent,
+                                        std::uint32_t attempt);
+    void onUnknownTask(Incarnation agent, const TaskStarted &task, DispatcherOutbox &out) const;
+    Duration expectedSpan(const Job &job) const;
+
+    DispatcherSettings m_settings;
+    DispatchConfig m_config;
+    WorkerDirectory m_directory;
+    LoadControl m_load;
+    RunTimeModel m_runTimes;
+    std::map<JobNumber, Job> m_jobs;
+    std::map<std::string, JobNumber, std::less<>> m_jobsById;
+    std::map<std::string, PastJob, std::less<>> m_pastJobs; // that may have runs left
+    std::map<CallerId, JobNumber> m_jobsByCaller;
+    std::set<Rank> m_ready; // jobs with waiting tasks that are not being closed
+    std::map<Incarnation, PeerHello> m_agents;
+    JobNumber m_lastJob = 0;
+    std::map<Incarnation, std::uint32_t> m_entriesHeard; // as the agents report
+    bool m_shuttingDown = false;
+};
+
+} // namespace cactuscove
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
 // Entry point: picks the role or operator command.
 
 #include "agentprocess.h"
+#include "dispatchagent.h"
+#include "dispatchentry.h"
 #include "entryprocess.h"
 #include "operatorcommands.h"
 #include "settings.h"
@@ -12,21 +14,26 @@
 
 namespace {
 
-constexpr char Usage[] = "usage: cactuscove <command> [flags]\n"
-                         "\n"
-                         "roles\n"
-                         "  entry     serves callers and operators, feeds the agents\n"
-                         "  agent     runs beside one upstream instance\n"
-                         "\n"
-                         "operator commands\n"
-                         "  apply     put a configuration file in force\n"
-                         "  plan      show what a file would change\n"
-                         "  validate  check a file\n"
-                         "  get       print the file in force\n"
-                         "  history   list the accepted revisions\n"
-                         "  status    show the fleet\n"
-                         "\n"
-                         "  --help, --version; each command has its own --help\n";
+constexpr char Usage[]
+    = "usage: cactuscove <command> [flags]\n"
+      "\n"
+      "roles\n"
+      "  entry     serves callers and operators, feeds the agents\n"
+      "  agent     runs beside one upstream instance\n"
+      "\n"
+      "roles on the users' platform, for best-effort jobs; see docs/platform.md\n"
+      "  dispatch-entry  takes jobs and coordinates them\n"
+      "  dispatch-agent  runs tasks on the workers beside it\n"
+      "\n"
+      "operator commands\n"
+      "  apply     put a configuration file in force\n"
+      "  plan      show what a file would change\n"
+      "  validate  check a file\n"
+      "  get       print the file in force\n"
+      "  history   list the accepted revisions\n"
+      "  status    show the fleet\n"
+      "\n"
+      "  --help, --version; each command has its own --help\n";
 
 constexpr int UsageError = 2;
 
@@ -58,6 +65,10 @@
     if (command == "entry" || command == "agent")
         return runRole(command == "entry" ? cactuscove::Role::Entry : cactuscove::Role::Agent,
                        rest);
+    if (command == "dispatch-entry")
+        return cactuscove::runDispatchEntry(rest);
+    if (command == "dispatch-agent")
+        return cactuscove::runDispatchAgent(rest);
     if (cactuscove::isOperatorCommand(command))
         return static_cast<int>(cactuscove::runOperatorCommand(arguments, std::cout, std::cerr));
     if (command == "--version") {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -30,6 +30,7 @@
     {"cactuscove_peer_calls_total", "Calls to other processes, by result."},
     {"cactuscove_jobs_answered_total", "Answers given to callers, by outcome and reason."},
     {"cactuscove_upstream_starts_total", "Tasks started on the upstream, by result."},
+    {"cactuscove_worker_calls_total", "Calls to workers, by kind (start, stop, hold)."},
     {"cactuscove_log_appends_total", "Appends to the log, by result."},
 };
 
@@ -44,6 +45,8 @@
     {"cactuscove_upstream_free_slots", "Free slots of the upstream beside this agent."},
     {"cactuscove_tasks_queued", "Reservations that wait at this agent."},
     {"cactuscove_remembered_keys", "Job keys that this entry remembers."},
+    {"cactuscove_open_jobs", "Best-effort jobs that this entry coordinates."},
+    {"cactuscove_open_tasks", "Best-effort tasks queued or running beside this agent."},
     {"cactuscove_open_requests", "HTTP requests that are not yet answered."},
 };
 
--- /dev/null
+++ b/src/taskrunner.cpp
@@ -0,0 +1,798 @@
+// Inputs of the task runner: workers, entries, replies and time.
+
+#include "taskrunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A worker carries a start out by then or refuses it. Longer than the repeats of an unanswered
+// start take, shorter than the pause after which a caller repeats a lost job.
+constexpr Duration StartWindow = 250ms;
+// Calls go to the same machine; an answer that takes longer is lost or the worker is stuck.
+constexpr Duration CallTimeout = 40ms;
+constexpr Duration HoldSlack = 60ms; // on top of the wait of a hold
+constexpr Duration BusyHoldWait = 100ms;
+constexpr Duration IdleHoldWait = 400ms;
+constexpr Duration RetryPause = 20ms; // after a call that could not be sent
+constexpr int MaxStartCalls = 4;      // then the run is stopped, which leaves a tombstone
+constexpr int UnresponsiveHolds = 2;  // unanswered in a row; then the lease is not renewed
+constexpr Duration UnhealthyPause = 200ms;
+// The worker's clock may be 2% slow; the rest is for calls under way.
+constexpr Duration LeaseSlack = 60ms;
+constexpr Duration EndedMemory = 4s;       // an entry that reconnects learns ends up to this old
+constexpr Duration WorkerSilence = 6s;     // several heartbeats
+constexpr std::size_t MaxListedEnds = 500; // of one reply; a longer list continues in the next
+
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string text(std::int64_t n)
+{
+    return std::to_string(n);
+}
+
+} // namespace
+
+TaskRunner::TaskRunner(TaskRunnerSettings settings, TimePoint startedAt)
+    : m_settings(settings)
+    , m_mayStartAt(startedAt + StartWindow + RetryPause)
+{}
+
+TaskRunner::Worker *TaskRunner::findWorker(std::string_view id)
+{
+    const auto it = m_workers.find(id);
+    return it == m_workers.end() ? nullptr : &it->second;
+}
+
+void TaskRunner::hear(Worker &worker, WorkerClock clock, TimePoint now)
+{
+    worker.heardAt = now;
+    if (clock < worker.clock)
+        return; // answers on different connections may overtake each other
+    worker.clock = clock;
+    worker.clockAt = now;
+}
+
+WorkerClock TaskRunner::workerTime(const Worker &worker, TimePoint at) const
+{
+    return WorkerClock{worker.clock.value + toMs(at - worker.clockAt)};
+}
+
+bool TaskRunner::isSilent(Incarnation entry, TimePoint now) const
+{
+    const auto it = m_entries.find(entry);
+    return it == m_entries.end() || now - it->second.heardAt > m_settings.entrySilence;
+}
+
+Resources TaskRunner::used(const Worker &worker) const
+{
+    Resources sum;
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state != State::Queued)
+            sum += task.assignment.needs;
+    return sum;
+}
+
+// Workers
+
+void TaskRunner::beginLife(Worker &worker, const WorkerInfo &info, TimePoint now, RunnerOutbox &out)
+{
+    loseAllRuns(worker, "worker_restarted", now, out);
+    Worker fresh;
+    for (auto &[id, task] : worker.tasks)
+        if (task.state == State::Queued)
+            fresh.tasks.emplace(id, std::move(task));
+    fresh.info = info;
+    fresh.heardAt = now;
+    fresh.leaseEnd = now;
+    worker = std::move(fresh);
+}
+
+void TaskRunner::onWorker(const WorkerInfo &info, TimePoint now, RunnerOutbox &out)
+{
+    const auto [it, isNew] = m_workers.try_emplace(info.id);
+    Worker &worker = it->second;
+    const bool isNewLife = !isNew && info.bornAtMs != worker.info.bornAtMs;
+    // A heartbeat that was delayed on the way says nothing about now.
+    if (!isNew
+        && (info.bornAtMs < worker.info.bornAtMs
+            || (!isNewLife && info.sequence < worker.info.sequence)))
+        return;
+    if (isNew || isNewLife) {
+        beginLife(worker, info, now, out);
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "worker_joined",
+                                  {{"worker", info.id},
+                                   {"upstream", info.upstream},
+                                   {"address", info.address},
+                                   {"cpu", text(info.capacity.cpuMillis)},
+                                   {"born_ms", text(info.bornAtMs)}}});
+    }
+    WorkerInfo previous = std::exchange(worker.info, info);
+    worker.heardAt = now;
+    previous.sequence = info.sequence;
+    if (isNew || isNewLife || previous != info) {
+        if (info.isDraining && !previous.isDraining)
+            out.emplace_back(
+                LogEvent{Severity::Info,
+                         "worker_draining",
+                         {{"worker", info.id},
+                          {"sequence", text(static_cast<std::int64_t>(info.sequence))}}});
+        for (const auto &[entry, state] : m_entries)
+            out.emplace_back(SendToEntry{entry, WorkerUpdate{info, false}});
+        ++m_loadVersion;
+    }
+    step(now, out);
+}
+
+void TaskRunner::onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out)
+{
+    const auto it = m_workers.find(workerId);
+    if (it == m_workers.end())
+        return;
+    Worker &worker = it->second;
+    loseAllRuns(worker, "worker_left", now, out);
+    while (!worker.tasks.empty())
+        refuseTask(worker, worker.tasks.begin(), StartRefusal::NoWorker, now, out);
+    for (const auto &[entry, state] : m_entries)
+        out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
+    out.emplace_back(LogEvent{Severity::Info, "worker_gone", {{"worker", worker.info.id}}});
+    m_workers.erase(it);
+    ++m_loadVersion;
+    step(now, out);
+}
+
+// Starts and stops
+
+void TaskRunner::sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
+{
+    task.state = State::Starting;
+    task.call = newCall();
+    m_calls[task.call] = worker.info.id;
+    worker.leaseEnd = std::max(worker.leaseEnd, now + StartWindow + LeaseSlack);
+    out.emplace_back(StartRun{task.call, worker.info.id, worker.info.address, task.assignment.task,
+                              task.assignment.attempt, task.assignment.payload,
+                              WorkerClock{workerTime(worker, now).value + toMs(StartWindow)},
+                              CallTimeout});
+}
+
+void TaskRunner::sendStop(Worker &worker, Task &task, RunnerOutbox &out)
+{
+    task.call = newCall();
+    m_calls[task.call] = worker.info.id;
+    out.emplace_back(StopRun{task.call, worker.info.id, worker.info.address, task.assignment.task,
+                             task.assignment.attempt, CallTimeout});
+}
+
+void TaskRunner::stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
+                          RunnerOutbox &out)
+{
+    if (task.state == State::Stopping)
+        return;
+    const auto entry = m_entries.find(task.entry);
+    const Duration heardAgo
+        = entry == m_entries.end() ? Duration::max() : now - entry->second.heardAt;
+    out.emplace_back(LogEvent{Severity::Info,
+                              "task_stopping",
+                              {{"job", task.assignment.task.jobId},
+                               {"task", text(task.assignment.task.index)},
+                               {"attempt", text(task.assignment.attempt)},
+                               {"worker", worker.info.id},
+                               {"reason", std::string(reason)},
+                               {"ran_ms", text(toMs(now - task.sentAt))},
+                               {"entry_heard_ms", text(toMs(heardAgo))}}});
+    m_calls.erase(task.call);
+    task.state = State::Stopping;
+    task.stopAcknowledged = false;
+    sendStop(worker, task, out);
+}
+
+void TaskRunner::stopOrphans(Worker &worker, RunnerOutbox &out)
+{
+    for (Orphan &it : worker.orphans) {
+        if (it.stopAcknowledged || it.call.value != 0)
+            continue;
+        it.call = newCall();
+        m_calls[it.call] = worker.info.id;
+        out.emplace_back(StopRun{it.call, worker.info.id, worker.info.address, it.task, it.attempt,
+                                 CallTimeout});
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "orphan_stopping",
+                                  {{"job", it.task.jobId},
+                                   {"task", text(it.task.index)},
+                                   {"attempt", text(it.attempt)},
+                                   {"worker", worker.info.id}}});
+    }
+}
+
+void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    if (!worker.isSynced || worker.info.isDraining || !worker.orphans.empty() || now < m_mayStartAt
+        || now < worker.unhealthyUntil || worker.holdsUnanswered >= UnresponsiveHolds)
+        return;
+    Resources room = worker.info.capacity - used(worker);
+    while (true) {
+        Task *best = nullptr;
+        for (auto &[id, task] : worker.tasks) {
+            if (task.state != State::Queued)
+                continue;
+            const auto rank = std::pair(task.assignment.priority, task.arrival);
+            if (!best || rank < std::pair(best->assignment.priority, best->arrival))
+                best = &task;
+        }
+        // Only the first in order may start: smaller tasks behind it must not starve it.
+        if (!best || !best->assignment.needs.fitsIn(room))
+            return;
+        room -= best->assignment.needs;
+        best->sentAt = now;
+        sendStart(worker, *best, now, out);
+    }
+}
+
+void TaskRunner::markRunning(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
+{
+    if (task.ranForSure)
+        return;
+    task.ranForSure = true;
+    task.startedAt = now;
+    if (task.state != State::Starting)
+        return;
+    task.state = State::Running;
+    m_calls.erase(task.call);
+    worker.unhealthyUntil = TimePoint{};
+    out.emplace_back(
+        SendToEntry{task.entry, TaskStarted{task.assignment.task, task.assignment.attempt}});
+}
+
+void TaskRunner::onStartReply(WorkerCallId call, const StartReply &reply, TimePoint now,
+                              RunnerOutbox &out)
+{
+    const auto node = m_calls.extract(call);
+    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped());
+    if (!worker)
+        return step(now, out);
+    if (reply.clock)
+        hear(*worker, *reply.clock, now);
+    const auto it
+        = std::find_if(worker->tasks.begin(), worker->tasks.end(), [&](const auto &entry) {
+              return entry.second.call == call && entry.second.state == State::Starting;
+          });
+    if (it == worker->tasks.end())
+        return step(now, out);
+    Task &task = it->second;
+    task.call = {};
+    // An earlier start without an answer may still be carried out, so only a stop proves that not.
+    const bool isProof = task.startCalls == 0;
+    switch (reply.answer) {
+    case StartAnswer::Accepted:
+        markRunning(*worker, task, now, out);
+        break;
+    case StartAnswer::OldAttempt:
+        if (isProof) {
+            refuseTask(*worker, it, StartRefusal::OldAttempt, now, out);
+            break;
+        }
+        // The unanswered start was carried out and has ended: the next list of ends tells how.
+        task.state = State::Stopping;
+        task.stopAcknowledged = true;
+        task.stopAcknowledgedAt = now;
+        break;
+    case StartAnswer::NoRoom:
+    case StartAnswer::Late:
+    case StartAnswer::Unhealthy:
+    case StartAnswer::Invalid:
+        if (reply.answer != StartAnswer::Late)
+            worker->unhealthyUntil = now + UnhealthyPause;
+        if (!isProof)
+            stopTask(*worker, task, "start_unclear", now, out);
+        else
+            refuseTask(*worker, it,
+                       reply.answer == StartAnswer::Late ? StartRefusal::Expired
+                                                         : StartRefusal::Unhealthy,
+                       now, out);
+        break;
+    case StartAnswer::OtherLife:
+        return onWorkerLeft(std::string(worker->info.id), now, out);
+    case StartAnswer::NotSent:
+        worker->unhealthyUntil = now + RetryPause;
+        if (isProof)
+            refuseTask(*worker, it, StartRefusal::Unhealthy, now, out);
+        else
+            stopTask(*worker, task, "start_unclear", now, out);
+        break;
+    case StartAnswer::NoAnswer:
+        ++task.startCalls;
+        if (task.startCalls < MaxStartCalls && !isSilent(task.entry, now))
+            sendStart(*worker, task, now, out);
+        else
+            stopTask(*worker, task, "start_unanswered", now, out);
+        break;
+    }
+    step(now, out);
+}
+
+void TaskRunner::onStopReply(WorkerCallId call, const StopReply &reply, TimePoint now,
+                             RunnerOutbox &out)
+{
+    const auto node = m_calls.extract(call);
+    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped());
+    if (!worker)
+        return step(now, out);
+    if (reply.clock)
+        hear(*worker, *reply.clock, now);
+    if (reply.answer == CallAnswer::OtherLife)
+        return onWorkerLeft(std::string(worker->info.id), now, out);
+    const bool isStopped = reply.answer == CallAnswer::Ok;
+    for (auto &[id, task] : worker->tasks) {
+        if (task.call != call || task.state != State::Stopping)
+            continue;
+        task.call = {};
+        task.stopAcknowledged = isStopped;
+        task.stopAcknowledgedAt = now;
+        if (!isStopped && reply.answer == CallAnswer::NoAnswer)
+            sendStop(*worker, task, out);
+    }
+    for (Orphan &it : worker->orphans) {
+        if (it.call != call)
+            continue;
+        it.call = {};
+        it.stopAcknowledged = isStopped;
+    }
+    step(now, out);
+}
+
+// Lists of what runs and what has ended
+
+void TaskRunner::sendHold(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    const bool isBusy = !worker.tasks.empty() || !worker.orphans.empty();
+    HoldRuns hold;
+    hold.call = worker.hold = newCall();
+    hold.worker = worker.info.id;
+    hold.address = worker.info.address;
+    hold.acknowledged = worker.acknowledged;
+    hold.wait = !worker.isSynced || worker.holdsUnanswered > 0 ? Duration{}
+                : isBusy                                       ? BusyHoldWait
+                                                               : IdleHoldWait;
+    hold.timeout = hold.wait + HoldSlack;
+    // Orphans are stopped, so their lease is not renewed. A worker that does not answer gets no
+    // renewal that could be carried out late.
+    if (worker.isSynced && worker.orphans.empty() && worker.holdsUnanswered < UnresponsiveHolds) {
+        hold.leaseUntil = WorkerClock{workerTime(worker, now).value + toMs(m_settings.leaseTime)};
+        worker.leaseEnd = std::max(worker.leaseEnd, now + m_settings.leaseTime
+                                                        + m_settings.leaseTime / 50 + LeaseSlack);
+    }
+    worker.holdSentAt = now;
+    m_calls[hold.call] = worker.info.id;
+    out.emplace_back(std::move(hold));
+}
+
+void TaskRunner::onHoldReply(WorkerCallId call, const HoldReply &reply, TimePoint now,
+                             RunnerOutbox &out)
+{
+    const auto node = m_calls.extract(call);
+    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped());
+    if (!worker || worker->hold != call)
+        return step(now, out);
+    worker->hold = {};
+    switch (reply.answer) {
+    case CallAnswer::OtherLife:
+        return onWorkerLeft(std::string(worker->info.id), now, out);
+    case CallAnswer::NotSent:
+    case CallAnswer::NoAnswer:
+        ++worker->holdsUnanswered;
+        worker->holdRetryAt = now + (reply.answer == CallAnswer::NotSent ? RetryPause : Duration{});
+        if (worker->holdsUnanswered == UnresponsiveHolds) {
+            out.emplace_back(LogEvent{
+                Severity::Warning,
+                "worker_unresponsive",
+                {{"worker", worker->info.id}, {"heard_ms", text(toMs(now - worker->heardAt))}}});
+            ++m_loadVersion;
+        }
+        break;
+    case CallAnswer::Ok:
+        if (reply.bornAtMs != 0 && reply.bornAtMs != worker->info.bornAtMs) {
+            // The worker restarted under its id; its heartbeat with the new birth follows.
+            return onWorkerLeft(std::string(worker->info.id), now, out);
+        }
+        if (worker->holdsUnanswered >= UnresponsiveHolds) {
+            out.emplace_back(LogEvent{
+                Severity::Info,
+                "worker_responsive",
+                {{"worker", worker->info.id}, {"heard_ms", text(toMs(now - worker->heardAt))}}});
+            ++m_loadVersion;
+        }
+        worker->holdsUnanswered = 0;
+        hear(*worker, reply.clock, now);
+        applyLists(*worker, reply, now, out);
+        break;
+    }
+    step(now, out);
+}
+
+void TaskRunner::applyLists(Worker &worker, const HoldReply &reply, TimePoint now,
+                            RunnerOutbox &out)
+{
+    const bool wasClean = worker.orphans.empty();
+    for (const EndedRun &end : reply.ended) {
+        if (end.number <= worker.acknowledged)
+            continue;
+        worker.acknowledged = end.number;
+        std::erase_if(worker.orphans, [&](const Orphan &it) {
+            return it.task == end.task && it.attempt <= end.attempt;
+        });
+        const auto it = worker.tasks.find(end.task);
+        if (it != worker.tasks.end() && it->second.assignment.attempt == end.attempt
+            && it->second.state != State::Queued)
+            endTask(worker, it, end.end, now, out);
+    }
+    for (const ActiveRun &run : reply.active) {
+        const auto it = worker.tasks.find(run.task);
+        if (it != worker.tasks.end() && it->second.assignment.attempt == run.attempt) {
+            markRunning(worker, it->second, now, out);
+            it->second.percent = run.percent;
+            it->second.percentAt = now;
+            continue;
+        }
+        const bool isKnown
+            = std::any_of(worker.orphans.begin(), worker.orphans.end(), [&](const Orphan &orphan) {
+                  return orphan.task == run.task && orphan.attempt == run.attempt;
+              });
+        if (!isKnown)
+            worker.orphans.push_back({run.task, run.attempt, {}, false});
+    }
+    const auto isListed = [&](const TaskId &task, std::uint32_t attempt) {
+        return std::any_of(reply.active.begin(), reply.active.end(), [&](const ActiveRun &it) {
+            return it.task == task && it.attempt == attempt;
+        });
+    };
+    std::erase_if(worker.orphans, [&](const Orphan &it) { return !isListed(it.task, it.attempt); });
+    if (reply.ended.size() < MaxListedEnds) {
+        std::vector<TaskId> missing;
+        for (const auto &[id, task] : worker.tasks) {
+            const bool wasThere
+                = task.state == State::Running && task.startedAt < worker.holdSentAt;
+            const bool wasStopped = task.state == State::Stopping && task.stopAcknowledged
+                                    && task.stopAcknowledgedAt < worker.holdSentAt;
+            if ((wasThere || wasStopped) && !isListed(id, task.assignment.attempt))
+                missing.push_back(id);
+        }
+        for (const TaskId &id : missing) {
+            const auto it = worker.tasks.find(id);
+            if (it->second.ranForSure)
+                endTask(worker, it, TaskEnd::Lost, now, out);
+            else
+                refuseTask(worker, it, StartRefusal::Withdrawn, now, out);
+        }
+    }
+    const bool isClean = worker.orphans.empty();
+    if (!worker.isSynced || wasClean != isClean)
+        ++m_loadVersion;
+    worker.isSynced = true;
+}
+
+// Ends
+
+void TaskRunner::endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end,
+                         TimePoint now, RunnerOutbox &out)
+{
+    const auto node = worker.tasks.extract(it);
+    const Task &task = node.mapped();
+    const Duration runTime = now - task.sentAt;
+    m_calls.erase(task.call);
+    const TaskEnded message{task.assignment.task, task.assignment.attempt, end, runTime};
+    m_ended.push_back({task.entry, message, now});
+    out.emplace_back(SendToEntry{task.entry, message});
+    out.emplace_back(LogEvent{Severity::Info,
+                              "task_ended",
+                              {{"job", task.assignment.task.jobId},
+                               {"task", text(task.assignment.task.index)},
+                               {"attempt", text(task.assignment.attempt)},
+                               {"worker", worker.info.id},
+                               {"end", std::string(nameOf(end))},
+                               {"ran_ms", text(toMs(runTime))},
+                               {"expected_ms", text(toMs(task.assignment.expectedRun))},
+                               {"start_calls", text(task.startCalls + 1)}}});
+    learn(worker, task, end, runTime);
+    ++m_loadVersion;
+}
+
+void TaskRunner::refuse(Incarnation entry, const AssignTask &assignment, StartRefusal reason,
+                        std::string_view worker, RunnerOutbox &out)
+{
+    out.emplace_back(SendToEntry{entry, StartRefused{assignment.task, assignment.attempt, reason}});
+    out.emplace_back(LogEvent{Severity::Info,
+                              "task_refused",
+                              {{"job", assignment.task.jobId},
+                               {"task", text(assignment.task.index)},
+                               {"attempt", text(assignment.attempt)},
+                               {"worker", std::string(worker)},
+                               {"reason", std::string(nameOf(reason))}}});
+}
+
+void TaskRunner::refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it,
+                            StartRefusal reason, TimePoint, RunnerOutbox &out)
+{
+    const auto node = worker.tasks.extract(it);
+    m_calls.erase(node.mapped().call);
+    refuse(node.mapped().entry, node.mapped().assignment, reason, worker.info.id, out);
+    ++m_loadVersion;
+}
+
+void TaskRunner::loseAllRuns(Worker &worker, std::string_view reason, TimePoint now,
+                             RunnerOutbox &out)
+{
+    std::vector<TaskId> lost;
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state != State::Queued)
+            lost.push_back(id);
+    if (!lost.empty())
+        out.emplace_back(LogEvent{Severity::Warning,
+                                  "runs_lost",
+                                  {{"worker", worker.info.id},
+                                   {"reason", std::string(reason)},
+                                   {"count", text(static_cast<std::int64_t>(lost.size()))},
+                                   {"heard_ms", text(toMs(now - worker.heardAt))}}});
+    for (const TaskId &id : lost)
+        endTask(worker, worker.tasks.find(id), TaskEnd::Lost, now, out);
+    worker.orphans.clear();
+}
+
+// Weights of the newest end in the running means of a worker's speed and failures.
+void TaskRunner::learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime)
+{
+    constexpr double NewestSpeed = 0.1;
+    constexpr double NewestEnd = 0.15;
+    constexpr double MaxRatio = 10; // one stuck task must not condemn a worker
+    if (end == TaskEnd::Done && task.assignment.expectedRun > Duration{}) {
+        const double ratio = static_cast<double>(runTime.count())
+                             / static_cast<double>(task.assignment.expectedRun.count());
+        worker.slowness += NewestSpeed * (std::min(ratio, MaxRatio) - worker.slowness);
+    }
+    if (end == TaskEnd::Done || end == TaskEnd::Failed)
+        worker.failureShare += NewestEnd * ((end == TaskEnd::Failed) - worker.failureShare);
+}
+
+// Entries
+
+void TaskRunner::onEntryHello(Incarnation entry, std::string_view name, TimePoint now,
+                              RunnerOutbox &out)
+{
+    // A new process at the entry's instance: the one before it is gone, and so are its callers.
+    for (auto &[id, other] : m_entries)
+        if (other.name == name && id != entry)
+            other.heardAt = std::min(other.heardAt, now - m_settings.entrySilence - Duration(1));
+    Entry &it = m_entries[entry];
+    it.name = name;
+    it.heardAt = now;
+    it.assignments = 0;
+    step(now, out);
+}
+
+void TaskRunner::onEntryHeard(Incarnation entry, TimePoint now)
+{
+    const auto it = m_entries.find(entry);
+    if (it != m_entries.end())
+        it->second.heardAt = now;
+}
+
+void TaskRunner::onAssign(Incarnation entry, AssignTask assignment, TimePoint now,
+                          RunnerOutbox &out)
+{
+    const auto from = m_entries.find(entry);
+    if (from == m_entries.end())
+        return;
+    from->second.assignments = std::max(from->second.assignments, assignment.number);
+    ++m_loadVersion;
+    Worker *worker = findWorker(assignment.workerId);
+    if (now > assignment.startBy)
+        return refuse(entry, assignment, StartRefusal::Expired, assignment.workerId, out);
+    if (!worker || m_shuttingDown)
+        return refuse(entry, assignment, StartRefusal::NoWorker, assignment.workerId, out);
+    if (worker->info.isDraining)
+        return refuse(entry, assignment, StartRefusal::Draining, assignment.workerId, out);
+    for (auto &[workerId, other] : m_workers) {
+        const auto same = other.tasks.find(assignment.task);
+        if (same == other.tasks.end())
+            continue;
+        Task &task = same->second;
+        if (task.entry == entry && task.assignment.attempt == assignment.attempt)
+            return;
+        if (task.state == State::Queued)
+            refuseTask(other, same, StartRefusal::Withdrawn, now, out);
+        else
+            stopTask(other, task, "superseded", now, out);
+        return refuse(entry, assignment, StartRefusal::Duplicate, assignment.workerId, out);
+    }
+    Task task;
+    task.entry = entry;
+    task.arrival = ++m_arrivals;
+    const TaskId id = assignment.task;
+    task.assignment = std::move(assignment);
+    worker->tasks.emplace(id, std::move(task));
+    step(now, out);
+}
+
+void TaskRunner::onWithdraw(Incarnation entry, const WithdrawTask &request, TimePoint now,
+                            RunnerOutbox &out)
+{
+    for (auto &[workerId, worker] : m_workers) {
+        const auto it = worker.tasks.find(request.task);
+        if (it == worker.tasks.end() || it->second.entry != entry
+            || it->second.assignment.attempt != request.attempt)
+            continue;
+        if (it->second.state == State::Queued)
+            refuseTask(worker, it, StartRefusal::Withdrawn, now, out);
+        else
+            stopTask(worker, it->second, "withdrawn", now, out);
+        return step(now, out);
+    }
+}
+
+// Time
+
+void TaskRunner::step(TimePoint now, RunnerOutbox &out)
+{
+    while (!m_ended.empty() && now - m_ended.front().at > EndedMemory)
+        m_ended.pop_front();
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        Worker &worker = (it++)->second;
+        expire(worker, now, out);
+        if (now - worker.heardAt > WorkerSilence)
+            return onWorkerLeft(std::string(worker.info.id), now, out);
+        stopOrphans(worker, out);
+        startQueued(worker, now, out);
+        if (worker.hold.value == 0 && now >= worker.holdRetryAt)
+            sendHold(worker, now, out);
+    }
+    std::erase_if(m_entries,
+                  [&](const auto &entry) { return now - entry.second.heardAt > EndedMemory; });
+}
+
+void TaskRunner::expire(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    if (worker.holdsUnanswered > 0 && now > worker.leaseEnd)
+        loseAllRuns(worker, "lease_expired", now, out);
+    std::vector<std::pair<TaskId, StartRefusal>> refused;
+    for (auto &[id, task] : worker.tasks) {
+        const bool isOrphaned = isSilent(task.entry, now);
+        if (task.state == State::Queued) {
+            if (isOrphaned)
+                refused.emplace_back(id, StartRefusal::Withdrawn);
+            else if (now > task.assignment.startBy)
+                refused.emplace_back(id, StartRefusal::Expired);
+            else if (worker.info.isDraining)
+                refused.emplace_back(id, StartRefusal::Draining);
+            else if (worker.holdsUnanswered >= UnresponsiveHolds)
+                refused.emplace_back(id, StartRefusal::Unhealthy);
+        } else if (task.state != State::Stopping) {
+            if (isOrphaned)
+                stopTask(worker, task, "entry_silent", now, out);
+            else if (now > task.assignment.endBy)
+                stopTask(worker, task, "out_of_time", now, out);
+        } else if (!task.stopAcknowledged && task.call.value == 0) {
+            sendStop(worker, task, out);
+        }
+    }
+    for (const auto &[id, reason] : refused)
+        refuseTask(worker, worker.tasks.find(id), reason, now, out);
+}
+
+void TaskRunner::onTimer(TimePoint now, RunnerOutbox &out)
+{
+    step(now, out);
+}
+
+void TaskRunner::beginShutdown(TimePoint now, RunnerOutbox &out)
+{
+    m_shuttingDown = true;
+    for (auto &[workerId, worker] : m_workers) {
+        std::vector<TaskId> waiting;
+        for (const auto &[id, task] : worker.tasks)
+            if (task.state == State::Queued)
+                waiting.push_back(id);
+        for (const TaskId &id : waiting)
+            refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, now, out);
+        for (const auto &[entry, state] : m_entries)
+            out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
+    }
+    step(now, out);
+}
+
+// Queries
+
+TimePoint TaskRunner::nextTimer() const
+{
+    TimePoint next = NeverTime;
+    for (const auto &[workerId, worker] : m_workers) {
+        if (worker.hold.value == 0)
+            next = std::min(next, worker.holdRetryAt);
+        next = std::min(next, worker.heardAt + WorkerSilence + Duration(1));
+        if (worker.tasks.empty())
+            continue;
+        if (worker.holdsUnanswered > 0)
+            next = std::min(next, worker.leaseEnd + Duration(1));
+        for (const auto &[id, task] : worker.tasks) {
+            if (task.state == State::Stopping)
+                continue;
+            const auto entry = m_entries.find(task.entry);
+            if (entry != m_entries.end())
+                next
+                    = std::min(next, entry->second.heardAt + m_settings.entrySilence + Duration(1));
+            next = std::min(next, (task.state == State::Queued ? task.assignment.startBy
+                                                               : task.assignment.endBy)
+                                      + Duration(1));
+            if (task.state == State::Queued)
+                next = std::min(next, std::max(m_mayStartAt, worker.unhealthyUntil) > worker.clockAt
+                                          ? std::max(m_mayStartAt, worker.unhealthyUntil)
+                                          : NeverTime);
+        }
+    }
+    return next;
+}
+
+TaskInventory TaskRunner::inventoryOf(Incarnation entry) const
+{
+    TaskInventory inventory;
+    for (const auto &[workerId, worker] : m_workers) {
+        inventory.isComplete &= worker.isSynced && worker.orphans.empty();
+        for (const auto &[id, task] : worker.tasks) {
+            if (task.entry != entry)
+                continue;
+            auto &list = task.ranForSure ? inventory.started : inventory.waiting;
+            list.push_back({id, task.assignment.attempt});
+        }
+    }
+    for (const EndedTask &it : m_ended)
+        if (it.entry == entry)
+            inventory.ended.push_back(it.end);
+    return inventory;
+}
+
+std::vector<WorkerUpdate> TaskRunner::workers() const
+{
+    std::vector<WorkerUpdate> updates;
+    for (const auto &[id, worker] : m_workers)
+        updates.push_back({worker.info, m_shuttingDown});
+    return updates;
+}
+
+std::vector<WorkerLoad> TaskRunner::loadsFor(Incarnation entry) const
+{
+    const auto from = m_entries.find(entry);
+    std::vector<WorkerLoad> loads;
+    for (const auto &[id, worker] : m_workers) {
+        WorkerLoad load;
+        load.workerId = id;
+        load.free = worker.info.capacity;
+        for (const auto &[taskId, task] : worker.tasks)
+            load.free -= task.assignment.needs;
+        const bool isUsable = worker.isSynced && worker.orphans.empty() && !worker.info.isDraining
+                              && worker.holdsUnanswered < UnresponsiveHolds && !m_shuttingDown;
+        if (!isUsable)
+            load.free = Resources{std::min<std::int64_t>(load.free.cpuMillis, 0), 0, 0};
+        load.slowness = worker.slowness;
+        load.failureShare = worker.failureShare;
+        load.assignments = from == m_entries.end() ? 0 : from->second.assignments;
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
+std::size_t TaskRunner::openTasks() const
+{
+    std::size_t n = 0;
+    for (const auto &[id, worker] : m_workers)
+        n += worker.tasks.size();
+    return n;
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/taskrunner.h
@@ -0,0 +1,267 @@
+// Runs best-effort tasks on the workers beside an agent: admits them by room, orders them by
+// urgency, starts and stops them, and learns their ends.
+//
+// Safety rests on three bounds. A task runs only while the entry that assigned it is heard: silence
+// for `entrySilence` stops it. A start carries a deadline on the worker's clock, so one that is
+// carried out late is refused by the worker. The lease of all runs at a worker is renewed by this
+// process only, so they end by themselves if it dies.
+//
+// No socket and no clock: inputs carry the time, which must count suspension of the machine.
+
+#pragma once
+
+#include "dispatchmessages.h"
+#include "outbox.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace cactuscove {
+
+using WorkerCallId = StrongId<struct WorkerCallIdTag>;
+
+// The worker's own clock, in ms since its start.
+using WorkerClock = StrongId<struct WorkerClockTag, std::int64_t>;
+
+// Calls to a worker. `worker` names one life; any other life at the address refuses the call.
+struct StartRun
+{
+    WorkerCallId call;
+    std::string worker;
+    std::string address;
+    TaskId task;
+    std::uint32_t attempt = 0;
+    std::string payload;
+    WorkerClock deadline; // the worker refuses the start later than this
+    Duration timeout{};
+};
+
+struct StopRun
+{
+    WorkerCallId call;
+    std::string worker;
+    std::string address;
+    TaskId task;
+    std::uint32_t attempt = 0;
+    Duration timeout{};
+};
+
+// Renews the lease of all runs and asks what runs and what has ended.
+struct HoldRuns
+{
+    WorkerCallId call;
+    std::string worker;
+    std::string address;
+    std::uint64_t acknowledged = 0;        // ends up to this number may be forgotten
+    std::optional<WorkerClock> leaseUntil; // none: the lease is not renewed
+    Duration wait{};                       // for an end
+    Duration timeout{};
+};
+
+enum class StartAnswer {
+    Accepted,   // runs, or already ran under this attempt
+    NoRoom,     // refused for want of room
+    Late,       // refused for its deadline
+    OldAttempt, // refused: this or a later attempt was stopped or has ended there
+    Unhealthy,  // refused by an unhealthy worker, nothing was done
+    Invalid,    // refused as malformed
+    OtherLife,  // refused: another life of the worker answers at the address
+    NotSent,    // provably not delivered
+    NoAnswer,   // may have been carried out, or may be later
+};
+
+struct StartReply
+{
+    StartAnswer answer = StartAnswer::NoAnswer;
+    std::optional<WorkerClock> clock;
+};
+
+enum class CallAnswer { Ok, OtherLife, NotSent, NoAnswer };
+
+struct StopReply
+{
+    CallAnswer answer = CallAnswer::NoAnswer;
+    std::optional<WorkerClock> clock;
+};
+
+struct ActiveRun
+{
+    TaskId task;
+    std::uint32_t attempt = 0;
+    int percent = 0; // of its work
+};
+
+struct EndedRun
+{
+    std::uint64_t number = 0; // from 1 in each life of the worker
+    TaskId task;
+    std::uint32_t attempt = 0;
+    TaskEnd end = TaskEnd::Lost;
+};
+
+struct HoldReply
+{
+    CallAnswer answer = CallAnswer::NoAnswer;
+    WorkerClock clock;
+    std::int64_t bornAtMs = 0; // 0 if the worker does not say
+    std::vector<ActiveRun> active;
+    std::vector<EndedRun> ended; // may be a part of the list
+};
+
+struct SendToEntry
+{
+    Incarnation entry;
+    PeerMessage message;
+};
+
+using RunnerEffect = std::variant<StartRun, StopRun, HoldRuns, SendToEntry, LogEvent>;
+using RunnerOutbox = std::vector<RunnerEffect>;
+
+struct TaskRunnerSettings
+{
+    Duration leaseTime = std::chrono::milliseconds(1000);   // longest lease that a worker grants
+    Duration stopTime = std::chrono::milliseconds(50);      // a stop takes at most this
+    Duration entrySilence = std::chrono::milliseconds(600); // then its tasks are stopped
+};
+
+class TaskRunner
+{
+public:
+    TaskRunner(TaskRunnerSettings settings, TimePoint startedAt);
+
+    // Workers
+    void onWorker(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    void onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out);
+    void onStartReply(WorkerCallId call, const StartReply &reply, TimePoint now, RunnerOutbox &out);
+    void onStopReply(WorkerCallId call, const StopReply &reply, TimePoint now, RunnerOutbox &out);
+    void onHoldReply(WorkerCallId call, const HoldReply &reply, TimePoint now, RunnerOutbox &out);
+
+    // Entries
+    void onEntryHello(Incarnation entry, std::string_view name, TimePoint now, RunnerOutbox &out);
+    void onEntryHeard(Incarnation entry, TimePoint now);
+    void onAssign(Incarnation entry, AssignTask assignment, TimePoint now, RunnerOutbox &out);
+    void onWithdraw(Incarnation entry, const WithdrawTask &request, TimePoint now,
+                    RunnerOutbox &out);
+
+    void onTimer(TimePoint now, RunnerOutbox &out);
+    // No new tasks from now on; what runs goes on.
+    void beginShutdown(TimePoint now, RunnerOutbox &out);
+
+    // Queries
+    TimePoint nextTimer() const;
+    TaskInventory inventoryOf(Incarnation entry) const;
+    std::vector<WorkerUpdate> workers() const;
+    std::vector<WorkerLoad> loadsFor(Incarnation entry) const;
+    std::uint64_t loadVersion() const { return m_loadVersion; } // changes with loadsFor()
+    std::size_t openTasks() const;                              // queued, running or being stopped
+
+private:
+    enum class State { Queued, Starting, Running, Stopping };
+
+    struct Task
+    {
+        AssignTask assignment;
+        Incarnation entry;
+        State state = State::Queued;
+        std::uint64_t arrival = 0;
+        TimePoint sentAt{};      // of the first start
+        TimePoint startedAt{};   // when the start was known to be carried out
+        int startCalls = 0;      // without an answer so far
+        bool ranForSure = false; // a start was accepted, or the run was listed
+        bool stopAcknowledged = false;
+        TimePoint stopAcknowledgedAt{};
+        WorkerCallId call; // open start or stop
+        int percent = 0;
+        TimePoint percentAt{};
+    };
+
+    // A run that another process of this agent started; its needs are not known.
+    struct Orphan
+    {
+        TaskId task;
+        std::uint32_t attempt = 0;
+        WorkerCallId call;
+        bool stopAcknowledged = false;
+    };
+
+    struct Worker
+    {
+        WorkerInfo info;
+        bool isSynced = false; // a list of its runs has been received in this life
+        bool isGone = false;
+        WorkerClock clock;    // of the newest answer
+        TimePoint clockAt{};  // when that was received
+        TimePoint heardAt{};  // heartbeat or answer
+        TimePoint leaseEnd{}; // latest end of any lease that was asked for
+        std::uint64_t acknowledged = 0;
+        WorkerCallId hold; // open; 0 if none
+        TimePoint holdSentAt{};
+        TimePoint holdRetryAt{}; // no hold before this
+        int holdsUnanswered = 0;
+        TimePoint unhealthyUntil{};
+        std::map<TaskId, Task> tasks;
+        std::vector<Orphan> orphans;
+        double slowness = 1;
+        double failureShare = 0;
+    };
+
+    struct Entry
+    {
+        std::string name;
+        TimePoint heardAt{};
+        std::uint64_t assignments = 0; // newest number
+    };
+
+    struct EndedTask
+    {
+        Incarnation entry;
+        TaskEnded end;
+        TimePoint at;
+    };
+
+    void step(TimePoint now, RunnerOutbox &out);
+    void expire(Worker &worker, TimePoint now, RunnerOutbox &out);
+    void startQueued(Worker &worker, TimePoint now, RunnerOutbox &out);
+    void sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
+    void sendHold(Worker &worker, TimePoint now, RunnerOutbox &out);
+    void stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
+                  RunnerOutbox &out);
+    void sendStop(Worker &worker, Task &task, RunnerOutbox &out);
+    void stopOrphans(Worker &worker, RunnerOutbox &out);
+    void endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end, TimePoint now,
+                 RunnerOutbox &out);
+    void refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it, StartRefusal reason,
+                    TimePoint now, RunnerOutbox &out);
+    void refuse(Incarnation entry, const AssignTask &assignment, StartRefusal reason,
+                std::string_view worker, RunnerOutbox &out);
+    void loseAllRuns(Worker &worker, std::string_view reason, TimePoint now, RunnerOutbox &out);
+    void beginLife(Worker &worker, const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    void markRunning(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
+    void applyLists(Worker &worker, const HoldReply &reply, TimePoint now, RunnerOutbox &out);
+    void learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime);
+    void hear(Worker &worker, WorkerClock clock, TimePoint now);
+    bool isSilent(Incarnation entry, TimePoint now) const;
+    Resources used(const Worker &worker) const;
+    WorkerClock workerTime(const Worker &worker, TimePoint at) const;
+    Worker *findWorker(std::string_view id);
+    WorkerCallId newCall() { return WorkerCallId{++m_lastCall}; }
+
+    TaskRunnerSettings m_settings;
+    TimePoint m_mayStartAt; // starts of an earlier process are refused by the workers from then on
+    std::map<std::string, Worker, std::less<>> m_workers;
+    std::map<Incarnation, Entry> m_entries;
+    std::map<WorkerCallId, std::string> m_calls; // worker of each open call
+    std::deque<EndedTask> m_ended;               // oldest first
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_arrivals = 0;
+    std::uint64_t m_loadVersion = 0;
+    bool m_shuttingDown = false;
+};
+
+} // namespace cactuscove
--- a/src/textencoding.cpp
+++ b/src/textencoding.cpp
@@ -80,4 +80,38 @@
     return text;
 }
 
+bool fromBase64(std::string_view base64, std::string &bytes)
+{
+    bytes.clear();
+    if (base64.size() % 4 != 0)
+        return false;
+    const auto valueOf = [](char c) {
+        if (c >= 'A' && c <= 'Z')
+            return c - 'A';
+        if (c >= 'a' && c <= 'z')
+            return c - 'a' + 26;
+        if (c >= '0' && c <= '9')
+            return c - '0' + 52;
+        return c == '+' ? 62 : c == '/' ? 63 : -1;
+    };
+    while (!base64.empty()) {
+        const bool isLast = base64.size() == 4;
+        std::uint32_t group = 0;
+        std::size_t padding = 0;
+        for (std::size_t i = 0; i < 4; ++i) {
+            const bool isPadding = base64[i] == '=' && isLast && i >= 2;
+            const int value = isPadding ? 0 : valueOf(base64[i]);
+            if (value < 0 || (padding > 0 && !isPadding))
+                return false;
+            padding += isPadding;
+            group = group << 6 | static_cast<std::uint32_t>(value);
+        }
+        const char decoded[] = {static_cast<char>(group >> 16), static_cast<char>(group >> 8),
+                                static_cast<char>(group)};
+        bytes.append(decoded, 3 - padding);
+        base64.remove_prefix(4);
+    }
+    return true;
+}
+
 } // namespace cactuscove
--- a/src/textencoding.h
+++ b/src/textencoding.h
@@ -13,6 +13,7 @@
 std::string toHex(std::string_view bytes);
 bool fromHex(std::string_view hex, std::string &bytes); // false on anything but pairs of hex digits
 
-std::string toBase64(std::string_view bytes); // RFC 4648 with padding
+std::string toBase64(std::string_view bytes);                 // RFC 4648 with padding
+bool fromBase64(std::string_view base64, std::string &bytes); // false on anything else
 
 } // namespace cactuscove
--- /dev/null
+++ b/src/workerdirectory.cpp
@@ -0,0 +1,237 @@
+// Room by the newest report less what was sent since; random choice weighted by room and speed.
+
+#include "workerdirectory.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Agents send at least a beat each 100 ms. A task sent to a silent agent may be stuck there.
+constexpr Duration AgentSilence = 350ms;
+// A worker whose failures exceed the fleet's mean by this much is used only if nothing else has
+// room.
+constexpr double FailureExcess = 0.35;
+// Weight of a worker falls with this power of its slowness.
+constexpr double SpeedPower = 2;
+constexpr double PreferredWeight = 4; // of a worker with the preferred label
+
+bool hasLabel(const WorkerInfo &worker, std::string_view label)
+{
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+} // namespace
+
+WorkerDirectory::WorkerDirectory(std::string dataCentre, std::uint64_t seed)
+    : m_dataCentre(std::move(dataCentre))
+    , m_random(seed)
+{}
+
+void WorkerDirectory::agentConnected(Incarnation agent, std::string_view name,
+                                     std::string_view dataCentre, TimePoint now)
+{
+    Agent &it = m_agents[agent];
+    it.name = name;
+    it.dataCentre = dataCentre;
+    it.isConnected = true;
+    it.heardAt = now;
+    it.assignments = 0;
+    for (auto &[key, worker] : m_workers) {
+        if (key.agent != agent)
+            continue;
+        worker.sent.clear();
+        worker.hasLoad = false; // the agent reports anew on each connection
+    }
+}
+
+void WorkerDirectory::agentDisconnected(Incarnation agent)
+{
+    const auto it = m_agents.find(agent);
+    if (it != m_agents.end())
+        it->second.isConnected = false;
+}
+
+void WorkerDirectory::agentHeard(Incarnation agent, TimePoint now)
+{
+    const auto it = m_agents.find(agent);
+    if (it != m_agents.end())
+        it->second.heardAt = now;
+}
+
+void WorkerDirectory::agentClock(Incarnation agent, TimePoint sentAt, TimePoint now)
+{
+    const auto it = m_agents.find(agent);
+    if (it == m_agents.end() || sentAt < it->second.clock)
+        return;
+    it->second.clock = sentAt;
+    it->second.clockAt = now;
+}
+
+void WorkerDirectory::forgetAgent(Incarnation agent)
+{
+    m_agents.erase(agent);
+    std::erase_if(m_workers, [&](const auto &it) { return it.first.agent == agent; });
+}
+
+void WorkerDirectory::update(Incarnation agent, const WorkerUpdate &update, TimePoint)
+{
+    const WorkerKey key{agent, update.worker.id};
+    if (update.isGone)
+        m_workers.erase(key);
+    else
+        m_workers[key].info = update.worker;
+}
+
+void WorkerDirectory::load(Incarnation agent, const WorkerLoad &load, TimePoint)
+{
+    const auto it = m_workers.find({agent, load.workerId});
+    if (it == m_workers.end())
+        return;
+    Worker &worker = it->second;
+    worker.load = load;
+    worker.hasLoad = true;
+    worker.sent.erase(worker.sent.begin(), worker.sent.upper_bound(load.assignments));
+}
+
+std::uint64_t WorkerDirectory::book(const WorkerKey &key, const Resources &needs)
+{
+    const std::uint64_t number = ++m_agents[key.agent].assignments;
+    m_workers[key].sent[number] = needs;
+    return number;
+}
+
+void WorkerDirectory::pause(const WorkerKey &key, TimePoint until)
+{
+    const auto it = m_workers.find(key);
+    if (it != m_workers.end())
+        it->second.pausedUntil = std::max(it->second.pausedUntil, until);
+}
+
+bool WorkerDirectory::isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const
+{
+    const auto agent = m_agents.find(key.agent);
+    return agent != m_agents.end() && agent->second.isConnected
+           && now - agent->second.heardAt < AgentSilence && agent->second.clock != TimePoint{}
+           && worker.hasLoad && !worker.info.isDraining && now >= worker.pausedUntil;
+}
+
+Resources WorkerDirectory::freeOf(const Worker &worker) const
+{
+    Resources free = worker.load.free;
+    for (const auto &[number, needs] : worker.sent)
+        free -= needs;
+    return free;
+}
+
+double WorkerDirectory::meanFailureShare() const
+{
+    double sum = 0;
+    for (const auto &[key, worker] : m_workers)
+        sum += worker.load.failureShare;
+    return m_workers.empty() ? 0 : sum / static_cast<double>(m_workers.size());
+}
+
+std::optional<WorkerKey> WorkerDirectory::choose(const Request &request, TimePoint now)
+{
+    struct Candidate
+    {
+        const WorkerKey *key;
+        double weight;
+    };
+    std::vector<Candidate> good;
+    std::vector<Candidate> doubtful;
+    const double failureLimit = meanFailureShare() + FailureExcess;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker.info.upstream != request.upstream || !isUsable(key, worker, now))
+            continue;
+        if (!request.requiredLabel.empty() && !hasLabel(worker.info, request.requiredLabel))
+            continue;
+        const std::int64_t room = freeOf(worker).countOf(request.needs);
+        if (room <= 0)
+            continue;
+        const double weight
+            = static_cast<double>(room) / std::pow(std::max(worker.load.slowness, 0.1), SpeedPower);
+        const bool isDoubtful
+            = worker.load.failureShare > failureLimit || (request.avoid && *request.avoid == key);
+        (isDoubtful ? doubtful : good).push_back({&key, weight});
+    }
+    const std::vector<Candidate> &candidates = good.empty() ? doubtful : good;
+    if (candidates.empty())
+        return std::nullopt;
+    double total = 0;
+    for (const Candidate &it : candidates)
+        total += it.weight;
+    double pick = std::uniform_real_distribution<double>(0, total)(m_random);
+    for (const Candidate &it : candidates) {
+        pick -= it.weight;
+        if (pick < 0)
+            return *it.key;
+    }
+    return *candidates.back().key;
+}
+
+bool WorkerDirectory::couldEverFit(const Request &request) const
+{
+    bool isKnown = false;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker.info.upstream != request.upstream)
+            continue;
+        if (request.needs.fitsIn(worker.info.capacity)
+            && (request.requiredLabel.empty() || hasLabel(worker.info, request.requiredLabel)))
+            return true;
+        isKnown = true;
+    }
+    return !isKnown;
+}
+
+Resources WorkerDirectory::totalCapacity(std::string_view upstream, TimePoint now) const
+{
+    Resources sum;
+    for (const auto &[key, worker] : m_workers)
+        if (worker.info.upstream == upstream && isUsable(key, worker, now))
+            sum += worker.info.capacity;
+    return sum;
+}
+
+std::int64_t WorkerDirectory::freeCount(std::string_view upstream, const Resources &needs,
+                                        TimePoint now) const
+{
+    std::int64_t n = 0;
+    for (const auto &[key, worker] : m_workers)
+        if (worker.info.upstream == upstream && isUsable(key, worker, now))
+            n += freeOf(worker).countOf(needs);
+    return n;
+}
+
+bool WorkerDirectory::isConnected(Incarnation agent) const
+{
+    const auto it = m_agents.find(agent);
+    return it != m_agents.end() && it->second.isConnected;
+}
+
+std::optional<TimePoint> WorkerDirectory::agentTime(Incarnation agent, TimePoint at) const
+{
+    const auto it = m_agents.find(agent);
+    if (it == m_agents.end() || it->second.clock == TimePoint{})
+        return std::nullopt;
+    return it->second.clock + (at - it->second.clockAt);
+}
+
+double WorkerDirectory::slownessOf(const WorkerKey &key) const
+{
+    const auto it = m_workers.find(key);
+    return it == m_workers.end() ? 1 : it->second.load.slowness;
+}
+
+std::size_t WorkerDirectory::connectedAgents() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_agents.begin(), m_agents.end(), [](const auto &it) { return it.second.isConnected; }));
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/workerdirectory.h
@@ -0,0 +1,98 @@
+// An entry's view of the agents and their workers: which are connected, what room they reported
+// last and what was sent to them since. Chooses the worker for a task.
+
+#pragma once
+
+#include "dispatchmessages.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cactuscove {
+
+struct WorkerKey
+{
+    Incarnation agent;
+    std::string worker;
+    auto operator<=>(const WorkerKey &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
+class WorkerDirectory
+{
+public:
+    explicit WorkerDirectory(std::string dataCentre, std::uint64_t seed);
+
+    // Commands
+    void agentConnected(Incarnation agent, std::string_view name, std::string_view dataCentre,
+                        TimePoint now);
+    void agentDisconnected(Incarnation agent);
+    void agentHeard(Incarnation agent, TimePoint now);
+    // The agent's clock read `sentAt` at some time before `now`.
+    void agentClock(Incarnation agent, TimePoint sentAt, TimePoint now);
+    void forgetAgent(Incarnation agent);
+    void update(Incarnation agent, const WorkerUpdate &update, TimePoint now);
+    void load(Incarnation agent, const WorkerLoad &load, TimePoint now);
+    // Books room at a worker until a report contains it; returns the assignment's number.
+    std::uint64_t book(const WorkerKey &key, const Resources &needs);
+    // No tasks for this worker before `until`: it refused one.
+    void pause(const WorkerKey &key, TimePoint until);
+
+    // Queries
+    struct Request
+    {
+        std::string_view upstream;
+        Resources needs;
+        std::optional<WorkerKey> avoid; // where the task failed before
+        std::string_view requiredLabel;
+        std::string_view preferredLabel;
+    };
+    // A worker with room for the task, or none.
+    std::optional<WorkerKey> choose(const Request &request, TimePoint now);
+    // The task fits on some worker, busy or not. True as long as no worker is known.
+    bool couldEverFit(const Request &request) const;
+    // Of all usable workers.
+    Resources totalCapacity(std::string_view upstream, TimePoint now) const;
+    // How many tasks with these needs fit now.
+    std::int64_t freeCount(std::string_view upstream, const Resources &needs, TimePoint now) const;
+    bool isConnected(Incarnation agent) const;
+    // Reads the agent's clock not later than it shows at `at`; none without contact.
+    std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
+    double slownessOf(const WorkerKey &key) const;
+    std::size_t connectedAgents() const;
+
+private:
+    struct Agent
+    {
+        std::string name;
+        std::string dataCentre;
+        bool isConnected = false;
+        TimePoint heardAt{};
+        TimePoint clock{}; // the agent's
+        TimePoint clockAt{};
+        std::uint64_t assignments = 0; // numbers given on this connection
+    };
+
+    struct Worker
+    {
+        WorkerInfo info;
+        WorkerLoad load;
+        bool hasLoad = false;
+        std::map<std::uint64_t, Resources> sent; // by number; not yet in `load`
+        TimePoint pausedUntil{};
+    };
+
+    bool isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const;
+    Resources freeOf(const Worker &worker) const;
+    double meanFailureShare() const;
+
+    std::string m_dataCentre;
+    std::mt19937_64 m_random;
+    std::map<Incarnation, Agent> m_agents;
+    std::map<WorkerKey, Worker> m_workers;
+};
+
+} // namespace cactuscove
