--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -16,8 +16,14 @@
 
 using namespace std::chrono_literals;
 
-// A caller that does not say how long it waits.
+// A caller that does not say how long it waits, at a queue without a timeout.
 constexpr Duration DefaultPatience = 30s;
+
+Duration defaultPatience(const QueueSettings &queue)
+{
+    return queue.timeout > Duration{} ? queue.timeout : DefaultPatience;
+}
+
 // The balancer asks each second and needs two refusals; until then new connections still come.
 constexpr Duration ServeAfterShutdown = 2500ms;
 constexpr Duration NotReadyRetry = 1s;
@@ -168,7 +174,8 @@
         }
         valueOf(job).queue = match.queue->name;
         m_arrivals[id] = bootNow();
-        const Duration patience = platform::callerPatience(request).value_or(DefaultPatience);
+        const Duration patience
+            = platform::callerPatience(request).value_or(defaultPatience(*match.queue));
         step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
             dispatcher.submit(CallerId{id.value}, std::move(valueOf(job)), patience, now, out);
         });
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -176,8 +176,6 @@
     job.maxAttempts = std::max(queue->maxAttempts, 1);
     job.upstream = queue->upstream;
     job.arrivedAt = now;
-    if (queue->timeout > Duration{})
-        patience = std::min(patience, queue->timeout);
     job.deadline = now + patience - AnswerMargin;
     job.expectedRun = m_runTimes.expect(spec.queue, spec.declared);
     job.spec = std::move(spec);
