--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -37,7 +37,7 @@
 public:
     explicit DispatchEntry(LoadedSettings loaded)
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
-        , m_dispatcher({m_settings.dataCentre, m_self.value, proofTime(m_settings)})
+        , m_dispatcher({m_settings.dataCentre, m_self.value, proofTime(m_settings)}, bootNow())
         , m_timer(m_loop, [this] { step([](auto &, auto, auto &) {}); })
         , m_beatTimer(m_loop, [this] { beat(); })
         , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -20,6 +20,7 @@
 constexpr Duration CloseTime = 200ms;
 // The answer must be on its way before the caller's own timer ends.
 constexpr Duration AnswerMargin = 8ms;
+constexpr Duration StartupTime = 1500ms;
 constexpr std::uint32_t AttemptStep = 16; // to get above attempts that others made
 constexpr Duration PastJobMemory = 10s;
 constexpr Duration MinRetryAfter = 200ms;
@@ -54,8 +55,9 @@
     return "?";
 }
 
-JobDispatcher::JobDispatcher(DispatcherSettings settings)
+JobDispatcher::JobDispatcher(DispatcherSettings settings, TimePoint startedAt)
     : m_settings(std::move(settings))
+    , m_startedAt(startedAt)
     , m_directory(m_settings.dataCentre, m_settings.seed)
 {}
 
@@ -167,7 +169,9 @@
             {queue->upstream, spec.needs, {}, spec.requiredLabel, spec.preferredLabel}))
         return refuse(caller, spec, "cannot_run", {}, out);
     const Resources capacity = m_directory.totalCapacity(queue->upstream, now);
-    if (!spec.needs.fitsIn(capacity))
+    // Agents of a fleet that starts as a whole report within moments; jobs may wait for them.
+    const bool isStarting = now - m_startedAt < StartupTime;
+    if (!spec.needs.fitsIn(capacity) && !isStarting)
         return refuse(caller, spec, "no_upstream", NoWorkerRetryAfter, out);
 
     Job job;
@@ -190,7 +194,7 @@
     const double cores = static_cast<double>(capacity.cpuMillis) / 1000 / entries;
     const Duration allowed = std::min(job.objectiveAt, job.deadline) - now - span;
     const Duration wait = m_load.expectedWait(job.priority, cores, now);
-    if (wait > allowed) {
+    if (wait > allowed && !(isStarting && cores == 0)) {
         const DispatchAnswer answer{JobOutcome::Refused, "overloaded",
                                     std::max(wait - allowed, MinRetryAfter)};
         out.emplace_back(LogEvent{Severity::Info,
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -70,7 +70,7 @@
 class JobDispatcher
 {
 public:
-    explicit JobDispatcher(DispatcherSettings settings);
+    JobDispatcher(DispatcherSettings settings, TimePoint startedAt);
 
     // Commands
     void configure(DispatchConfig config, TimePoint now, DispatcherOutbox &out);
@@ -185,6 +185,7 @@
     Duration expectedSpan(const Job &job) const;
 
     DispatcherSettings m_settings;
+    TimePoint m_startedAt;
     DispatchConfig m_config;
     WorkerDirectory m_directory;
     LoadControl m_load;
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -215,7 +215,7 @@
 
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    if (!worker.isSynced || worker.info.isDraining || !worker.orphans.empty() || now < m_mayStartAt
+    if (!worker.isSynced || worker.info.isDraining || !worker.orphans.empty() || !m_mayStart
         || now < worker.unhealthyUntil || worker.holdsUnanswered >= UnresponsiveHolds)
         return;
     Resources room = worker.info.capacity - used(worker);
@@ -643,6 +643,10 @@
 {
     while (!m_ended.empty() && now - m_ended.front().at > EndedMemory)
         m_ended.pop_front();
+    if (!m_mayStart && now >= m_mayStartAt) {
+        m_mayStart = true;
+        ++m_loadVersion;
+    }
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         Worker &worker = (it++)->second;
         expire(worker, now, out);
@@ -711,7 +715,7 @@
 
 TimePoint TaskRunner::nextTimer() const
 {
-    TimePoint next = NeverTime;
+    TimePoint next = m_mayStart ? NeverTime : m_mayStartAt;
     for (const auto &[workerId, worker] : m_workers) {
         if (worker.hold.value == 0)
             next = std::min(next, worker.holdRetryAt);
@@ -730,10 +734,8 @@
             next = std::min(next, (task.state == State::Queued ? task.assignment.startBy
                                                                : task.assignment.endBy)
                                       + Duration(1));
-            if (task.state == State::Queued)
-                next = std::min(next, std::max(m_mayStartAt, worker.unhealthyUntil) > worker.clockAt
-                                          ? std::max(m_mayStartAt, worker.unhealthyUntil)
-                                          : NeverTime);
+            if (task.state == State::Queued && worker.unhealthyUntil > worker.clockAt)
+                next = std::min(next, worker.unhealthyUntil);
         }
     }
     return next;
@@ -775,7 +777,8 @@
         load.free = worker.info.capacity;
         for (const auto &[taskId, task] : worker.tasks)
             load.free -= task.assignment.needs;
-        const bool isUsable = worker.isSynced && worker.orphans.empty() && !worker.info.isDraining
+        const bool isUsable = m_mayStart && worker.isSynced && worker.orphans.empty()
+                              && !worker.info.isDraining
                               && worker.holdsUnanswered < UnresponsiveHolds && !m_shuttingDown;
         if (!isUsable)
             load.free = Resources{std::min<std::int64_t>(load.free.cpuMillis, 0), 0, 0};
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -261,6 +261,7 @@
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_arrivals = 0;
     std::uint64_t m_loadVersion = 0;
+    bool m_mayStart = false; // m_mayStartAt has passed
     bool m_shuttingDown = false;
 };
 
