agents repeat unanswered starts after 12 ms and looks after 46 ms

Cause: with 6% of the orders unanswered, a seat-hold of eight tasks is hit in four of ten cases, and 40 ms (start) or 160 ms (look) are its whole slack. Ruled out: load, as room was free.

--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -14,14 +14,17 @@
 // A worker carries a start out by then or refuses it. Longer than the repeats of an unanswered
 // start take, shorter than the pause after which a caller repeats a lost job.
 constexpr Duration StartWindow = 250ms;
-// Calls go to the same machine; an answer that takes longer is lost or the worker is stuck.
-constexpr Duration CallTimeout = 40ms;
-constexpr Duration HoldSlack = 60ms; // on top of the wait of a hold
-constexpr Duration BusyHoldWait = 100ms;
+// Calls go to the same machine; an answer that takes longer is lost or the worker is stuck. Repeats
+// are harmless at the worker, so the first one comes soon and the later ones more slowly.
+constexpr Duration FirstCallTimeout = 12ms;
+constexpr Duration LongestCallTimeout = 48ms;
+constexpr Duration HoldSlack = 16ms;    // on top of the wait of a hold
+constexpr int MaxHoldBackOff = 5;       // times as long after unanswered holds
+constexpr Duration BusyHoldWait = 30ms; // an end whose answer is lost is seen this much later
 constexpr Duration IdleHoldWait = 400ms;
-constexpr Duration RetryPause = 20ms; // after a call that could not be sent
-constexpr int MaxStartCalls = 4;      // then the run is stopped, which leaves a tombstone
-constexpr int UnresponsiveHolds = 2;  // unanswered in a row; then the lease is not renewed
+constexpr Duration RetryPause = 20ms;      // after a call that could not be sent
+constexpr int MaxStartCalls = 4;           // then the run is stopped, which leaves a tombstone
+constexpr Duration WorkerPatience = 200ms; // without an answer; then the lease is not renewed
 constexpr Duration UnhealthyPause = 200ms;
 // The worker's clock may be 2% slow; the rest is for calls under way.
 constexpr Duration LeaseSlack = 60ms;
@@ -34,6 +37,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+Duration callTimeout(int callsBefore)
+{
+    return std::min(FirstCallTimeout * (1 << std::min(callsBefore, 2)), LongestCallTimeout);
+}
+
 std::string text(std::int64_t n)
 {
     return std::to_string(n);
@@ -92,6 +100,7 @@
             fresh.tasks.emplace(id, std::move(task));
     fresh.info = info;
     fresh.heardAt = now;
+    fresh.listedAt = now;
     fresh.leaseEnd = now;
     worker = std::move(fresh);
 }
@@ -161,7 +170,7 @@
     out.emplace_back(StartRun{task.call, worker.info.id, worker.info.address, task.assignment.task,
                               task.assignment.attempt, task.assignment.payload,
                               WorkerClock{workerTime(worker, now).value + toMs(StartWindow)},
-                              CallTimeout});
+                              callTimeout(task.startCalls)});
 }
 
 void TaskRunner::sendStop(Worker &worker, Task &task, RunnerOutbox &out)
@@ -169,7 +178,7 @@
     task.call = newCall();
     m_calls[task.call] = worker.info.id;
     out.emplace_back(StopRun{task.call, worker.info.id, worker.info.address, task.assignment.task,
-                             task.assignment.attempt, CallTimeout});
+                             task.assignment.attempt, callTimeout(task.stopCalls++)});
 }
 
 void TaskRunner::stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
@@ -203,7 +212,7 @@
         it.call = newCall();
         m_calls[it.call] = worker.info.id;
         out.emplace_back(StopRun{it.call, worker.info.id, worker.info.address, it.task, it.attempt,
-                                 CallTimeout});
+                                 LongestCallTimeout});
         out.emplace_back(LogEvent{Severity::Info,
                                   "orphan_stopping",
                                   {{"job", it.task.jobId},
@@ -216,7 +225,7 @@
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     if (!worker.isSynced || worker.info.isDraining || !worker.orphans.empty() || !m_mayStart
-        || now < worker.unhealthyUntil || worker.holdsUnanswered >= UnresponsiveHolds)
+        || now < worker.unhealthyUntil || worker.isUnresponsive)
         return;
     Resources room = worker.info.capacity - used(worker);
     while (true) {
@@ -362,10 +371,10 @@
     hold.wait = !worker.isSynced || worker.holdsUnanswered > 0 ? Duration{}
                 : isBusy                                       ? BusyHoldWait
                                                                : IdleHoldWait;
-    hold.timeout = hold.wait + HoldSlack;
+    hold.timeout = hold.wait + HoldSlack * (1 + std::min(worker.holdsUnanswered, MaxHoldBackOff));
     // Orphans are stopped, so their lease is not renewed. A worker that does not answer gets no
     // renewal that could be carried out late.
-    if (worker.isSynced && worker.orphans.empty() && worker.holdsUnanswered < UnresponsiveHolds) {
+    if (worker.isSynced && worker.orphans.empty() && !worker.isUnresponsive) {
         hold.leaseUntil = WorkerClock{workerTime(worker, now).value + toMs(m_settings.leaseTime)};
         worker.leaseEnd = std::max(worker.leaseEnd, now + m_settings.leaseTime
                                                         + m_settings.leaseTime / 50 + LeaseSlack);
@@ -390,7 +399,8 @@
     case CallAnswer::NoAnswer:
         ++worker->holdsUnanswered;
         worker->holdRetryAt = now + (reply.answer == CallAnswer::NotSent ? RetryPause : Duration{});
-        if (worker->holdsUnanswered == UnresponsiveHolds) {
+        if (!worker->isUnresponsive && now - worker->listedAt > WorkerPatience) {
+            worker->isUnresponsive = true;
             out.emplace_back(LogEvent{
                 Severity::Warning,
                 "worker_unresponsive",
@@ -403,7 +413,7 @@
             // The worker restarted under its id; its heartbeat with the new birth follows.
             return onWorkerLeft(std::string(worker->info.id), now, out);
         }
-        if (worker->holdsUnanswered >= UnresponsiveHolds) {
+        if (std::exchange(worker->isUnresponsive, false)) {
             out.emplace_back(LogEvent{
                 Severity::Info,
                 "worker_responsive",
@@ -411,6 +421,7 @@
             ++m_loadVersion;
         }
         worker->holdsUnanswered = 0;
+        worker->listedAt = now;
         hear(*worker, reply.clock, now);
         applyLists(*worker, reply, now, out);
         break;
@@ -675,7 +686,7 @@
                 refused.emplace_back(id, StartRefusal::Expired);
             else if (worker.info.isDraining)
                 refused.emplace_back(id, StartRefusal::Draining);
-            else if (worker.holdsUnanswered >= UnresponsiveHolds)
+            else if (worker.isUnresponsive)
                 refused.emplace_back(id, StartRefusal::Unhealthy);
         } else if (task.state != State::Stopping) {
             if (isOrphaned)
@@ -778,8 +789,8 @@
         for (const auto &[taskId, task] : worker.tasks)
             load.free -= task.assignment.needs;
         const bool isUsable = m_mayStart && worker.isSynced && worker.orphans.empty()
-                              && !worker.info.isDraining
-                              && worker.holdsUnanswered < UnresponsiveHolds && !m_shuttingDown;
+                              && !worker.info.isDraining && !worker.isUnresponsive
+                              && !m_shuttingDown;
         if (!isUsable)
             load.free = Resources{std::min<std::int64_t>(load.free.cpuMillis, 0), 0, 0};
         load.slowness = worker.slowness;
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -173,6 +173,7 @@
         TimePoint sentAt{};      // of the first start
         TimePoint startedAt{};   // when the start was known to be carried out
         int startCalls = 0;      // without an answer so far
+        int stopCalls = 0;       // made so far
         bool ranForSure = false; // a start was accepted, or the run was listed
         bool stopAcknowledged = false;
         TimePoint stopAcknowledgedAt{};
@@ -204,6 +205,8 @@
         TimePoint holdSentAt{};
         TimePoint holdRetryAt{}; // no hold before this
         int holdsUnanswered = 0;
+        TimePoint listedAt{};        // newest answer to a hold
+        bool isUnresponsive = false; // no such answer for too long
         TimePoint unhealthyUntil{};
         std::map<TaskId, Task> tasks;
         std::vector<Orphan> orphans;
