--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -94,9 +94,11 @@
     return {job.priority, !job.everStarted, number};
 }
 
-CoreMs JobDispatcher::workOf(const Job &job) const
+Work JobDispatcher::workOf(const Job &job, std::size_t tasks) const
 {
-    return static_cast<double>(job.spec.needs.cpuMillis) / 1000 * toMs(job.expectedRun);
+    const double cores
+        = static_cast<double>(job.spec.needs.cpuMillis) / 1000 * static_cast<double>(tasks);
+    return {cores, cores * toMs(job.expectedRun)};
 }
 
 // The run time of the whole job when all its tasks run at once.
@@ -114,11 +116,11 @@
     const bool wasReady = job.waiting > 0 && !job.closing;
     if (task.state == State::Waiting) {
         --job.waiting;
-        m_load.unqueued(job.priority, workOf(job));
+        m_load.unqueued(job.priority, workOf(job, 1));
     }
     if (state == State::Waiting) {
         ++job.waiting;
-        m_load.queued(job.priority, workOf(job));
+        m_load.queued(job.priority, workOf(job, 1));
     }
     job.done += (state == State::Done) - (task.state == State::Done);
     task.state = state;
@@ -187,27 +189,30 @@
     job.objectiveAt = now + queue->targetLatency - AnswerMargin
                       + std::chrono::duration_cast<Duration>(span * queue->slackFactor);
 
-    // Room that is free now serves the tasks that wait already, then these.
     std::uint32_t entries = 1;
     for (const auto &[agent, heard] : m_entriesHeard)
         entries = std::max(entries, heard);
     const double cores = static_cast<double>(capacity.cpuMillis) / 1000 / entries;
     const Duration allowed = std::min(job.objectiveAt, job.deadline) - now - span;
-    const Duration wait = m_load.expectedWait(job.priority, cores, now);
+    const FleetRoom room{m_directory.freeCores(job.upstream, now), cores};
+    const Duration wait
+        = m_load.expectedWait(job.priority, workOf(job, job.spec.taskCount), room, now);
     if (wait > allowed && !(isStarting && cores == 0)) {
         const DispatchAnswer answer{JobOutcome::Refused, "overloaded",
                                     std::max(wait - allowed, MinRetryAfter)};
-        out.emplace_back(LogEvent{Severity::Info,
-                                  "job_refused",
-                                  {{"job", job.spec.id},
-                                   {"queue", job.spec.queue},
-                                   {"reason", answer.reason},
-                                   {"wait_ms", ms(wait)},
-                                   {"allowed_ms", ms(allowed)},
-                                   {"waiting_core_ms", std::to_string(static_cast<std::int64_t>(
-                                                           m_load.waitingWork(job.priority)))},
-                                   {"cores", std::to_string(static_cast<std::int64_t>(cores))},
-                                   {"config", std::to_string(m_config.version)}}});
+        out.emplace_back(LogEvent{
+            Severity::Info,
+            "job_refused",
+            {{"job", job.spec.id},
+             {"queue", job.spec.queue},
+             {"reason", answer.reason},
+             {"wait_ms", ms(wait)},
+             {"allowed_ms", ms(allowed)},
+             {"waiting_core_ms",
+              std::to_string(static_cast<std::int64_t>(m_load.waitingWork(job.priority).coreMs))},
+             {"free_cores", std::to_string(static_cast<std::int64_t>(room.freeCores))},
+             {"cores", std::to_string(static_cast<std::int64_t>(cores))},
+             {"config", std::to_string(m_config.version)}}});
         out.emplace_back(AnswerJob{caller, answer});
         return;
     }
@@ -223,7 +228,7 @@
     for (Task &task : it.tasks)
         task.attempt = attempt;
     it.waiting = it.tasks.size();
-    m_load.queued(it.priority, workOf(it) * static_cast<double>(it.waiting));
+    m_load.queued(it.priority, workOf(it, it.waiting));
     m_ready.insert(rankOf(number, it));
     step(now, out);
 }
@@ -343,7 +348,7 @@
     task.worker = *worker;
     task.agentName = m_agents[worker->agent].name;
     setState(number, job, task, State::Assigned);
-    m_load.started(job.priority, workOf(job), now);
+    m_load.started(job.priority, workOf(job, 1), now);
     AssignTask message;
     message.task = {job.spec.id, index};
     message.attempt = task.attempt;
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -154,7 +154,7 @@
     };
 
     Rank rankOf(JobNumber number, const Job &job) const;
-    CoreMs workOf(const Job &job) const; // of one task
+    Work workOf(const Job &job, std::size_t tasks) const; // of that many of its tasks
     void setState(JobNumber number, Job &job, Task &task, State state);
     void place(TimePoint now, DispatcherOutbox &out);
     bool placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
--- a/src/loadcontrol.cpp
+++ b/src/loadcontrol.cpp
@@ -12,6 +12,7 @@
 constexpr double RateMemoryMs = 500;
 // Part of the cores that a less urgent priority may count on whatever the more urgent ones use.
 constexpr double FloorShare = 0.1;
+constexpr double SmallestRate = 0.001; // cores; keeps the wait finite without a fleet
 
 double toMs(Duration duration)
 {
@@ -20,15 +21,18 @@
 
 } // namespace
 
-void LoadControl::queued(int priority, CoreMs work)
+void LoadControl::queued(int priority, const Work &work)
 {
-    m_levels[priority].waiting += work;
+    Work &waiting = m_levels[priority].waiting;
+    waiting.cores += work.cores;
+    waiting.coreMs += work.coreMs;
 }
 
-void LoadControl::unqueued(int priority, CoreMs work)
+void LoadControl::unqueued(int priority, const Work &work)
 {
-    CoreMs &waiting = m_levels[priority].waiting;
-    waiting = std::max(0.0, waiting - work);
+    Work &waiting = m_levels[priority].waiting;
+    waiting.cores = std::max(0.0, waiting.cores - work.cores);
+    waiting.coreMs = std::max(0.0, waiting.coreMs - work.coreMs);
 }
 
 double LoadControl::rateOf(const Level &level, TimePoint now) const
@@ -36,43 +40,47 @@
     return level.rate * std::exp(-std::max(0.0, toMs(now - level.ratedAt)) / RateMemoryMs);
 }
 
-void LoadControl::started(int priority, CoreMs work, TimePoint now)
+void LoadControl::started(int priority, const Work &work, TimePoint now)
 {
     Level &level = m_levels[priority];
-    level.rate = rateOf(level, now) + work / RateMemoryMs;
+    level.rate = rateOf(level, now) + work.coreMs / RateMemoryMs;
     level.ratedAt = now;
 }
 
-CoreMs LoadControl::waitingWork(int priority) const
+Work LoadControl::waitingWork(int priority) const
 {
-    CoreMs work = 0;
-    for (const auto &[level, it] : m_levels)
-        if (level <= priority)
-            work += it.waiting;
-    return work;
+    Work sum;
+    for (const auto &[level, it] : m_levels) {
+        if (level > priority)
+            continue;
+        sum.cores += it.waiting.cores;
+        sum.coreMs += it.waiting.coreMs;
+    }
+    return sum;
 }
 
-Duration LoadControl::expectedWait(int priority, double cores, TimePoint now) const
+Duration LoadControl::expectedWait(int priority, const Work &job, const FleetRoom &room,
+                                   TimePoint now) const
 {
-    const CoreMs ahead = waitingWork(priority);
-    if (ahead <= 0)
+    const Work waiting = waitingWork(priority);
+    const double cores = waiting.cores + job.cores;
+    if (cores <= room.freeCores)
         return {};
+    // The part that finds no room now starts at the rate at which running tasks end.
+    const double blocked = 1 - std::max(0.0, room.freeCores) / cores;
     double urgent = 0;
-    double own = 0;
     double all = 0;
     for (const auto &[level, it] : m_levels) {
         const double rate = rateOf(it, now);
         all += rate;
         if (level < priority)
             urgent += rate;
-        if (level <= priority)
-            own += rate;
     }
     // What was started lately shows what this entry gets, and is a lower bound while nothing waits.
-    const double total = std::max(cores, all);
-    const double rate = std::max({total - urgent, own - urgent, total * FloorShare, 0.001});
+    const double total = std::max(room.shareCores, all);
+    const double rate = std::max({total - urgent, total * FloorShare, SmallestRate});
     return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(ahead / rate));
+        std::chrono::duration<double, std::milli>((waiting.coreMs + job.coreMs) * blocked / rate));
 }
 
 } // namespace cactuscove
--- a/src/loadcontrol.h
+++ b/src/loadcontrol.h
@@ -13,24 +13,38 @@
 // Processor time of tasks, in core-milliseconds.
 using CoreMs = double;
 
+// What one or several tasks take.
+struct Work
+{
+    double cores = 0;
+    CoreMs coreMs = 0;
+};
+
+// What an entry knows of the fleet when a job arrives.
+struct FleetRoom
+{
+    double freeCores = 0;  // by the newest reports
+    double shareCores = 0; // of the whole capacity, the part that this entry may count on
+};
+
 class LoadControl
 {
 public:
     // Commands
-    void queued(int priority, CoreMs work);   // a task began to wait
-    void unqueued(int priority, CoreMs work); // it was sent to a worker, or given up
-    void started(int priority, CoreMs work, TimePoint now);
+    void queued(int priority, const Work &work);   // a task began to wait
+    void unqueued(int priority, const Work &work); // it was sent to a worker, or given up
+    void started(int priority, const Work &work, TimePoint now);
 
     // Queries
-    // Of work of this priority that arrives now. `cores` is the part of the fleet that this entry
-    // may count on; it bounds the rate from below while little has been started.
-    Duration expectedWait(int priority, double cores, TimePoint now) const;
-    CoreMs waitingWork(int priority) const; // of this and more urgent priorities
+    // Until the last task of a job with this priority and work would start if it arrived now.
+    Duration expectedWait(int priority, const Work &job, const FleetRoom &room,
+                          TimePoint now) const;
+    Work waitingWork(int priority) const; // of this and more urgent priorities
 
 private:
     struct Level
     {
-        CoreMs waiting = 0;
+        Work waiting;
         double rate = 0; // cores, exponentially weighted
         TimePoint ratedAt{};
     };
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -14,13 +14,14 @@
 // A worker carries a start out by then or refuses it. Longer than the repeats of an unanswered
 // start take, shorter than the pause after which a caller repeats a lost job.
 constexpr Duration StartWindow = 250ms;
-// Calls go to the same machine; an answer that takes longer is lost or the worker is stuck. Repeats
-// are harmless at the worker, so the first one comes soon and the later ones more slowly.
-constexpr Duration FirstCallTimeout = 12ms;
-constexpr Duration LongestCallTimeout = 48ms;
-constexpr Duration HoldSlack = 16ms;    // on top of the wait of a hold
-constexpr int MaxHoldBackOff = 5;       // times as long after unanswered holds
-constexpr Duration BusyHoldWait = 30ms; // an end whose answer is lost is seen this much later
+// Calls go to the same machine. Without an answer by then they are sent again on another
+// connection, which is harmless at the worker; the first call may still be answered.
+constexpr Duration FirstRetry = 12ms;
+constexpr Duration LongestRetry = 48ms;
+constexpr Duration AnswerPatience = 300ms; // then a call has no answer
+constexpr Duration HoldSlack = 16ms;       // on top of the wait of a hold
+constexpr int MaxHoldBackOff = 5;          // times as long after unanswered holds
+constexpr Duration BusyHoldWait = 30ms;    // an end whose answer is lost is seen this much later
 constexpr Duration IdleHoldWait = 400ms;
 constexpr Duration RetryPause = 20ms;      // after a call that could not be sent
 constexpr int MaxStartCalls = 4;           // then the run is stopped, which leaves a tombstone
@@ -37,9 +38,9 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-Duration callTimeout(int callsBefore)
+Duration retryPause(int callsBefore)
 {
-    return std::min(FirstCallTimeout * (1 << std::min(callsBefore, 2)), LongestCallTimeout);
+    return std::min(FirstRetry * (1 << std::min(callsBefore, 2)), LongestRetry);
 }
 
 std::string text(std::int64_t n)
@@ -54,6 +55,21 @@
     , m_mayStartAt(startedAt + StartWindow + RetryPause)
 {}
 
+WorkerCallId TaskRunner::newCall(OpenCall call)
+{
+    const WorkerCallId id{++m_lastCall};
+    m_calls.emplace(id, std::move(call));
+    return id;
+}
+
+TaskRunner::Task *TaskRunner::findTask(Worker &worker, const OpenCall &call)
+{
+    const auto it = worker.tasks.find(call.task);
+    const bool isSame = it != worker.tasks.end() && it->second.state != State::Queued
+                        && it->second.assignment.attempt == call.attempt;
+    return isSame ? &it->second : nullptr;
+}
+
 TaskRunner::Worker *TaskRunner::findWorker(std::string_view id)
 {
     const auto it = m_workers.find(id);
@@ -163,22 +179,22 @@
 
 void TaskRunner::sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
 {
+    const AssignTask &it = task.assignment;
     task.state = State::Starting;
-    task.call = newCall();
-    m_calls[task.call] = worker.info.id;
+    task.retryAt = now + retryPause(task.startCalls++);
     worker.leaseEnd = std::max(worker.leaseEnd, now + StartWindow + LeaseSlack);
-    out.emplace_back(StartRun{task.call, worker.info.id, worker.info.address, task.assignment.task,
-                              task.assignment.attempt, task.assignment.payload,
+    out.emplace_back(StartRun{newCall({worker.info.id, it.task, it.attempt, now}), worker.info.id,
+                              worker.info.address, it.task, it.attempt, it.payload,
                               WorkerClock{workerTime(worker, now).value + toMs(StartWindow)},
-                              callTimeout(task.startCalls)});
+                              AnswerPatience});
 }
 
-void TaskRunner::sendStop(Worker &worker, Task &task, RunnerOutbox &out)
+void TaskRunner::sendStop(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
 {
-    task.call = newCall();
-    m_calls[task.call] = worker.info.id;
-    out.emplace_back(StopRun{task.call, worker.info.id, worker.info.address, task.assignment.task,
-                             task.assignment.attempt, callTimeout(task.stopCalls++)});
+    const AssignTask &it = task.assignment;
+    task.retryAt = now + retryPause(task.stopCalls++);
+    out.emplace_back(StopRun{newCall({worker.info.id, it.task, it.attempt, now}), worker.info.id,
+                             worker.info.address, it.task, it.attempt, AnswerPatience});
 }
 
 void TaskRunner::stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
@@ -198,27 +214,27 @@
                                {"reason", std::string(reason)},
                                {"ran_ms", text(toMs(now - task.sentAt))},
                                {"entry_heard_ms", text(toMs(heardAgo))}}});
-    m_calls.erase(task.call);
     task.state = State::Stopping;
     task.stopAcknowledged = false;
-    sendStop(worker, task, out);
+    sendStop(worker, task, now, out);
 }
 
-void TaskRunner::stopOrphans(Worker &worker, RunnerOutbox &out)
+void TaskRunner::stopOrphans(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     for (Orphan &it : worker.orphans) {
-        if (it.stopAcknowledged || it.call.value != 0)
+        if (it.stopAcknowledged || now < it.retryAt)
             continue;
-        it.call = newCall();
-        m_calls[it.call] = worker.info.id;
-        out.emplace_back(StopRun{it.call, worker.info.id, worker.info.address, it.task, it.attempt,
-                                 LongestCallTimeout});
-        out.emplace_back(LogEvent{Severity::Info,
-                                  "orphan_stopping",
-                                  {{"job", it.task.jobId},
-                                   {"task", text(it.task.index)},
-                                   {"attempt", text(it.attempt)},
-                                   {"worker", worker.info.id}}});
+        if (it.retryAt == TimePoint{})
+            out.emplace_back(LogEvent{Severity::Info,
+                                      "orphan_stopping",
+                                      {{"job", it.task.jobId},
+                                       {"task", text(it.task.index)},
+                                       {"attempt", text(it.attempt)},
+                                       {"worker", worker.info.id}}});
+        it.retryAt = now + LongestRetry;
+        out.emplace_back(StopRun{newCall({worker.info.id, it.task, it.attempt, now}),
+                                 worker.info.id, worker.info.address, it.task, it.attempt,
+                                 AnswerPatience});
     }
 }
 
@@ -255,7 +271,7 @@
     if (task.state != State::Starting)
         return;
     task.state = State::Running;
-    m_calls.erase(task.call);
+    task.retryAt = NeverTime;
     worker.unhealthyUntil = TimePoint{};
     out.emplace_back(
         SendToEntry{task.entry, TaskStarted{task.assignment.task, task.assignment.attempt}});
@@ -265,96 +281,72 @@
                               RunnerOutbox &out)
 {
     const auto node = m_calls.extract(call);
-    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped());
+    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped().worker);
     if (!worker)
         return step(now, out);
     if (reply.clock)
         hear(*worker, *reply.clock, now);
-    const auto it
-        = std::find_if(worker->tasks.begin(), worker->tasks.end(), [&](const auto &entry) {
-              return entry.second.call == call && entry.second.state == State::Starting;
-          });
-    if (it == worker->tasks.end())
-        return step(now, out);
-    Task &task = it->second;
-    task.call = {};
-    // An earlier start without an answer may still be carried out, so only a stop proves that not.
-    const bool isProof = task.startCalls == 0;
-    switch (reply.answer) {
-    case StartAnswer::Accepted:
-        markRunning(*worker, task, now, out);
-        break;
-    case StartAnswer::OldAttempt:
-        if (isProof) {
-            refuseTask(*worker, it, StartRefusal::OldAttempt, now, out);
-            break;
-        }
-        // The unanswered start was carried out and has ended: the next list of ends tells how.
+    if (reply.answer == StartAnswer::OtherLife)
+        return onWorkerLeft(std::string(worker->info.id), now, out);
+    Task *task = findTask(*worker, node.mapped());
+    if (task && reply.answer == StartAnswer::Accepted)
+        markRunning(*worker, *task, now, out);
+    else if (task && task->state == State::Starting)
+        onStartFailed(*worker, *task, reply.answer, now, out);
+    step(now, out);
+}
+
+// While another start of the attempt may still be carried out, only a stop proves that it does not
+// run.
+void TaskRunner::onStartFailed(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
+                               RunnerOutbox &out)
+{
+    if (answer == StartAnswer::NoAnswer)
+        return; // sent again in its time
+    const bool isProof = task.startCalls == 1;
+    if (answer == StartAnswer::OldAttempt && !isProof) {
+        // An unanswered start was carried out and has ended: the next list of ends tells how.
         task.state = State::Stopping;
         task.stopAcknowledged = true;
         task.stopAcknowledgedAt = now;
-        break;
-    case StartAnswer::NoRoom:
-    case StartAnswer::Late:
-    case StartAnswer::Unhealthy:
-    case StartAnswer::Invalid:
-        if (reply.answer != StartAnswer::Late)
-            worker->unhealthyUntil = now + UnhealthyPause;
-        if (!isProof)
-            stopTask(*worker, task, "start_unclear", now, out);
-        else
-            refuseTask(*worker, it,
-                       reply.answer == StartAnswer::Late ? StartRefusal::Expired
-                                                         : StartRefusal::Unhealthy,
-                       now, out);
-        break;
-    case StartAnswer::OtherLife:
-        return onWorkerLeft(std::string(worker->info.id), now, out);
-    case StartAnswer::NotSent:
-        worker->unhealthyUntil = now + RetryPause;
-        if (isProof)
-            refuseTask(*worker, it, StartRefusal::Unhealthy, now, out);
-        else
-            stopTask(*worker, task, "start_unclear", now, out);
-        break;
-    case StartAnswer::NoAnswer:
-        ++task.startCalls;
-        if (task.startCalls < MaxStartCalls && !isSilent(task.entry, now))
-            sendStart(*worker, task, now, out);
-        else
-            stopTask(*worker, task, "start_unanswered", now, out);
-        break;
+        task.retryAt = NeverTime;
+        return;
     }
-    step(now, out);
+    const bool isLate = answer == StartAnswer::Late;
+    const bool isOld = answer == StartAnswer::OldAttempt;
+    if (!isLate && !isOld)
+        worker.unhealthyUntil
+            = now + (answer == StartAnswer::NotSent ? RetryPause : UnhealthyPause);
+    if (!isProof)
+        return stopTask(worker, task, "start_unclear", now, out);
+    const StartRefusal reason = isLate  ? StartRefusal::Expired
+                                : isOld ? StartRefusal::OldAttempt
+                                        : StartRefusal::Unhealthy;
+    refuseTask(worker, worker.tasks.find(task.assignment.task), reason, now, out);
 }
 
 void TaskRunner::onStopReply(WorkerCallId call, const StopReply &reply, TimePoint now,
                              RunnerOutbox &out)
 {
     const auto node = m_calls.extract(call);
-    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped());
+    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped().worker);
     if (!worker)
         return step(now, out);
     if (reply.clock)
         hear(*worker, *reply.clock, now);
     if (reply.answer == CallAnswer::OtherLife)
         return onWorkerLeft(std::string(worker->info.id), now, out);
-    const bool isStopped = reply.answer == CallAnswer::Ok;
-    for (auto &[id, task] : worker->tasks) {
-        if (task.call != call || task.state != State::Stopping)
-            continue;
-        task.call = {};
-        task.stopAcknowledged = isStopped;
-        task.stopAcknowledgedAt = now;
-        if (!isStopped && reply.answer == CallAnswer::NoAnswer)
-            sendStop(*worker, task, out);
-    }
-    for (Orphan &it : worker->orphans) {
-        if (it.call != call)
-            continue;
-        it.call = {};
-        it.stopAcknowledged = isStopped;
+    if (reply.answer != CallAnswer::Ok)
+        return step(now, out); // sent again in its time
+    const OpenCall &about = node.mapped();
+    Task *task = findTask(*worker, about);
+    if (task && task->state == State::Stopping && !task->stopAcknowledged) {
+        task->stopAcknowledged = true;
+        task->stopAcknowledgedAt = now;
+        task->retryAt = NeverTime;
     }
+    for (Orphan &it : worker->orphans)
+        it.stopAcknowledged |= it.task == about.task && it.attempt == about.attempt;
     step(now, out);
 }
 
@@ -364,14 +356,16 @@
 {
     const bool isBusy = !worker.tasks.empty() || !worker.orphans.empty();
     HoldRuns hold;
-    hold.call = worker.hold = newCall();
+    hold.call = worker.hold = newCall({worker.info.id, {}, 0, now});
     hold.worker = worker.info.id;
     hold.address = worker.info.address;
     hold.acknowledged = worker.acknowledged;
     hold.wait = !worker.isSynced || worker.holdsUnanswered > 0 ? Duration{}
                 : isBusy                                       ? BusyHoldWait
                                                                : IdleHoldWait;
-    hold.timeout = hold.wait + HoldSlack * (1 + std::min(worker.holdsUnanswered, MaxHoldBackOff));
+    worker.nextHoldAt
+        = now + hold.wait + HoldSlack * (1 + std::min(worker.holdsUnanswered, MaxHoldBackOff));
+    hold.timeout = hold.wait + AnswerPatience;
     // Orphans are stopped, so their lease is not renewed. A worker that does not answer gets no
     // renewal that could be carried out late.
     if (worker.isSynced && worker.orphans.empty() && !worker.isUnresponsive) {
@@ -379,8 +373,6 @@
         worker.leaseEnd = std::max(worker.leaseEnd, now + m_settings.leaseTime
                                                         + m_settings.leaseTime / 50 + LeaseSlack);
     }
-    worker.holdSentAt = now;
-    m_calls[hold.call] = worker.info.id;
     out.emplace_back(std::move(hold));
 }
 
@@ -388,49 +380,42 @@
                              RunnerOutbox &out)
 {
     const auto node = m_calls.extract(call);
-    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped());
-    if (!worker || worker->hold != call)
+    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped().worker);
+    if (!worker)
         return step(now, out);
-    worker->hold = {};
-    switch (reply.answer) {
-    case CallAnswer::OtherLife:
+    const bool isNewest = worker->hold == call;
+    if (isNewest)
+        worker->hold = {};
+    if (reply.answer == CallAnswer::OtherLife)
         return onWorkerLeft(std::string(worker->info.id), now, out);
-    case CallAnswer::NotSent:
-    case CallAnswer::NoAnswer:
-        ++worker->holdsUnanswered;
-        worker->holdRetryAt = now + (reply.answer == CallAnswer::NotSent ? RetryPause : Duration{});
-        if (!worker->isUnresponsive && now - worker->listedAt > WorkerPatience) {
-            worker->isUnresponsive = true;
-            out.emplace_back(LogEvent{
-                Severity::Warning,
-                "worker_unresponsive",
-                {{"worker", worker->info.id}, {"heard_ms", text(toMs(now - worker->heardAt))}}});
-            ++m_loadVersion;
-        }
-        break;
-    case CallAnswer::Ok:
-        if (reply.bornAtMs != 0 && reply.bornAtMs != worker->info.bornAtMs) {
-            // The worker restarted under its id; its heartbeat with the new birth follows.
-            return onWorkerLeft(std::string(worker->info.id), now, out);
-        }
-        if (std::exchange(worker->isUnresponsive, false)) {
-            out.emplace_back(LogEvent{
-                Severity::Info,
-                "worker_responsive",
-                {{"worker", worker->info.id}, {"heard_ms", text(toMs(now - worker->heardAt))}}});
-            ++m_loadVersion;
-        }
-        worker->holdsUnanswered = 0;
-        worker->listedAt = now;
-        hear(*worker, reply.clock, now);
-        applyLists(*worker, reply, now, out);
-        break;
+    if (reply.answer != CallAnswer::Ok) {
+        if (isNewest && reply.answer == CallAnswer::NotSent)
+            worker->nextHoldAt = now + RetryPause;
+        return step(now, out);
     }
+    // The worker restarted under its id; its heartbeat with the new birth follows.
+    if (reply.bornAtMs != 0 && reply.bornAtMs != worker->info.bornAtMs)
+        return onWorkerLeft(std::string(worker->info.id), now, out);
+    if (std::exchange(worker->isUnresponsive, false)) {
+        out.emplace_back(LogEvent{
+            Severity::Info,
+            "worker_responsive",
+            {{"worker", worker->info.id}, {"listed_ms", text(toMs(now - worker->listedAt))}}});
+        ++m_loadVersion;
+    }
+    worker->holdsUnanswered = 0;
+    worker->listedAt = now;
+    if (isNewest)
+        worker->nextHoldAt = now;
+    const bool isOvertaken = reply.clock < worker->clock && worker->isSynced;
+    hear(*worker, reply.clock, now);
+    if (!isOvertaken)
+        applyLists(*worker, reply, node.mapped().sentAt, now, out);
     step(now, out);
 }
 
-void TaskRunner::applyLists(Worker &worker, const HoldReply &reply, TimePoint now,
-                            RunnerOutbox &out)
+void TaskRunner::applyLists(Worker &worker, const HoldReply &reply, TimePoint askedAt,
+                            TimePoint now, RunnerOutbox &out)
 {
     const bool wasClean = worker.orphans.empty();
     for (const EndedRun &end : reply.ended) {
@@ -458,7 +443,7 @@
                   return orphan.task == run.task && orphan.attempt == run.attempt;
               });
         if (!isKnown)
-            worker.orphans.push_back({run.task, run.attempt, {}, false});
+            worker.orphans.push_back({run.task, run.attempt, false, {}});
     }
     const auto isListed = [&](const TaskId &task, std::uint32_t attempt) {
         return std::any_of(reply.active.begin(), reply.active.end(), [&](const ActiveRun &it) {
@@ -469,10 +454,9 @@
     if (reply.ended.size() < MaxListedEnds) {
         std::vector<TaskId> missing;
         for (const auto &[id, task] : worker.tasks) {
-            const bool wasThere
-                = task.state == State::Running && task.startedAt < worker.holdSentAt;
+            const bool wasThere = task.state == State::Running && task.startedAt < askedAt;
             const bool wasStopped = task.state == State::Stopping && task.stopAcknowledged
-                                    && task.stopAcknowledgedAt < worker.holdSentAt;
+                                    && task.stopAcknowledgedAt < askedAt;
             if ((wasThere || wasStopped) && !isListed(id, task.assignment.attempt))
                 missing.push_back(id);
         }
@@ -498,7 +482,6 @@
     const auto node = worker.tasks.extract(it);
     const Task &task = node.mapped();
     const Duration runTime = now - task.sentAt;
-    m_calls.erase(task.call);
     const TaskEnded message{task.assignment.task, task.assignment.attempt, end, runTime};
     m_ended.push_back({task.entry, message, now});
     out.emplace_back(SendToEntry{task.entry, message});
@@ -511,7 +494,7 @@
                                {"end", std::string(nameOf(end))},
                                {"ran_ms", text(toMs(runTime))},
                                {"expected_ms", text(toMs(task.assignment.expectedRun))},
-                               {"start_calls", text(task.startCalls + 1)}}});
+                               {"start_calls", text(task.startCalls)}}});
     learn(worker, task, end, runTime);
     ++m_loadVersion;
 }
@@ -533,7 +516,6 @@
                             StartRefusal reason, TimePoint, RunnerOutbox &out)
 {
     const auto node = worker.tasks.extract(it);
-    m_calls.erase(node.mapped().call);
     refuse(node.mapped().entry, node.mapped().assignment, reason, worker.info.id, out);
     ++m_loadVersion;
 }
@@ -663,15 +645,32 @@
         expire(worker, now, out);
         if (now - worker.heardAt > WorkerSilence)
             return onWorkerLeft(std::string(worker.info.id), now, out);
-        stopOrphans(worker, out);
+        stopOrphans(worker, now, out);
         startQueued(worker, now, out);
-        if (worker.hold.value == 0 && now >= worker.holdRetryAt)
-            sendHold(worker, now, out);
+        if (now < worker.nextHoldAt)
+            continue;
+        if (worker.hold.value != 0)
+            noteUnanswered(worker, now, out);
+        sendHold(worker, now, out);
     }
     std::erase_if(m_entries,
                   [&](const auto &entry) { return now - entry.second.heardAt > EndedMemory; });
 }
 
+void TaskRunner::noteUnanswered(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    ++worker.holdsUnanswered;
+    if (worker.isUnresponsive || now - worker.listedAt <= WorkerPatience)
+        return;
+    worker.isUnresponsive = true;
+    ++m_loadVersion;
+    out.emplace_back(LogEvent{Severity::Warning,
+                              "worker_unresponsive",
+                              {{"worker", worker.info.id},
+                               {"listed_ms", text(toMs(now - worker.listedAt))},
+                               {"unanswered", text(worker.holdsUnanswered)}}});
+}
+
 void TaskRunner::expire(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     if (worker.holdsUnanswered > 0 && now > worker.leaseEnd)
@@ -693,8 +692,12 @@
                 stopTask(worker, task, "entry_silent", now, out);
             else if (now > task.assignment.endBy)
                 stopTask(worker, task, "out_of_time", now, out);
-        } else if (!task.stopAcknowledged && task.call.value == 0) {
-            sendStop(worker, task, out);
+            else if (now >= task.retryAt && task.startCalls >= MaxStartCalls)
+                stopTask(worker, task, "start_unanswered", now, out);
+            else if (now >= task.retryAt)
+                sendStart(worker, task, now, out);
+        } else if (now >= task.retryAt) {
+            sendStop(worker, task, now, out);
         }
     }
     for (const auto &[id, reason] : refused)
@@ -728,14 +731,17 @@
 {
     TimePoint next = m_mayStart ? NeverTime : m_mayStartAt;
     for (const auto &[workerId, worker] : m_workers) {
-        if (worker.hold.value == 0)
-            next = std::min(next, worker.holdRetryAt);
+        next = std::min(next, worker.nextHoldAt);
+        for (const Orphan &it : worker.orphans)
+            if (!it.stopAcknowledged)
+                next = std::min(next, it.retryAt);
         next = std::min(next, worker.heardAt + WorkerSilence + Duration(1));
         if (worker.tasks.empty())
             continue;
         if (worker.holdsUnanswered > 0)
             next = std::min(next, worker.leaseEnd + Duration(1));
         for (const auto &[id, task] : worker.tasks) {
+            next = std::min(next, task.retryAt);
             if (task.state == State::Stopping)
                 continue;
             const auto entry = m_entries.find(task.entry);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -170,14 +170,14 @@
         Incarnation entry;
         State state = State::Queued;
         std::uint64_t arrival = 0;
-        TimePoint sentAt{};      // of the first start
-        TimePoint startedAt{};   // when the start was known to be carried out
-        int startCalls = 0;      // without an answer so far
-        int stopCalls = 0;       // made so far
-        bool ranForSure = false; // a start was accepted, or the run was listed
+        TimePoint sentAt{};    // of the first start
+        TimePoint startedAt{}; // when the start was known to be carried out
+        int startCalls = 0;    // sent so far
+        int stopCalls = 0;
+        TimePoint retryAt = NeverTime; // of the start or stop, without an answer
+        bool ranForSure = false;       // a start was accepted, or the run was listed
         bool stopAcknowledged = false;
         TimePoint stopAcknowledgedAt{};
-        WorkerCallId call; // open start or stop
         int percent = 0;
         TimePoint percentAt{};
     };
@@ -187,8 +187,17 @@
     {
         TaskId task;
         std::uint32_t attempt = 0;
-        WorkerCallId call;
         bool stopAcknowledged = false;
+        TimePoint retryAt{}; // of its stop
+    };
+
+    // A call that has not ended. The next one does not wait for it, and its answer still counts.
+    struct OpenCall
+    {
+        std::string worker;
+        TaskId task; // of a start or stop
+        std::uint32_t attempt = 0;
+        TimePoint sentAt{};
     };
 
     struct Worker
@@ -201,9 +210,8 @@
         TimePoint heardAt{};  // heartbeat or answer
         TimePoint leaseEnd{}; // latest end of any lease that was asked for
         std::uint64_t acknowledged = 0;
-        WorkerCallId hold; // open; 0 if none
-        TimePoint holdSentAt{};
-        TimePoint holdRetryAt{}; // no hold before this
+        WorkerCallId hold;      // newest; 0 once it has ended
+        TimePoint nextHoldAt{}; // also if the newest has not ended
         int holdsUnanswered = 0;
         TimePoint listedAt{};        // newest answer to a hold
         bool isUnresponsive = false; // no such answer for too long
@@ -235,8 +243,11 @@
     void sendHold(Worker &worker, TimePoint now, RunnerOutbox &out);
     void stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
                   RunnerOutbox &out);
-    void sendStop(Worker &worker, Task &task, RunnerOutbox &out);
-    void stopOrphans(Worker &worker, RunnerOutbox &out);
+    void sendStop(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
+    void onStartFailed(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
+                       RunnerOutbox &out);
+    void noteUnanswered(Worker &worker, TimePoint now, RunnerOutbox &out);
+    void stopOrphans(Worker &worker, TimePoint now, RunnerOutbox &out);
     void endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end, TimePoint now,
                  RunnerOutbox &out);
     void refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it, StartRefusal reason,
@@ -246,21 +257,27 @@
     void loseAllRuns(Worker &worker, std::string_view reason, TimePoint now, RunnerOutbox &out);
     void beginLife(Worker &worker, const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
     void markRunning(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
-    void applyLists(Worker &worker, const HoldReply &reply, TimePoint now, RunnerOutbox &out);
+    // `askedAt` is when the call was sent: the lists may be older than anything that happened
+    // since.
+    void applyLists(Worker &worker, const HoldReply &reply, TimePoint askedAt, TimePoint now,
+                    RunnerOutbox &out);
     void learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime);
     void hear(Worker &worker, WorkerClock clock, TimePoint now);
     bool isSilent(Incarnation entry, TimePoint now) const;
     Resources used(const Worker &worker) const;
     WorkerClock workerTime(const Worker &worker, TimePoint at) const;
     Worker *findWorker(std::string_view id);
-    WorkerCallId newCall() { return WorkerCallId{++m_lastCall}; }
+    WorkerCallId newCall(OpenCall call);
+    // The started, not ended task that the call is about; none if it has ended or another attempt
+    // runs.
+    Task *findTask(Worker &worker, const OpenCall &call);
 
     TaskRunnerSettings m_settings;
     TimePoint m_mayStartAt; // starts of an earlier process are refused by the workers from then on
     std::map<std::string, Worker, std::less<>> m_workers;
     std::map<Incarnation, Entry> m_entries;
-    std::map<WorkerCallId, std::string> m_calls; // worker of each open call
-    std::deque<EndedTask> m_ended;               // oldest first
+    std::map<WorkerCallId, OpenCall> m_calls;
+    std::deque<EndedTask> m_ended; // oldest first
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_arrivals = 0;
     std::uint64_t m_loadVersion = 0;
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -198,14 +198,13 @@
     return sum;
 }
 
-std::int64_t WorkerDirectory::freeCount(std::string_view upstream, const Resources &needs,
-                                        TimePoint now) const
+double WorkerDirectory::freeCores(std::string_view upstream, TimePoint now) const
 {
-    std::int64_t n = 0;
+    std::int64_t millis = 0;
     for (const auto &[key, worker] : m_workers)
         if (worker.info.upstream == upstream && isUsable(key, worker, now))
-            n += freeOf(worker).countOf(needs);
-    return n;
+            millis += std::max<std::int64_t>(freeOf(worker).cpuMillis, 0);
+    return static_cast<double>(millis) / 1000;
 }
 
 bool WorkerDirectory::isConnected(Incarnation agent) const
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -56,8 +56,7 @@
     bool couldEverFit(const Request &request) const;
     // Of all usable workers.
     Resources totalCapacity(std::string_view upstream, TimePoint now) const;
-    // How many tasks with these needs fit now.
-    std::int64_t freeCount(std::string_view upstream, const Resources &needs, TimePoint now) const;
+    double freeCores(std::string_view upstream, TimePoint now) const; // of all usable workers
     bool isConnected(Incarnation agent) const;
     // Reads the agent's clock not later than it shows at `at`; none without contact.
     std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
