standing of workers fades and counts distinct jobs; late runs on slow workers move

A worker that fails more than the others gets no tasks until its record fades; a run that would end in time elsewhere is stopped and placed again.

--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -54,7 +54,7 @@
 void fields(A &a, AssignTask &it)
 {
     a(it.task, it.attempt, it.workerId, it.queue, it.payload, it.needs, it.priority, it.expectedRun,
-      it.startBy, it.endBy, it.number);
+      it.startBy, it.endBy, it.finishBy, it.number);
 }
 
 template <typename A>
@@ -81,6 +81,12 @@
     a(it.task, it.attempt);
 }
 
+template <typename A>
+void fields(A &a, TaskLate &it)
+{
+    a(it.task, it.attempt, it.remaining);
+}
+
 template <typename A>
 void fields(A &a, TaskEnded &it)
 {
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -50,6 +50,7 @@
     Duration expectedRun{};
     TimePoint startBy;        // agent's clock; a task that has not started by then is refused
     TimePoint endBy;          // agent's clock; a task that still runs then is stopped
+    TimePoint finishBy;       // agent's clock; a later end misses the objective
     std::uint64_t number = 0; // of this assignment on this connection, from 1
 };
 
@@ -83,6 +84,15 @@
     std::uint32_t attempt = 0;
 };
 
+// Agent to entry, at most once for each attempt: its worker is slow, and by its progress the task
+// will miss its objective.
+struct TaskLate
+{
+    TaskId task;
+    std::uint32_t attempt = 0;
+    Duration remaining{}; // by its progress so far
+};
+
 struct TaskEnded
 {
     TaskId task;
@@ -110,6 +120,6 @@
 
 using PeerMessage
     = std::variant<PeerHello, PeerBeat, KnownEntries, AssignTask, WithdrawTask, WorkerUpdate,
-                   WorkerLoad, TaskStarted, TaskEnded, StartRefused, TaskInventory>;
+                   WorkerLoad, TaskStarted, TaskLate, TaskEnded, StartRefused, TaskInventory>;
 
 } // namespace cactuscove
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -20,6 +20,10 @@
 constexpr Duration CloseTime = 200ms;
 // The answer must be on its way before the caller's own timer ends.
 constexpr Duration AnswerMargin = 8ms;
+// Workers up to this slow are used even if the objective is then missed: the others may be busy.
+constexpr double AcceptableSlowness = 1.6;
+// Time to stop a run and start it elsewhere.
+constexpr Duration MoveTime = 12ms;
 constexpr Duration StartupTime = 1500ms;
 constexpr std::uint32_t AttemptStep = 16; // to get above attempts that others made
 constexpr Duration PastJobMemory = 10s;
@@ -331,13 +335,26 @@
 
 // Placing
 
+WorkerDirectory::Request JobDispatcher::requestOf(const Job &job, const Task &task,
+                                                  TimePoint now) const
+{
+    WorkerDirectory::Request request;
+    request.upstream = job.upstream;
+    request.needs = job.spec.needs;
+    request.avoid = task.avoid;
+    request.requiredLabel = job.spec.requiredLabel;
+    request.preferredLabel = job.spec.preferredLabel;
+    const TimePoint by = now + job.expectedRun < job.objectiveAt ? job.objectiveAt : job.deadline;
+    request.maxSlowness
+        = std::max(toMs(by - now) / std::max(toMs(job.expectedRun), 1.0), AcceptableSlowness);
+    return request;
+}
+
 bool JobDispatcher::placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
                               DispatcherOutbox &out)
 {
     Task &task = job.tasks[index];
-    const auto worker = m_directory.choose(
-        {job.upstream, job.spec.needs, task.avoid, job.spec.requiredLabel, job.spec.preferredLabel},
-        now);
+    const auto worker = m_directory.choose(requestOf(job, task, now), now);
     if (!worker)
         return false;
     const auto startBy = m_directory.agentTime(worker->agent, now + StartPatience);
@@ -360,6 +377,7 @@
     message.expectedRun = job.expectedRun;
     message.startBy = *startBy;
     message.endBy = *endBy;
+    message.finishBy = *m_directory.agentTime(worker->agent, job.objectiveAt);
     message.number = m_directory.book(*worker, job.spec.needs);
     out.emplace_back(SendToAgent{worker->agent, std::move(message)});
     return true;
@@ -493,6 +511,8 @@
         m_directory.load(agent, *load, now);
     } else if (const auto *started = std::get_if<TaskStarted>(&message)) {
         onStarted(agent, *started, now, out);
+    } else if (const auto *late = std::get_if<TaskLate>(&message)) {
+        onLate(agent, *late, now, out);
     } else if (const auto *ended = std::get_if<TaskEnded>(&message)) {
         onEnded(agent, *ended, now, out);
     } else if (const auto *refused = std::get_if<StartRefused>(&message)) {
@@ -538,12 +558,51 @@
         setState(number, *job, task, State::Running);
 }
 
+void JobDispatcher::avoid(Task &task)
+{
+    if (std::find(task.avoid.begin(), task.avoid.end(), task.worker) == task.avoid.end())
+        task.avoid.push_back(task.worker);
+}
+
 void JobDispatcher::onUnknownTask(Incarnation agent, const TaskStarted &task,
                                   DispatcherOutbox &out) const
 {
     out.emplace_back(SendToAgent{agent, WithdrawTask{task.task, task.attempt}});
 }
 
+// A run that would end in time elsewhere, or much sooner, is stopped and placed again.
+void JobDispatcher::onLate(Incarnation agent, const TaskLate &message, TimePoint now,
+                           DispatcherOutbox &out)
+{
+    const auto [number, job] = findJob(message.task, agent, message.attempt);
+    if (!job || job->closing)
+        return;
+    Task &task = job->tasks[message.task.index];
+    if (task.state != State::Running)
+        return;
+    const Duration elsewhere = MoveTime + job->expectedRun;
+    const bool meetsObjective = now + elsewhere <= job->objectiveAt;
+    const bool isMuchSooner = elsewhere * 2 < message.remaining && now + elsewhere < job->deadline;
+    if (!meetsObjective && !isMuchSooner)
+        return;
+    Task elsewhereTask = task;
+    avoid(elsewhereTask);
+    if (!m_directory.choose(requestOf(*job, elsewhereTask, now), now))
+        return; // no room elsewhere
+    avoid(task);
+    withdraw(*job, message.task.index, out);
+    setState(number, *job, task, State::Withdrawn);
+    out.emplace_back(LogEvent{Severity::Info,
+                              "task_moved",
+                              {{"job", job->spec.id},
+                               {"task", std::to_string(message.task.index)},
+                               {"attempt", std::to_string(message.attempt)},
+                               {"worker", task.worker.worker},
+                               {"remaining_ms", ms(message.remaining)},
+                               {"expected_ms", ms(job->expectedRun)},
+                               {"objective_ms", ms(job->objectiveAt - now)}}});
+}
+
 void JobDispatcher::onEnded(Incarnation agent, const TaskEnded &message, TimePoint now,
                             DispatcherOutbox &out)
 {
@@ -554,10 +613,7 @@
     onStarted(agent, {message.task, message.attempt}, now, out);
     Task &task = job->tasks[message.task.index];
     if (message.end == TaskEnd::Done) {
-        const double slowness = std::max(m_directory.slownessOf(task.worker), 0.1);
-        m_runTimes.learn(job->spec.queue,
-                         std::chrono::duration_cast<Duration>(message.runTime / slowness),
-                         job->spec.declared);
+        m_runTimes.learn(job->spec.queue, message.runTime, job->spec.declared);
         setState(number, *job, task, State::Done);
         if (job->done == job->tasks.size())
             finish(number, {JobOutcome::Completed, {}, {}}, now, out);
@@ -565,7 +621,7 @@
             checkClosed(number, now, out);
         return step(now, out);
     }
-    task.avoid = task.worker;
+    avoid(task);
     if (message.end == TaskEnd::Failed && ++task.failures >= job->maxAttempts) {
         setState(number, *job, task, State::Waiting);
         finish(number, {JobOutcome::Failed, "task_failed", {}}, now, out);
@@ -597,7 +653,7 @@
                         || message.reason == StartRefusal::Draining;
     if (message.reason != StartRefusal::OldAttempt && message.reason != StartRefusal::Withdrawn)
         m_directory.pause(task.worker, now + (isSick ? UnhealthyPause : RefusedPause));
-    task.avoid = task.worker;
+    avoid(task);
     onProof(number, *job, message.task.index, now, out);
     step(now, out);
 }
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -111,7 +111,7 @@
         WorkerKey worker;
         std::string agentName;
         TimePoint provenAt = NeverTime; // Unproven: has ended by then
-        std::optional<WorkerKey> avoid;
+        std::vector<WorkerKey> avoid;   // where it failed, was refused or was too slow
     };
 
     using JobNumber = std::uint64_t;
@@ -159,6 +159,7 @@
     void place(TimePoint now, DispatcherOutbox &out);
     bool placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
                    DispatcherOutbox &out);
+    WorkerDirectory::Request requestOf(const Job &job, const Task &task, TimePoint now) const;
     void step(TimePoint now, DispatcherOutbox &out);
     void expire(TimePoint now, DispatcherOutbox &out);
     void beginClosing(JobNumber number, Job &job, DispatchAnswer answer, TimePoint now,
@@ -169,6 +170,7 @@
                 DispatcherOutbox &out);
     void onStarted(Incarnation agent, const TaskStarted &message, TimePoint now,
                    DispatcherOutbox &out);
+    void onLate(Incarnation agent, const TaskLate &message, TimePoint now, DispatcherOutbox &out);
     void onEnded(Incarnation agent, const TaskEnded &message, TimePoint now, DispatcherOutbox &out);
     void onStartRefused(Incarnation agent, const StartRefused &message, TimePoint now,
                         DispatcherOutbox &out);
@@ -181,6 +183,7 @@
     // The open job whose task has this attempt at this agent; none for messages that came too late.
     std::pair<JobNumber, Job *> findJob(const TaskId &task, Incarnation agent,
                                         std::uint32_t attempt);
+    static void avoid(Task &task);
     void onUnknownTask(Incarnation agent, const TaskStarted &task, DispatcherOutbox &out) const;
     Duration expectedSpan(const Job &job) const;
 
--- a/src/runtimemodel.cpp
+++ b/src/runtimemodel.cpp
@@ -2,6 +2,7 @@
 
 #include "runtimemodel.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace cactuscove {
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr double NewestWeight = 0.02;
+constexpr double MaxOverMean = 3;
 constexpr double DefaultMs = 200; // the middle of what sub-second tasks take
 
 double toMs(Duration duration)
@@ -21,9 +23,10 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
-void blend(double &mean, double value)
+// The first ends weigh more, so that a mean is there soon.
+void blend(double &mean, double value, int samples)
 {
-    mean = mean == 0 ? value : mean + NewestWeight * (value - mean);
+    mean += std::max(NewestWeight, 1.0 / samples) * (value - mean);
 }
 
 } // namespace
@@ -33,9 +36,11 @@
     auto it = m_queues.find(queue);
     if (it == m_queues.end())
         it = m_queues.emplace(std::string(queue), Queue()).first;
-    blend(it->second.meanMs, toMs(runTime));
+    // A stuck or slow worker must not make all tasks look long.
+    const double limit = it->second.meanMs == 0 ? toMs(runTime) : MaxOverMean * it->second.meanMs;
+    blend(it->second.meanMs, std::min(toMs(runTime), limit), ++it->second.samples);
     if (declared > Duration{})
-        blend(it->second.declaredMeanMs, toMs(declared));
+        blend(it->second.declaredMeanMs, toMs(declared), ++it->second.declaredSamples);
 }
 
 // The queue's mean, scaled by the square root of how the declaration differs from the usual one: a
--- a/src/runtimemodel.h
+++ b/src/runtimemodel.h
@@ -14,7 +14,7 @@
 class RunTimeModel
 {
 public:
-    // `runTime` is normalised to a worker of mean speed; `declared` is 0 if the caller gave none.
+    // `declared` is 0 if the caller gave none.
     void learn(std::string_view queue, Duration runTime, Duration declared);
 
     // Falls back to the declaration, then to a default, until an end has been seen.
@@ -25,6 +25,8 @@
     {
         double meanMs = 0;
         double declaredMeanMs = 0; // of those that gave one
+        int samples = 0;
+        int declaredSamples = 0;
     };
 
     std::map<std::string, Queue, std::less<>> m_queues;
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -29,8 +29,15 @@
 constexpr Duration UnhealthyPause = 200ms;
 // The worker's clock may be 2% slow; the rest is for calls under way.
 constexpr Duration LeaseSlack = 60ms;
-constexpr Duration EndedMemory = 4s;       // an entry that reconnects learns ends up to this old
-constexpr Duration WorkerSilence = 6s;     // several heartbeats
+constexpr Duration EndedMemory = 4s;   // an entry that reconnects learns ends up to this old
+constexpr Duration WorkerSilence = 6s; // several heartbeats
+// What runs is judged by its progress once it ran this long in sum; one run, once it ran this long.
+constexpr double MinElapsedMs = 40;
+constexpr Duration MinElapsed = 15ms;
+constexpr double SlowWorker = 2.5; // times the expected run time
+constexpr double StuckWorker = 6;
+constexpr int EnoughRuns = 4;
+constexpr double MaxSlowness = 20;         // a worker at which tasks stand still
 constexpr std::size_t MaxListedEnds = 500; // of one reply; a longer list continues in the next
 
 std::int64_t toMs(Duration duration)
@@ -472,6 +479,52 @@
     if (!worker.isSynced || wasClean != isClean)
         ++m_loadVersion;
     worker.isSynced = true;
+    measureProgress(worker, now, out);
+}
+
+void TaskRunner::measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    double elapsedMs = 0;
+    double workMs = 0; // done of what was expected
+    int runs = 0;
+    for (const auto &[id, task] : worker.tasks) {
+        if (task.state != State::Running || task.percentAt != now)
+            continue;
+        const auto elapsed = static_cast<double>(toMs(now - task.startedAt));
+        elapsedMs += elapsed;
+        ++runs;
+        workMs += task.percent / 100.0 * static_cast<double>(toMs(task.assignment.expectedRun));
+    }
+    const double slowness = std::min(elapsedMs / std::max(workMs, 1.0), MaxSlowness);
+    // Few runs tell a slow worker only if they hardly move: one may just be a long task.
+    const bool isSlow
+        = elapsedMs >= MinElapsedMs && slowness >= (runs >= EnoughRuns ? SlowWorker : StuckWorker);
+    const bool wasSlow = worker.runningSlowness > 0;
+    worker.runningSlowness = isSlow ? slowness : 0;
+    if (isSlow != wasSlow)
+        ++m_loadVersion;
+    if (!isSlow)
+        return;
+    for (auto &[id, task] : worker.tasks) {
+        if (task.state != State::Running || task.percentAt != now || task.isLateTold)
+            continue;
+        const Duration elapsed = now - task.startedAt;
+        const Duration remaining = elapsed * (100 - task.percent) / std::max(task.percent, 1);
+        if (elapsed < MinElapsed || now + remaining <= task.assignment.finishBy)
+            continue;
+        task.isLateTold = true;
+        out.emplace_back(SendToEntry{task.entry, TaskLate{id, task.assignment.attempt, remaining}});
+        out.emplace_back(LogEvent{
+            Severity::Info,
+            "task_late",
+            {{"job", id.jobId},
+             {"task", text(id.index)},
+             {"attempt", text(task.assignment.attempt)},
+             {"worker", worker.info.id},
+             {"ran_ms", text(toMs(elapsed))},
+             {"percent", text(task.percent)},
+             {"slowness_percent", text(static_cast<std::int64_t>(worker.runningSlowness * 100))}}});
+    }
 }
 
 // Ends
@@ -550,6 +603,12 @@
                              / static_cast<double>(task.assignment.expectedRun.count());
         worker.slowness += NewestSpeed * (std::min(ratio, MaxRatio) - worker.slowness);
     }
+    // A job that fails everywhere must not cost one worker its standing by many tasks.
+    const std::string &job = task.assignment.task.jobId;
+    if (end == TaskEnd::Failed && job == worker.failedJob)
+        return;
+    if (end == TaskEnd::Failed)
+        worker.failedJob = job;
     if (end == TaskEnd::Done || end == TaskEnd::Failed)
         worker.failureShare += NewestEnd * ((end == TaskEnd::Failed) - worker.failureShare);
 }
@@ -799,7 +858,7 @@
                               && !m_shuttingDown;
         if (!isUsable)
             load.free = Resources{std::min<std::int64_t>(load.free.cpuMillis, 0), 0, 0};
-        load.slowness = worker.slowness;
+        load.slowness = std::max(worker.slowness, worker.runningSlowness);
         load.failureShare = worker.failureShare;
         load.assignments = from == m_entries.end() ? 0 : from->second.assignments;
         loads.push_back(std::move(load));
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -178,8 +178,9 @@
         bool ranForSure = false;       // a start was accepted, or the run was listed
         bool stopAcknowledged = false;
         TimePoint stopAcknowledgedAt{};
-        int percent = 0;
+        int percent = 0; // of its work, by the newest list
         TimePoint percentAt{};
+        bool isLateTold = false;
     };
 
     // A run that another process of this agent started; its needs are not known.
@@ -218,8 +219,10 @@
         TimePoint unhealthyUntil{};
         std::map<TaskId, Task> tasks;
         std::vector<Orphan> orphans;
-        double slowness = 1;
+        double slowness = 1;        // mean of the newest ends
+        double runningSlowness = 0; // by the progress of what runs; 0: too little to tell
         double failureShare = 0;
+        std::string failedJob; // of the newest failure
     };
 
     struct Entry
@@ -261,6 +264,8 @@
     // since.
     void applyLists(Worker &worker, const HoldReply &reply, TimePoint askedAt, TimePoint now,
                     RunnerOutbox &out);
+    // Tells a slow worker from a long task: all that runs there is slow.
+    void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
     void learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime);
     void hear(Worker &worker, WorkerClock clock, TimePoint now);
     bool isSilent(Incarnation entry, TimePoint now) const;
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -13,13 +13,21 @@
 
 // Agents send at least a beat each 100 ms. A task sent to a silent agent may be stuck there.
 constexpr Duration AgentSilence = 350ms;
-// A worker whose failures exceed the fleet's mean by this much is used only if nothing else has
-// room.
-constexpr double FailureExcess = 0.35;
+// A worker whose failures exceed the fleet's mean by this much gets no tasks.
+constexpr double FailureExcess = 0.2;
+// What was said of a worker loses its weight in this time, so that it is tried again.
+constexpr double FailureMemoryMs = 800;
+constexpr double SlownessMemoryMs = 2000;
 // Weight of a worker falls with this power of its slowness.
 constexpr double SpeedPower = 2;
 constexpr double PreferredWeight = 4; // of a worker with the preferred label
 
+double decay(Duration age, double memoryMs)
+{
+    return std::exp(-std::max(0.0, std::chrono::duration<double, std::milli>(age).count())
+                    / memoryMs);
+}
+
 bool hasLabel(const WorkerInfo &worker, std::string_view label)
 {
     return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -87,7 +95,7 @@
         m_workers[key].info = update.worker;
 }
 
-void WorkerDirectory::load(Incarnation agent, const WorkerLoad &load, TimePoint)
+void WorkerDirectory::load(Incarnation agent, const WorkerLoad &load, TimePoint now)
 {
     const auto it = m_workers.find({agent, load.workerId});
     if (it == m_workers.end())
@@ -95,6 +103,7 @@
     Worker &worker = it->second;
     worker.load = load;
     worker.hasLoad = true;
+    worker.loadAt = now;
     worker.sent.erase(worker.sent.begin(), worker.sent.upper_bound(load.assignments));
 }
 
@@ -128,11 +137,23 @@
     return free;
 }
 
-double WorkerDirectory::meanFailureShare() const
+double WorkerDirectory::failureShareOf(const Worker &worker, TimePoint now)
+{
+    return worker.load.failureShare * decay(now - worker.loadAt, FailureMemoryMs);
+}
+
+double WorkerDirectory::slownessOf(const Worker &worker, TimePoint now)
+{
+    const double slowness = std::max(worker.load.slowness, 0.1);
+    return slowness <= 1 ? slowness
+                         : 1 + (slowness - 1) * decay(now - worker.loadAt, SlownessMemoryMs);
+}
+
+double WorkerDirectory::meanFailureShare(TimePoint now) const
 {
     double sum = 0;
     for (const auto &[key, worker] : m_workers)
-        sum += worker.load.failureShare;
+        sum += failureShareOf(worker, now);
     return m_workers.empty() ? 0 : sum / static_cast<double>(m_workers.size());
 }
 
@@ -144,23 +165,31 @@
         double weight;
     };
     std::vector<Candidate> good;
-    std::vector<Candidate> doubtful;
-    const double failureLimit = meanFailureShare() + FailureExcess;
+    std::vector<Candidate> avoided;
+    bool hasAlternative = false; // to the avoided workers, be it busy now
+    const double failureLimit = meanFailureShare(now) + FailureExcess;
     for (const auto &[key, worker] : m_workers) {
         if (worker.info.upstream != request.upstream || !isUsable(key, worker, now))
             continue;
         if (!request.requiredLabel.empty() && !hasLabel(worker.info, request.requiredLabel))
             continue;
+        if (failureShareOf(worker, now) > failureLimit)
+            continue;
+        const double slowness = slownessOf(worker, now);
+        if (request.maxSlowness > 0 && slowness > request.maxSlowness)
+            continue;
+        const bool isAvoided
+            = std::find(request.avoid.begin(), request.avoid.end(), key) != request.avoid.end();
+        hasAlternative |= !isAvoided;
         const std::int64_t room = freeOf(worker).countOf(request.needs);
         if (room <= 0)
             continue;
-        const double weight
-            = static_cast<double>(room) / std::pow(std::max(worker.load.slowness, 0.1), SpeedPower);
-        const bool isDoubtful
-            = worker.load.failureShare > failureLimit || (request.avoid && *request.avoid == key);
-        (isDoubtful ? doubtful : good).push_back({&key, weight});
+        double weight = static_cast<double>(room) / std::pow(slowness, SpeedPower);
+        if (!request.preferredLabel.empty() && hasLabel(worker.info, request.preferredLabel))
+            weight *= PreferredWeight;
+        (isAvoided ? avoided : good).push_back({&key, weight});
     }
-    const std::vector<Candidate> &candidates = good.empty() ? doubtful : good;
+    const std::vector<Candidate> &candidates = hasAlternative ? good : avoided;
     if (candidates.empty())
         return std::nullopt;
     double total = 0;
@@ -221,10 +250,10 @@
     return it->second.clock + (at - it->second.clockAt);
 }
 
-double WorkerDirectory::slownessOf(const WorkerKey &key) const
+double WorkerDirectory::slownessOf(const WorkerKey &key, TimePoint now) const
 {
     const auto it = m_workers.find(key);
-    return it == m_workers.end() ? 1 : it->second.load.slowness;
+    return it == m_workers.end() ? 1 : slownessOf(it->second, now);
 }
 
 std::size_t WorkerDirectory::connectedAgents() const
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,9 +47,10 @@
     {
         std::string_view upstream;
         Resources needs;
-        std::optional<WorkerKey> avoid; // where the task failed before
+        std::span<const WorkerKey> avoid; // where the task failed before
         std::string_view requiredLabel;
         std::string_view preferredLabel;
+        double maxSlowness = 0; // a slower worker would miss the objective; 0: any
     };
     // A worker with room for the task, or none.
     std::optional<WorkerKey> choose(const Request &request, TimePoint now);
@@ -60,7 +62,7 @@
     bool isConnected(Incarnation agent) const;
     // Reads the agent's clock not later than it shows at `at`; none without contact.
     std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
-    double slownessOf(const WorkerKey &key) const;
+    double slownessOf(const WorkerKey &key, TimePoint now) const;
     std::size_t connectedAgents() const;
 
 private:
@@ -80,13 +82,16 @@
         WorkerInfo info;
         WorkerLoad load;
         bool hasLoad = false;
+        TimePoint loadAt{};
         std::map<std::uint64_t, Resources> sent; // by number; not yet in `load`
         TimePoint pausedUntil{};
     };
 
     bool isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const;
     Resources freeOf(const Worker &worker) const;
-    double meanFailureShare() const;
+    double meanFailureShare(TimePoint now) const;
+    static double slownessOf(const Worker &worker, TimePoint now);
+    static double failureShareOf(const Worker &worker, TimePoint now);
 
     std::string m_dataCentre;
     std::mt19937_64 m_random;
