--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -69,10 +69,17 @@
     a(it.worker, it.isGone);
 }
 
+template <typename A>
+void fields(A &a, QueuedRoom &it)
+{
+    a(it.priority, it.needs);
+}
+
 template <typename A>
 void fields(A &a, WorkerLoad &it)
 {
-    a(it.workerId, it.free, it.slowness, it.failureShare, it.assignments);
+    a(it.workerId, it.free, it.queued, it.freeingRate, it.isUsable, it.slowness, it.failureShare,
+      it.assignments);
 }
 
 template <typename A>
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -68,14 +68,24 @@
     bool isGone = false;
 };
 
+// Tasks of one priority that wait at a worker.
+struct QueuedRoom
+{
+    int priority = 0;
+    Resources needs; // sum
+};
+
 // Agent to entry: what is left of a worker's room, on each change.
 struct WorkerLoad
 {
     std::string workerId;
-    Resources free;                // less what runs and what is queued; may be negative
-    double slowness = 1;           // run times here against the entries' expectation
-    double failureShare = 0;       // of the newest ends
-    std::uint64_t assignments = 0; // newest AssignTask::number that `free` takes into account
+    Resources free;                 // less what runs; none if the worker takes no tasks
+    std::vector<QueuedRoom> queued; // the most urgent first
+    double freeingRate = 0;         // cores that running tasks are expected to give back in a ms
+    bool isUsable = false;          // takes tasks
+    double slowness = 1;            // run times here against the entries' expectation
+    double failureShare = 0;        // of the newest ends
+    std::uint64_t assignments = 0;  // newest AssignTask::number that `free` takes into account
 };
 
 struct TaskStarted
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -13,7 +13,7 @@
 using namespace std::chrono_literals;
 
 // An assignment that waits longer at an agent goes back to be placed elsewhere.
-constexpr Duration StartPatience = 50ms;
+constexpr Duration StartPatience = 60ms;
 constexpr Duration RefusedPause = 20ms;    // of a worker that refused a start
 constexpr Duration UnhealthyPause = 250ms; // of a worker that refuses all starts
 // Agents prove within this time that withdrawn tasks do not run; else the outcome is unknown.
@@ -172,7 +172,7 @@
         return;
     }
     if (!m_directory.couldEverFit(
-            {queue->upstream, spec.needs, {}, spec.requiredLabel, spec.preferredLabel}))
+            {queue->upstream, spec.needs, 0, {}, spec.requiredLabel, spec.preferredLabel}))
         return refuse(caller, spec, "cannot_run", {}, out);
     const Resources capacity = m_directory.totalCapacity(queue->upstream, now);
     // Agents of a fleet that starts as a whole report within moments; jobs may wait for them.
@@ -341,6 +341,7 @@
     WorkerDirectory::Request request;
     request.upstream = job.upstream;
     request.needs = job.spec.needs;
+    request.priority = job.priority;
     request.avoid = task.avoid;
     request.requiredLabel = job.spec.requiredLabel;
     request.preferredLabel = job.spec.preferredLabel;
@@ -378,7 +379,7 @@
     message.startBy = *startBy;
     message.endBy = *endBy;
     message.finishBy = *m_directory.agentTime(worker->agent, job.objectiveAt);
-    message.number = m_directory.book(*worker, job.spec.needs);
+    message.number = m_directory.book(*worker, job.priority, job.spec.needs);
     out.emplace_back(SendToAgent{worker->agent, std::move(message)});
     return true;
 }
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -50,6 +50,13 @@
     return std::min(FirstRetry * (1 << std::min(callsBefore, 2)), LongestRetry);
 }
 
+// In a steady state a running task ends within a time t with probability t / run time.
+double freeingRate(const AssignTask &task)
+{
+    const double cores = static_cast<double>(task.needs.cpuMillis) / 1000;
+    return cores / std::max<double>(static_cast<double>(toMs(task.expectedRun)), 1);
+}
+
 std::string text(std::int64_t n)
 {
     return std::to_string(n);
@@ -850,14 +857,19 @@
     for (const auto &[id, worker] : m_workers) {
         WorkerLoad load;
         load.workerId = id;
-        load.free = worker.info.capacity;
-        for (const auto &[taskId, task] : worker.tasks)
-            load.free -= task.assignment.needs;
-        const bool isUsable = m_mayStart && worker.isSynced && worker.orphans.empty()
-                              && !worker.info.isDraining && !worker.isUnresponsive
-                              && !m_shuttingDown;
-        if (!isUsable)
-            load.free = Resources{std::min<std::int64_t>(load.free.cpuMillis, 0), 0, 0};
+        load.free = worker.info.capacity - used(worker);
+        load.isUsable = m_mayStart && worker.isSynced && worker.orphans.empty()
+                        && !worker.info.isDraining && !worker.isUnresponsive && !m_shuttingDown;
+        std::map<int, Resources> queued;
+        for (const auto &[taskId, task] : worker.tasks) {
+            if (task.state == State::Queued)
+                queued[task.assignment.priority] += task.assignment.needs;
+            else
+                load.freeingRate += freeingRate(task.assignment);
+        }
+        for (const auto &[priority, needs] : queued)
+            load.queued.push_back({priority, needs});
+        load.freeingRate /= std::max(1.0, worker.slowness);
         load.slowness = std::max(worker.slowness, worker.runningSlowness);
         load.failureShare = worker.failureShare;
         load.assignments = from == m_entries.end() ? 0 : from->second.assignments;
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cactuscove {
 
@@ -20,6 +21,9 @@
 constexpr double SlownessMemoryMs = 2000;
 // Weight of a worker falls with this power of its slowness.
 constexpr double SpeedPower = 2;
+// A task is bound to a busy worker only if it is expected to start there within this time; the
+// worker's agent then starts the most urgent first. It hides the way of the news that room is free.
+constexpr double LongestQueueMs = 25;
 constexpr double PreferredWeight = 4; // of a worker with the preferred label
 
 double decay(Duration age, double memoryMs)
@@ -107,10 +111,10 @@
     worker.sent.erase(worker.sent.begin(), worker.sent.upper_bound(load.assignments));
 }
 
-std::uint64_t WorkerDirectory::book(const WorkerKey &key, const Resources &needs)
+std::uint64_t WorkerDirectory::book(const WorkerKey &key, int priority, const Resources &needs)
 {
     const std::uint64_t number = ++m_agents[key.agent].assignments;
-    m_workers[key].sent[number] = needs;
+    m_workers[key].sent[number] = {priority, needs};
     return number;
 }
 
@@ -126,17 +130,36 @@
     const auto agent = m_agents.find(key.agent);
     return agent != m_agents.end() && agent->second.isConnected
            && now - agent->second.heardAt < AgentSilence && agent->second.clock != TimePoint{}
-           && worker.hasLoad && !worker.info.isDraining && now >= worker.pausedUntil;
+           && worker.hasLoad && worker.load.isUsable && !worker.info.isDraining
+           && now >= worker.pausedUntil;
 }
 
-Resources WorkerDirectory::freeOf(const Worker &worker) const
+Resources WorkerDirectory::freeOf(const Worker &worker, int priority)
 {
     Resources free = worker.load.free;
-    for (const auto &[number, needs] : worker.sent)
-        free -= needs;
+    for (const QueuedRoom &it : worker.load.queued)
+        if (it.priority <= priority)
+            free -= it.needs;
+    for (const auto &[number, it] : worker.sent)
+        if (it.priority <= priority)
+            free -= it.needs;
     return free;
 }
 
+double WorkerDirectory::expectedWaitMs(const Worker &worker, const Request &request)
+{
+    const Resources free = freeOf(worker, request.priority);
+    if (request.needs.fitsIn(free))
+        return 0;
+    // Only the processor is given back at a rate that is known.
+    const bool fitsOtherwise = request.needs.memoryMb <= free.memoryMb
+                               && request.needs.accelerators <= free.accelerators;
+    if (!fitsOtherwise || worker.load.freeingRate <= 0)
+        return std::numeric_limits<double>::infinity();
+    const auto missing = static_cast<double>(request.needs.cpuMillis - free.cpuMillis);
+    return missing / 1000 / worker.load.freeingRate;
+}
+
 double WorkerDirectory::failureShareOf(const Worker &worker, TimePoint now)
 {
     return worker.load.failureShare * decay(now - worker.loadAt, FailureMemoryMs);
@@ -162,7 +185,8 @@
     struct Candidate
     {
         const WorkerKey *key;
-        double weight;
+        double weight; // 0 without room
+        double waitMs;
     };
     std::vector<Candidate> good;
     std::vector<Candidate> avoided;
@@ -181,13 +205,15 @@
         const bool isAvoided
             = std::find(request.avoid.begin(), request.avoid.end(), key) != request.avoid.end();
         hasAlternative |= !isAvoided;
-        const std::int64_t room = freeOf(worker).countOf(request.needs);
-        if (room <= 0)
+        const double waitMs = expectedWaitMs(worker, request);
+        if (waitMs > LongestQueueMs)
             continue;
-        double weight = static_cast<double>(room) / std::pow(slowness, SpeedPower);
+        const auto room
+            = static_cast<double>(freeOf(worker, request.priority).countOf(request.needs));
+        double weight = room / std::pow(slowness, SpeedPower);
         if (!request.preferredLabel.empty() && hasLabel(worker.info, request.preferredLabel))
             weight *= PreferredWeight;
-        (isAvoided ? avoided : good).push_back({&key, weight});
+        (isAvoided ? avoided : good).push_back({&key, weight, waitMs});
     }
     const std::vector<Candidate> &candidates = hasAlternative ? good : avoided;
     if (candidates.empty())
@@ -195,13 +221,22 @@
     double total = 0;
     for (const Candidate &it : candidates)
         total += it.weight;
+    if (total <= 0)
+        return *std::min_element(
+                    candidates.begin(), candidates.end(),
+                    [](const Candidate &a, const Candidate &b) { return a.waitMs < b.waitMs; })
+                    ->key;
     double pick = std::uniform_real_distribution<double>(0, total)(m_random);
+    const Candidate *last = nullptr;
     for (const Candidate &it : candidates) {
+        if (it.weight <= 0)
+            continue;
+        last = &it;
         pick -= it.weight;
         if (pick < 0)
-            return *it.key;
+            break;
     }
-    return *candidates.back().key;
+    return *last->key;
 }
 
 bool WorkerDirectory::couldEverFit(const Request &request) const
@@ -232,7 +267,8 @@
     std::int64_t millis = 0;
     for (const auto &[key, worker] : m_workers)
         if (worker.info.upstream == upstream && isUsable(key, worker, now))
-            millis += std::max<std::int64_t>(freeOf(worker).cpuMillis, 0);
+            millis += std::max<std::int64_t>(
+                freeOf(worker, std::numeric_limits<int>::max()).cpuMillis, 0);
     return static_cast<double>(millis) / 1000;
 }
 
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -38,7 +38,7 @@
     void update(Incarnation agent, const WorkerUpdate &update, TimePoint now);
     void load(Incarnation agent, const WorkerLoad &load, TimePoint now);
     // Books room at a worker until a report contains it; returns the assignment's number.
-    std::uint64_t book(const WorkerKey &key, const Resources &needs);
+    std::uint64_t book(const WorkerKey &key, int priority, const Resources &needs);
     // No tasks for this worker before `until`: it refused one.
     void pause(const WorkerKey &key, TimePoint until);
 
@@ -47,12 +47,14 @@
     {
         std::string_view upstream;
         Resources needs;
+        int priority = 0;
         std::span<const WorkerKey> avoid; // where the task failed before
         std::string_view requiredLabel;
         std::string_view preferredLabel;
         double maxSlowness = 0; // a slower worker would miss the objective; 0: any
     };
-    // A worker with room for the task, or none.
+    // A worker with room for the task, else one that is expected to have it within moments, or
+    // none.
     std::optional<WorkerKey> choose(const Request &request, TimePoint now);
     // The task fits on some worker, busy or not. True as long as no worker is known.
     bool couldEverFit(const Request &request) const;
@@ -83,12 +85,15 @@
         WorkerLoad load;
         bool hasLoad = false;
         TimePoint loadAt{};
-        std::map<std::uint64_t, Resources> sent; // by number; not yet in `load`
+        std::map<std::uint64_t, QueuedRoom> sent; // by number; not yet in `load`
         TimePoint pausedUntil{};
     };
 
     bool isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const;
-    Resources freeOf(const Worker &worker) const;
+    // What is left for a task of this priority; may be negative.
+    static Resources freeOf(const Worker &worker, int priority);
+    // Until the task would start.
+    static double expectedWaitMs(const Worker &worker, const Request &request);
     double meanFailureShare(TimePoint now) const;
     static double slownessOf(const Worker &worker, TimePoint now);
     static double failureShareOf(const Worker &worker, TimePoint now);
