--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -95,7 +95,7 @@
 
 JobDispatcher::Rank JobDispatcher::rankOf(JobNumber number, const Job &job) const
 {
-    return {job.priority, !job.everStarted, number};
+    return {job.latestStart, number};
 }
 
 Work JobDispatcher::workOf(const Job &job, std::size_t tasks) const
@@ -192,6 +192,7 @@
     const Duration span = expectedSpan(job);
     job.objectiveAt = now + queue->targetLatency - AnswerMargin
                       + std::chrono::duration_cast<Duration>(span * queue->slackFactor);
+    job.latestStart = job.objectiveAt - span;
 
     std::uint32_t entries = 1;
     for (const auto &[agent, heard] : m_entriesHeard)
@@ -547,13 +548,8 @@
         return onUnknownTask(agent, message, out);
     Task &task = job->tasks[message.task.index];
     if (!job->everStarted) {
-        const bool isReady = job->waiting > 0 && !job->closing;
-        if (isReady)
-            m_ready.erase(rankOf(number, *job));
         job->everStarted = true;
         job->firstStartAt = now;
-        if (isReady)
-            m_ready.insert(rankOf(number, *job));
     }
     if (task.state == State::Assigned)
         setState(number, *job, task, State::Running);
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -127,6 +127,7 @@
         TimePoint objectiveAt{}; // an answer by then meets the queue's objective
         TimePoint deadline{};    // the caller waits no longer
         Duration expectedRun{};
+        TimePoint latestStart{}; // to meet the objective
         bool everStarted = false;
         std::optional<DispatchAnswer>
             closing;         // its tasks are being withdrawn; then this is the answer
@@ -144,11 +145,12 @@
         TimePoint endedAt{};
     };
 
-    // Order in which jobs get room: urgent first, begun jobs before others, then by arrival.
+    // Order in which jobs get room: by the latest start that meets their objective. The priority
+    // decides which jobs are taken at all; among those taken, an order by priority would leave
+    // begun jobs of less urgent queues behind, and their finished tasks would be lost.
     struct Rank
     {
-        int priority = 0;
-        bool isNew = true;
+        TimePoint latestStart;
         JobNumber number = 0;
         auto operator<=>(const Rank &) const = default; // NOLINT(modernize-use-nullptr)
     };
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -252,6 +252,12 @@
     }
 }
 
+// Ties go to the one that arrived first.
+std::pair<TimePoint, std::uint64_t> TaskRunner::latestStart(const Task &task)
+{
+    return {task.assignment.finishBy - task.assignment.expectedRun, task.arrival};
+}
+
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     if (!worker.isSynced || worker.info.isDraining || !worker.orphans.empty() || !m_mayStart
@@ -263,8 +269,7 @@
         for (auto &[id, task] : worker.tasks) {
             if (task.state != State::Queued)
                 continue;
-            const auto rank = std::pair(task.assignment.priority, task.arrival);
-            if (!best || rank < std::pair(best->assignment.priority, best->arrival))
+            if (!best || latestStart(task) < latestStart(*best))
                 best = &task;
         }
         // Only the first in order may start: smaller tasks behind it must not starve it.
