--- /dev/null
+++ b/tests/dispatchfleet.cpp
@@ -0,0 +1,1002 @@
+// Event queue, played workers and links.
+
+#include "dispatchfleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration LinkDelay = 900us;
+constexpr Duration WorkerDelay = 300us; // one way, on the same machine
+constexpr Duration BeatPause = 100ms;
+constexpr Duration HeartbeatPause = 1500ms;
+constexpr Duration StopDelay = 20ms;
+constexpr Duration ResubmitPause = 1300ms;
+constexpr double LatePart = 0.2; // of a job's worth, for a late answer
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+double ms(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+Duration fromMs(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+} // namespace
+
+class DispatchFleet::Impl
+{
+public:
+    struct Run
+    {
+        std::uint32_t attempt = 0;
+        Resources needs;
+        double workMs = 0; // on a worker of speed 1
+        double doneMs = 0;
+        bool isStopping = false;
+        std::uint64_t number = 0; // tells a planned end that no longer applies
+    };
+
+    struct Worker
+    {
+        int index = 0;
+        std::uint64_t life = 1;
+        bool isUp = true;
+        double speed = 1;
+        bool isFailing = false;
+        Resources capacity;
+        TimePoint bornAt = Start;
+        TimePoint leaseEnd = Start;
+        TimePoint progressAt = Start;
+        std::uint64_t sequence = 0;
+        std::uint64_t endNumber = 0;
+        std::map<TaskId, Run> runs;
+        std::map<TaskId, std::uint32_t> highest; // attempt stopped or ended
+        std::vector<EndedRun> ended;
+        std::vector<std::function<void()>> waitingHolds;
+        std::string id() const { return "w" + std::to_string(index) + "-" + std::to_string(life); }
+    };
+
+    // A process with a connection to each process of the other role.
+    struct Process
+    {
+        std::uint64_t life = 1;
+        bool isUp = true;
+        TimePoint frozenUntil = Start;
+        std::vector<std::function<void()>> held; // inputs during a freeze
+        TimePoint timerAt = NeverTime;
+    };
+
+    struct Agent : Process
+    {
+        std::unique_ptr<TaskRunner> runner;
+        std::uint64_t sentVersion = 0;
+    };
+
+    struct Entry : Process
+    {
+        std::unique_ptr<JobDispatcher> dispatcher;
+    };
+
+    struct Link
+    {
+        bool isUp = false;
+        bool isCut = false;
+        std::uint64_t generation = 0;
+        TimePoint agentHeard = Start; // of the entry
+        TimePoint entryHeard = Start;
+    };
+
+    struct Job
+    {
+        const JobKind *kind = nullptr;
+        BestEffortJob spec;
+        std::vector<double> workMs;
+        TimePoint firstSentAt;
+        TimePoint objectiveAt;
+        Duration patience{};
+        double worth = 0;
+        bool isAnswered = false;
+        bool wasOnlyRefused = true;
+        bool ran = false;
+        JobOutcome outcome = JobOutcome::Unknown;
+        TimePoint answeredAt;
+        std::uint64_t caller = 0; // of the newest try
+        std::size_t entry = 0;
+    };
+
+    explicit Impl(DispatchFleetOptions opts)
+        : options(std::move(opts))
+        , random(options.seed)
+    {
+        config.version = 1;
+        for (const JobKind &it : options.kinds) {
+            QueueSettings queue;
+            queue.name = it.queue;
+            queue.upstream = "upstream";
+            queue.priority = it.priority;
+            queue.maxAttempts = 3;
+            queue.slackFactor = 1.6;
+            queue.targetLatency = 60ms;
+            config.queues.push_back(queue);
+        }
+        workers.resize(static_cast<std::size_t>(options.workers));
+        agents.resize(workers.size());
+        entries.resize(static_cast<std::size_t>(options.entries));
+        links.assign(entries.size(), std::vector<Link>(agents.size()));
+        for (std::size_t i = 0; i < workers.size(); ++i) {
+            Worker &it = workers[i];
+            it.index = static_cast<int>(i);
+            const bool isThird = i % 3 == 2;
+            it.speed = isThird ? options.fastSpeed : 1;
+            const double size = isThird && options.largeShare > 0 ? 1.5 : 1;
+            it.capacity
+                = {static_cast<std::int64_t>(static_cast<double>(options.workerCpuMillis) * size),
+                   1 << 20, 0};
+        }
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            startEntry(i);
+        for (std::size_t i = 0; i < agents.size(); ++i)
+            startAgent(i);
+        planBeats();
+        for (std::size_t i = 0; i < workers.size(); ++i)
+            heartbeat(i, workers[i].life);
+        planJobs();
+    }
+
+    // Events
+
+    void post(TimePoint time, std::function<void()> action)
+    {
+        events.push({time, ++eventNumber, std::move(action)});
+    }
+
+    void runAll()
+    {
+        const TimePoint end = Start + options.length + 12s;
+        while (!events.empty() && events.top().time <= end) {
+            Event event = events.top();
+            events.pop();
+            now = std::max(now, event.time);
+            event.action();
+        }
+    }
+
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(random); }
+    double positiveNormal(double mean, double deviation)
+    {
+        return std::max(mean * 0.1, std::normal_distribution<double>(mean, deviation)(random));
+    }
+
+    // Runs an input of a process now, or when it wakes; not at all once that process is gone.
+    template <typename P>
+    void input(P &process, std::function<void()> action)
+    {
+        if (!process.isUp)
+            return;
+        if (process.frozenUntil <= now)
+            return action();
+        const std::uint64_t life = process.life;
+        post(process.frozenUntil, [this, &process, life, action = std::move(action)] {
+            if (process.life == life)
+                input(process, action);
+        });
+    }
+
+    // Entries
+
+    Incarnation entryId(std::size_t i) const
+    {
+        return Incarnation{1000 * (i + 1) + entries[i].life};
+    }
+    Incarnation agentId(std::size_t i) const
+    {
+        return Incarnation{1000000 + 1000 * i + agents[i].life};
+    }
+
+    void startEntry(std::size_t i)
+    {
+        Entry &it = entries[i];
+        it.isUp = true;
+        it.frozenUntil = now;
+        DispatcherSettings settings;
+        settings.seed = options.seed * 100 + i;
+        it.dispatcher = std::make_unique<JobDispatcher>(settings, now);
+        DispatcherOutbox out;
+        it.dispatcher->configure(config, now, out);
+        perform(i, out);
+    }
+
+    void stepEntry(std::size_t i, const std::function<void(JobDispatcher &, DispatcherOutbox &)> &f)
+    {
+        input(entries[i], [this, i, f] {
+            DispatcherOutbox out;
+            f(*entries[i].dispatcher, out);
+            entries[i].dispatcher->onTimer(now, out);
+            perform(i, out);
+        });
+    }
+
+    void perform(std::size_t i, DispatcherOutbox &out)
+    {
+        for (DispatcherEffect &effect : out) {
+            if (auto *send = std::get_if<SendToAgent>(&effect))
+                sendToAgent(i, send->agent, std::move(send->message));
+            else if (auto *answer = std::get_if<AnswerJob>(&effect))
+                onAnswer(answer->caller.value, answer->answer);
+        }
+        Entry &it = entries[i];
+        const TimePoint next = it.dispatcher->nextTimer();
+        if (next == NeverTime || next == it.timerAt)
+            return;
+        it.timerAt = next;
+        const std::uint64_t life = it.life;
+        post(std::max(next, now + 1us), [this, i, life, next] {
+            if (entries[i].life != life || entries[i].timerAt != next)
+                return;
+            entries[i].timerAt = NeverTime;
+            stepEntry(i, [](JobDispatcher &, DispatcherOutbox &) {});
+        });
+    }
+
+    // Agents
+
+    void startAgent(std::size_t i)
+    {
+        Agent &it = agents[i];
+        it.isUp = true;
+        it.frozenUntil = now;
+        it.runner = std::make_unique<TaskRunner>(TaskRunnerSettings{}, now);
+        it.sentVersion = 0;
+    }
+
+    void stepAgent(std::size_t i, const std::function<void(TaskRunner &, RunnerOutbox &)> &f)
+    {
+        input(agents[i], [this, i, f] {
+            RunnerOutbox out;
+            f(*agents[i].runner, out);
+            agents[i].runner->onTimer(now, out);
+            perform(i, out);
+        });
+    }
+
+    void perform(std::size_t i, RunnerOutbox &out)
+    {
+        for (RunnerEffect &effect : out) {
+            if (auto *send = std::get_if<SendToEntry>(&effect))
+                sendToEntry(i, send->entry, std::move(send->message));
+            else if (auto *start = std::get_if<StartRun>(&effect))
+                callWorker(i, *start);
+            else if (auto *stop = std::get_if<StopRun>(&effect))
+                callWorker(i, *stop);
+            else if (auto *hold = std::get_if<HoldRuns>(&effect))
+                callWorker(i, *hold);
+        }
+        Agent &it = agents[i];
+        if (it.runner->loadVersion() != it.sentVersion) {
+            it.sentVersion = it.runner->loadVersion();
+            for (std::size_t e = 0; e < entries.size(); ++e)
+                sendLoads(i, e);
+        }
+        const TimePoint next = it.runner->nextTimer();
+        if (next == NeverTime || next == it.timerAt)
+            return;
+        it.timerAt = next;
+        const std::uint64_t life = it.life;
+        post(std::max(next, now + 1us), [this, i, life, next] {
+            if (agents[i].life != life || agents[i].timerAt != next)
+                return;
+            agents[i].timerAt = NeverTime;
+            stepAgent(i, [](TaskRunner &, RunnerOutbox &) {});
+        });
+    }
+
+    void sendLoads(std::size_t agent, std::size_t entry)
+    {
+        if (!links[entry][agent].isUp)
+            return;
+        for (WorkerLoad &load : agents[agent].runner->loadsFor(entryId(entry)))
+            sendToEntry(agent, entryId(entry), std::move(load));
+    }
+
+    // Links: in order, lost when cut, none after a new connection
+
+    void sendToAgent(std::size_t entry, Incarnation to, PeerMessage message)
+    {
+        for (std::size_t a = 0; a < agents.size(); ++a) {
+            Link &link = links[entry][a];
+            if (agentId(a) != to || !link.isUp || link.isCut)
+                continue;
+            const std::uint64_t generation = link.generation;
+            post(now + LinkDelay, [this, entry, a, generation, message = std::move(message)] {
+                Link &it = links[entry][a];
+                if (it.generation != generation || it.isCut)
+                    return;
+                const Incarnation from = entryId(entry);
+                stepAgent(a, [this, entry, a, generation, from, message](TaskRunner &runner,
+                                                                         RunnerOutbox &out) {
+                    if (links[entry][a].generation != generation)
+                        return;
+                    links[entry][a].agentHeard = now;
+                    runner.onEntryHeard(from, now);
+                    if (const auto *assign = std::get_if<AssignTask>(&message))
+                        runner.onAssign(from, *assign, now, out);
+                    else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
+                        runner.onWithdraw(from, *withdraw, now, out);
+                });
+            });
+            return;
+        }
+    }
+
+    void sendToEntry(std::size_t agent, Incarnation to, PeerMessage message)
+    {
+        for (std::size_t e = 0; e < entries.size(); ++e) {
+            Link &link = links[e][agent];
+            if (entryId(e) != to || !link.isUp || link.isCut)
+                continue;
+            const std::uint64_t generation = link.generation;
+            const Incarnation from = agentId(agent);
+            post(now + LinkDelay, [this, e, agent, generation, from, message = std::move(message)] {
+                Link &it = links[e][agent];
+                if (it.generation != generation || it.isCut)
+                    return;
+                stepEntry(e, [this, e, agent, generation, from, message](JobDispatcher &dispatcher,
+                                                                         DispatcherOutbox &out) {
+                    if (links[e][agent].generation != generation)
+                        return;
+                    links[e][agent].entryHeard = now;
+                    dispatcher.onMessage(from, message, now, out);
+                });
+            });
+            return;
+        }
+    }
+
+    void connect(std::size_t e, std::size_t a)
+    {
+        Link &link = links[e][a];
+        link.isUp = true;
+        ++link.generation;
+        link.agentHeard = link.entryHeard = now;
+        const PeerHello hello{"agent" + std::to_string(a), agentId(a), Role::Agent, "", ""};
+        stepEntry(e, [this, hello](JobDispatcher &dispatcher, DispatcherOutbox &out) {
+            dispatcher.onConnected(hello, now, out);
+        });
+        const Incarnation entry = entryId(e);
+        stepAgent(a, [this, e, a, entry](TaskRunner &runner, RunnerOutbox &out) {
+            runner.onEntryHello(entry, "entry" + std::to_string(e), now, out);
+            sendToEntry(a, entry, PeerBeat{now, {}, static_cast<std::uint32_t>(entries.size())});
+            sendToEntry(a, entry, runner.inventoryOf(entry));
+            for (const WorkerUpdate &update : runner.workers())
+                sendToEntry(a, entry, update);
+            sendLoads(a, e);
+        });
+    }
+
+    void disconnect(std::size_t e, std::size_t a)
+    {
+        Link &link = links[e][a];
+        if (!link.isUp)
+            return;
+        link.isUp = false;
+        ++link.generation;
+        const Incarnation agent = agentId(a);
+        stepEntry(e, [this, agent](JobDispatcher &dispatcher, DispatcherOutbox &out) {
+            dispatcher.onDisconnected(agent, now, out);
+        });
+    }
+
+    void planBeats()
+    {
+        for (std::size_t e = 0; e < entries.size(); ++e)
+            for (std::size_t a = 0; a < agents.size(); ++a) {
+                Link &link = links[e][a];
+                const bool areUp = entries[e].isUp && agents[a].isUp
+                                   && entries[e].frozenUntil <= now && agents[a].frozenUntil <= now
+                                   && !link.isCut;
+                const bool isSilent
+                    = now - link.agentHeard > 350ms || now - link.entryHeard > 350ms;
+                if (link.isUp && isSilent)
+                    disconnect(e, a);
+                if (!link.isUp && areUp)
+                    connect(e, a);
+                if (!link.isUp)
+                    continue;
+                if (entries[e].isUp && entries[e].frozenUntil <= now)
+                    sendToAgent(e, agentId(a), PeerBeat{now, {}, 0});
+                if (agents[a].isUp && agents[a].frozenUntil <= now) {
+                    if (!agents[a].runner->inventoryOf(entryId(e)).isComplete)
+                        sendToEntry(a, entryId(e), agents[a].runner->inventoryOf(entryId(e)));
+                    sendToEntry(a, entryId(e),
+                                PeerBeat{now, {}, static_cast<std::uint32_t>(entries.size())});
+                }
+            }
+        post(now + BeatPause, [this] { planBeats(); });
+    }
+
+    // Workers
+
+    void heartbeat(std::size_t i, std::uint64_t life)
+    {
+        Worker &it = workers[i];
+        if (it.life != life)
+            return;
+        post(now + HeartbeatPause, [this, i, life] { heartbeat(i, life); });
+        if (!it.isUp)
+            return;
+        WorkerInfo info;
+        info.id = it.id();
+        info.upstream = "upstream";
+        info.address = "worker";
+        info.capacity = it.capacity;
+        info.bornAtMs = static_cast<std::int64_t>(ms(it.bornAt.time_since_epoch()));
+        info.sequence = ++it.sequence;
+        stepAgent(i, [this, info](TaskRunner &runner, RunnerOutbox &out) {
+            runner.onWorker(info, now, out);
+        });
+    }
+
+    WorkerClock clockOf(const Worker &it) const
+    {
+        return WorkerClock{static_cast<std::int64_t>(ms(now - it.bornAt))};
+    }
+
+    // Carries out `order` at the worker and passes its reply to the agent, or loses it.
+    template <typename Order>
+    void callWorker(std::size_t i, const Order &order)
+    {
+        const std::uint64_t agentLife = agents[i].life;
+        const bool isLost = uniform() < options.lostAnswers;
+        const Duration delay = isLost ? fromMs(2000 + 10000 * uniform()) : WorkerDelay;
+        if (isLost)
+            post(now + order.timeout,
+                 [this, i, agentLife, order] { noAnswer(i, agentLife, order); });
+        post(now + delay, [this, i, agentLife, order, isLost] {
+            Worker &it = workers[i];
+            if (!it.isUp) {
+                if (!isLost)
+                    post(now + order.timeout,
+                         [this, i, agentLife, order] { noAnswer(i, agentLife, order); });
+                return;
+            }
+            if (it.id() != order.worker)
+                return reply(i, agentLife, order, isLost, true);
+            carryOut(it, order, [this, i, agentLife, order, isLost] {
+                reply(i, agentLife, order, isLost, false);
+            });
+        });
+    }
+
+    template <typename Order>
+    void noAnswer(std::size_t i, std::uint64_t agentLife, const Order &order)
+    {
+        if (agents[i].life != agentLife)
+            return;
+        stepAgent(i, [this, order](TaskRunner &runner, RunnerOutbox &out) {
+            if constexpr (std::is_same_v<Order, StartRun>)
+                runner.onStartReply(order.call, {}, now, out);
+            else if constexpr (std::is_same_v<Order, StopRun>)
+                runner.onStopReply(order.call, {}, now, out);
+            else
+                runner.onHoldReply(order.call, {}, now, out);
+        });
+    }
+
+    template <typename Order>
+    void reply(std::size_t i, std::uint64_t agentLife, const Order &order, bool isLost,
+               bool isOtherLife)
+    {
+        if (isLost)
+            return;
+        const auto answer = answerOf(workers[i], order, isOtherLife);
+        post(now + WorkerDelay, [this, i, agentLife, order, answer] {
+            if (agents[i].life != agentLife)
+                return;
+            stepAgent(i, [this, order, answer](TaskRunner &runner, RunnerOutbox &out) {
+                if constexpr (std::is_same_v<Order, StartRun>)
+                    runner.onStartReply(order.call, answer, now, out);
+                else if constexpr (std::is_same_v<Order, StopRun>)
+                    runner.onStopReply(order.call, answer, now, out);
+                else
+                    runner.onHoldReply(order.call, answer, now, out);
+            });
+        });
+    }
+
+    StartReply answerOf(Worker &it, const StartRun &order, bool isOtherLife)
+    {
+        if (isOtherLife)
+            return {StartAnswer::OtherLife, std::nullopt};
+        return {startAnswers[order.call.value + 1000000 * static_cast<std::uint64_t>(it.index)],
+                clockOf(it)};
+    }
+
+    StopReply answerOf(Worker &it, const StopRun &, bool isOtherLife) const
+    {
+        return {isOtherLife ? CallAnswer::OtherLife : CallAnswer::Ok, clockOf(it)};
+    }
+
+    HoldReply answerOf(Worker &it, const HoldRuns &, bool isOtherLife)
+    {
+        HoldReply out;
+        out.answer = isOtherLife ? CallAnswer::OtherLife : CallAnswer::Ok;
+        if (isOtherLife)
+            return out;
+        out.clock = clockOf(it);
+        progress(it);
+        for (const auto &[task, run] : it.runs)
+            out.active.push_back(
+                {task, run.attempt,
+                 std::min(99, static_cast<int>(100 * run.doneMs / std::max(run.workMs, 0.001)))});
+        out.ended = it.ended;
+        return out;
+    }
+
+    void carryOut(Worker &it, const StartRun &order, const std::function<void()> &done)
+    {
+        StartAnswer &answer
+            = startAnswers[order.call.value + 1000000 * static_cast<std::uint64_t>(it.index)];
+        answer = start(it, order);
+        done();
+    }
+
+    StartAnswer start(Worker &it, const StartRun &order)
+    {
+        const auto running = it.runs.find(order.task);
+        if (running != it.runs.end() && running->second.attempt == order.attempt)
+            return StartAnswer::Accepted;
+        const auto highest = it.highest.find(order.task);
+        if (highest != it.highest.end() && order.attempt <= highest->second)
+            return StartAnswer::OldAttempt;
+        if (clockOf(it) > order.deadline)
+            return StartAnswer::Late;
+        extendLease(it, order.deadline);
+        const auto found = jobsById.find(order.task.jobId);
+        Job &job = jobs[found->second];
+        job.ran = true;
+        ++startCount;
+        progress(it);
+        Run run;
+        run.attempt = order.attempt;
+        run.needs = job.spec.needs;
+        run.workMs = it.isFailing || uniform() < options.failures ? job.workMs[order.task.index] / 5
+                                                                  : job.workMs[order.task.index];
+        const bool fails = run.workMs != job.workMs[order.task.index];
+        checkTwice(order.task, it);
+        it.runs[order.task] = run;
+        checkLimit(it);
+        planEnd(it, order.task, fails);
+        return StartAnswer::Accepted;
+    }
+
+    void planEnd(Worker &it, const TaskId &task, bool fails)
+    {
+        Run &run = it.runs.at(task);
+        run.number = ++runNumber;
+        if (it.speed <= 0)
+            return;
+        const std::uint64_t number = run.number;
+        const std::uint64_t life = it.life;
+        post(now + fromMs((run.workMs - run.doneMs) / it.speed),
+             [this, &it, life, task, number, fails] {
+                 const auto found = it.runs.find(task);
+                 if (it.life == life && found != it.runs.end() && found->second.number == number)
+                     endRun(it, task, fails ? TaskEnd::Failed : TaskEnd::Done);
+             });
+    }
+
+    void progress(Worker &it)
+    {
+        const double elapsed = ms(now - it.progressAt);
+        it.progressAt = now;
+        for (auto &[task, run] : it.runs)
+            run.doneMs = std::min(run.workMs, run.doneMs + elapsed * it.speed);
+    }
+
+    void endRun(Worker &it, const TaskId &task, TaskEnd end)
+    {
+        progress(it);
+        const auto node = it.runs.extract(task);
+        it.highest[task] = std::max(it.highest[task], node.mapped().attempt);
+        it.ended.push_back({++it.endNumber, task, node.mapped().attempt, end});
+        for (const auto &hold : std::exchange(it.waitingHolds, {}))
+            hold();
+    }
+
+    void carryOut(Worker &it, const StopRun &order, const std::function<void()> &done)
+    {
+        const auto found = it.runs.find(order.task);
+        if (found == it.runs.end() || found->second.attempt > order.attempt) {
+            it.highest[order.task] = std::max(it.highest[order.task], order.attempt);
+        } else if (!found->second.isStopping) {
+            found->second.isStopping = true;
+            found->second.number = ++runNumber; // it ends by the stop
+            const std::uint64_t life = it.life;
+            const std::uint64_t number = found->second.number;
+            post(now + StopDelay, [this, &it, life, task = order.task, number] {
+                const auto run = it.runs.find(task);
+                if (it.life == life && run != it.runs.end() && run->second.number == number)
+                    endRun(it, task, TaskEnd::Stopped);
+            });
+        }
+        done();
+    }
+
+    void carryOut(Worker &it, const HoldRuns &order, const std::function<void()> &done)
+    {
+        std::erase_if(it.ended,
+                      [&](const EndedRun &end) { return end.number <= order.acknowledged; });
+        if (order.leaseUntil)
+            extendLease(it, *order.leaseUntil);
+        if (order.wait <= Duration{} || !it.ended.empty())
+            return done();
+        auto isDone = std::make_shared<bool>(false);
+        const auto once = [done, isDone] {
+            if (!std::exchange(*isDone, true))
+                done();
+        };
+        it.waitingHolds.push_back(once);
+        const std::uint64_t life = it.life;
+        post(now + order.wait, [&it, life, once] {
+            if (it.life == life)
+                once();
+        });
+    }
+
+    void extendLease(Worker &it, WorkerClock until)
+    {
+        const std::int64_t longest = clockOf(it).value + 1000;
+        const TimePoint end = it.bornAt + std::chrono::milliseconds(std::min(until.value, longest));
+        if (end <= it.leaseEnd)
+            return;
+        it.leaseEnd = end;
+        const std::uint64_t life = it.life;
+        post(end + 1us, [this, &it, life] {
+            if (it.life != life || now <= it.leaseEnd)
+                return;
+            std::vector<TaskId> lapsed;
+            for (const auto &[task, run] : it.runs)
+                lapsed.push_back(task);
+            for (const TaskId &task : lapsed)
+                endRun(it, task, TaskEnd::Lost);
+        });
+    }
+
+    // Promises
+
+    void checkTwice(const TaskId &task, const Worker &starting)
+    {
+        for (const Worker &it : workers)
+            if (it.isUp && it.runs.count(task))
+                violations.push_back("task " + task.jobId + "/" + std::to_string(task.index)
+                                     + " runs on w" + std::to_string(it.index) + " and w"
+                                     + std::to_string(starting.index) + " at "
+                                     + std::to_string(ms(now - Start)));
+    }
+
+    void checkLimit(const Worker &it)
+    {
+        Resources used;
+        for (const auto &[task, run] : it.runs)
+            used += run.needs;
+        if (!used.fitsIn(it.capacity))
+            violations.push_back("w" + std::to_string(it.index) + " over its capacity at "
+                                 + std::to_string(ms(now - Start)));
+    }
+
+    // Callers
+
+    void planJobs()
+    {
+        for (const JobKind &kind : options.kinds) {
+            double atMs = 0;
+            while (true) {
+                const Duration at = fromMs(atMs);
+                const double factor = options.burst ? options.burst(kind, at) : 1;
+                atMs += std::exponential_distribution<double>(kind.perSecond * factor
+                                                              / 1000)(random);
+                if (fromMs(atMs) > options.length)
+                    break;
+                planJob(kind, Start + 3s + fromMs(atMs));
+            }
+        }
+    }
+
+    void planJob(const JobKind &kind, TimePoint at)
+    {
+        Job job;
+        job.kind = &kind;
+        job.spec.id = "job" + std::to_string(jobs.size());
+        job.spec.queue = kind.queue;
+        job.spec.needs
+            = {static_cast<std::int64_t>(positiveNormal(static_cast<double>(kind.cpuMillis),
+                                                        0.2 * static_cast<double>(kind.cpuMillis))),
+               64, 0};
+        job.spec.taskCount = static_cast<std::uint32_t>(
+            std::max(1.0, std::round(positiveNormal(kind.meanTasks, 0.4 * kind.meanTasks))));
+        const double jobMs = positiveNormal(kind.meanMs, kind.spread * kind.meanMs);
+        job.spec.declared = fromMs(jobMs * (1 + 0.4 * (2 * uniform() - 1)));
+        double longest = 0;
+        double sum = 0;
+        for (std::uint32_t i = 0; i < job.spec.taskCount; ++i) {
+            job.workMs.push_back(positiveNormal(jobMs, kind.uneven * jobMs));
+            longest = std::max(longest, job.workMs.back());
+            sum += job.workMs.back();
+        }
+        job.firstSentAt = at;
+        job.objectiveAt = at + fromMs(1.6 * longest + 60);
+        job.patience = fromMs(1500 + 3 * (1.6 * longest + 60));
+        const double work = sum * static_cast<double>(job.spec.needs.cpuMillis)
+                            / (kind.meanMs * kind.meanTasks * static_cast<double>(kind.cpuMillis));
+        job.worth = kind.worth * std::min(4.0, 0.3 + 0.7 * work);
+        const std::size_t number = jobs.size();
+        jobsById[job.spec.id] = number;
+        jobs.push_back(std::move(job));
+        post(at, [this, number] { sendJob(number); });
+    }
+
+    void sendJob(std::size_t number)
+    {
+        std::vector<std::size_t> up;
+        for (std::size_t i = 0; i < entries.size(); ++i)
+            if (entries[i].isUp)
+                up.push_back(i);
+        Job &job = jobs[number];
+        if (job.isAnswered || now > job.firstSentAt + 8s)
+            return;
+        if (up.empty())
+            return post(now + ResubmitPause, [this, number] { sendJob(number); });
+        const std::size_t e
+            = up[static_cast<std::size_t>(uniform() * static_cast<double>(up.size()))];
+        const std::uint64_t caller = ++callerNumber;
+        job.caller = caller;
+        job.entry = e;
+        callers[caller] = number;
+        const std::uint64_t life = entries[e].life;
+        stepEntry(e, [this, caller, number](JobDispatcher &dispatcher, DispatcherOutbox &out) {
+            dispatcher.submit(CallerId{caller}, jobs[number].spec, jobs[number].patience, now, out);
+        });
+        // The caller gives up, or loses its connection with the process, and comes back.
+        post(now + job.patience, [this, number, caller, e, life] {
+            if (jobs[number].isAnswered || jobs[number].caller != caller)
+                return;
+            jobs[number].wasOnlyRefused = false;
+            if (entries[e].life == life)
+                stepEntry(e, [this, caller](JobDispatcher &dispatcher, DispatcherOutbox &out) {
+                    dispatcher.callerGone(CallerId{caller}, now, out);
+                });
+            post(now + ResubmitPause, [this, number] { sendJob(number); });
+        });
+    }
+
+    void onAnswer(std::uint64_t caller, const DispatchAnswer &answer)
+    {
+        const auto found = callers.find(caller);
+        if (found == callers.end())
+            return;
+        const std::size_t number = found->second;
+        Job &job = jobs[number];
+        callers.erase(found);
+        if (job.isAnswered || job.caller != caller)
+            return;
+        if (answer.outcome == JobOutcome::Unknown) {
+            job.wasOnlyRefused = false;
+            job.caller = 0;
+            post(now + ResubmitPause, [this, number] { sendJob(number); });
+            return;
+        }
+        job.isAnswered = true;
+        job.outcome = answer.outcome;
+        job.answeredAt = now;
+    }
+
+    void loseCallersOf(std::size_t e)
+    {
+        for (std::size_t i = 0; i < jobs.size(); ++i) {
+            Job &job = jobs[i];
+            if (job.entry != e || job.isAnswered || job.caller == 0)
+                continue;
+            job.caller = 0;
+            job.wasOnlyRefused = false;
+            post(now + ResubmitPause, [this, i] { sendJob(i); });
+        }
+    }
+
+    std::map<std::string, KindResult> results() const
+    {
+        std::map<std::string, KindResult> out;
+        std::map<std::string, std::pair<double, double>> worth;
+        for (const Job &job : jobs) {
+            KindResult &it = out[job.kind->queue];
+            ++it.asked;
+            const bool isDone = job.isAnswered && job.outcome == JobOutcome::Completed;
+            const bool inAim = isDone && job.answeredAt <= job.objectiveAt;
+            it.inAim += inAim;
+            it.late += isDone && !inAim;
+            const bool isRefused = job.isAnswered && job.outcome == JobOutcome::Refused;
+            it.refused += isRefused;
+            it.other += !isDone && !isRefused;
+            if (isRefused)
+                it.slowestRefusal
+                    = std::max<Duration>(it.slowestRefusal, job.answeredAt - job.firstSentAt);
+            worth[job.kind->queue].first += job.worth * (inAim ? 1 : isDone ? LatePart : 0);
+            worth[job.kind->queue].second += job.worth;
+        }
+        for (auto &[queue, it] : out)
+            it.worth = worth[queue].first / worth[queue].second;
+        return out;
+    }
+
+    void checkRefused()
+    {
+        for (const Job &job : jobs)
+            if (job.isAnswered && job.outcome == JobOutcome::Refused && job.wasOnlyRefused
+                && job.ran)
+                violations.push_back(job.spec.id + " was refused and ran");
+    }
+
+    struct Event
+    {
+        TimePoint time;
+        std::uint64_t number = 0;
+        std::function<void()> action;
+        bool operator>(const Event &other) const
+        {
+            return std::pair(time, number) > std::pair(other.time, other.number);
+        }
+    };
+
+    DispatchFleetOptions options;
+    DispatchConfig config;
+    std::mt19937_64 random;
+    TimePoint now = Start;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+    std::uint64_t eventNumber = 0;
+    std::uint64_t callerNumber = 0;
+    std::uint64_t runNumber = 0;
+    std::size_t startCount = 0;
+    std::vector<Worker> workers;
+    std::vector<Agent> agents;
+    std::vector<Entry> entries;
+    std::vector<std::vector<Link>> links; // by entry, agent
+    std::vector<Job> jobs;
+    std::map<std::string, std::size_t> jobsById;
+    std::map<std::uint64_t, std::size_t> callers;
+    std::map<std::uint64_t, StartAnswer> startAnswers;
+    std::vector<std::string> violations;
+};
+
+DispatchFleet::DispatchFleet(DispatchFleetOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options)))
+{}
+
+DispatchFleet::~DispatchFleet() = default;
+
+void DispatchFleet::at(Duration time, std::function<void()> fault)
+{
+    m_impl->post(Start + 3s + time, std::move(fault));
+}
+
+void DispatchFleet::killAgent(int agent, Duration down)
+{
+    const auto i = static_cast<std::size_t>(agent);
+    Impl &it = *m_impl;
+    for (std::size_t e = 0; e < it.entries.size(); ++e)
+        it.disconnect(e, i);
+    it.agents[i].isUp = false;
+    ++it.agents[i].life;
+    it.agents[i].timerAt = NeverTime;
+    it.post(it.now + down, [this, i] { m_impl->startAgent(i); });
+}
+
+void DispatchFleet::killEntry(int entry, Duration down)
+{
+    const auto i = static_cast<std::size_t>(entry);
+    Impl &it = *m_impl;
+    for (std::size_t a = 0; a < it.agents.size(); ++a) {
+        it.links[i][a].isUp = false;
+        ++it.links[i][a].generation;
+    }
+    it.entries[i].isUp = false;
+    ++it.entries[i].life;
+    it.entries[i].timerAt = NeverTime;
+    it.loseCallersOf(i);
+    it.post(it.now + down, [this, i] { m_impl->startEntry(i); });
+}
+
+void DispatchFleet::freezeAgent(int agent, Duration length)
+{
+    m_impl->agents[static_cast<std::size_t>(agent)].frozenUntil = m_impl->now + length;
+}
+
+void DispatchFleet::freezeEntry(int entry, Duration length)
+{
+    m_impl->entries[static_cast<std::size_t>(entry)].frozenUntil = m_impl->now + length;
+}
+
+void DispatchFleet::cut(int entry, int agent, bool isCut)
+{
+    m_impl->links[static_cast<std::size_t>(entry)][static_cast<std::size_t>(agent)].isCut = isCut;
+}
+
+void DispatchFleet::crashWorker(int worker, Duration down)
+{
+    Impl::Worker &it = m_impl->workers[static_cast<std::size_t>(worker)];
+    it.isUp = false;
+    ++it.life;
+    it.runs.clear();
+    it.ended.clear();
+    it.highest.clear();
+    it.waitingHolds.clear();
+    it.endNumber = 0;
+    it.sequence = 0;
+    const auto i = static_cast<std::size_t>(worker);
+    m_impl->post(m_impl->now + down, [this, i] {
+        Impl::Worker &again = m_impl->workers[i];
+        again.isUp = true;
+        again.bornAt = again.progressAt = again.leaseEnd = m_impl->now;
+        m_impl->heartbeat(i, again.life);
+    });
+}
+
+void DispatchFleet::setSpeed(int worker, double speed)
+{
+    Impl::Worker &it = m_impl->workers[static_cast<std::size_t>(worker)];
+    m_impl->progress(it);
+    it.speed = speed;
+    for (auto &[task, run] : it.runs)
+        if (!run.isStopping)
+            m_impl->planEnd(it, task, false);
+}
+
+void DispatchFleet::setFailing(int worker, bool isFailing)
+{
+    m_impl->workers[static_cast<std::size_t>(worker)].isFailing = isFailing;
+}
+
+void DispatchFleet::run()
+{
+    m_impl->runAll();
+    m_impl->checkRefused();
+}
+
+std::map<std::string, KindResult> DispatchFleet::results() const
+{
+    return m_impl->results();
+}
+
+double DispatchFleet::worth() const
+{
+    double earned = 0;
+    double owed = 0;
+    for (const auto &[queue, it] : m_impl->results()) {
+        double sum = 0;
+        for (const Impl::Job &job : m_impl->jobs)
+            if (job.kind->queue == queue)
+                sum += job.worth;
+        earned += it.worth * sum;
+        owed += sum;
+    }
+    return owed > 0 ? earned / owed : 1;
+}
+
+const std::vector<std::string> &DispatchFleet::violations() const
+{
+    return m_impl->violations;
+}
+
+std::size_t DispatchFleet::starts() const
+{
+    return m_impl->startCount;
+}
+
+} // namespace cactuscove
