--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -54,7 +54,7 @@
 void fields(A &a, AssignTask &it)
 {
     a(it.task, it.attempt, it.workerId, it.queue, it.payload, it.needs, it.priority, it.expectedRun,
-      it.startBy, it.endBy, it.finishBy, it.number);
+      it.startBy, it.endBy, it.finishBy, it.orderBy, it.number);
 }
 
 template <typename A>
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -51,6 +51,7 @@
     TimePoint startBy;        // agent's clock; a task that has not started by then is refused
     TimePoint endBy;          // agent's clock; a task that still runs then is stopped
     TimePoint finishBy;       // agent's clock; a later end misses the objective
+    TimePoint orderBy;        // the earliest comes first when room is scarce
     std::uint64_t number = 0; // of this assignment on this connection, from 1
 };
 
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -13,7 +13,9 @@
 using namespace std::chrono_literals;
 
 // An assignment that waits longer at an agent goes back to be placed elsewhere.
-constexpr Duration StartPatience = 60ms;
+constexpr Duration StartPatience = 150ms;
+// The wait is underestimated as often as not, and a job that is late has used room in vain.
+constexpr double WaitMargin = 1.4;
 constexpr Duration RefusedPause = 20ms;    // of a worker that refused a start
 constexpr Duration UnhealthyPause = 250ms; // of a worker that refuses all starts
 // Agents prove within this time that withdrawn tasks do not run; else the outcome is unknown.
@@ -25,6 +27,8 @@
 // Time to stop a run and start it elsewhere.
 constexpr Duration MoveTime = 12ms;
 constexpr Duration StartupTime = 1500ms;
+// How much later a job counts for each step of its priority.
+constexpr Duration UrgencyStep = 100ms;
 constexpr std::uint32_t AttemptStep = 16; // to get above attempts that others made
 constexpr Duration PastJobMemory = 10s;
 constexpr Duration MinRetryAfter = 200ms;
@@ -192,7 +196,7 @@
     const Duration span = expectedSpan(job);
     job.objectiveAt = now + queue->targetLatency - AnswerMargin
                       + std::chrono::duration_cast<Duration>(span * queue->slackFactor);
-    job.latestStart = job.objectiveAt - span;
+    job.latestStart = job.objectiveAt - span + UrgencyStep * job.priority;
 
     std::uint32_t entries = 1;
     for (const auto &[agent, heard] : m_entriesHeard)
@@ -202,7 +206,7 @@
     const FleetRoom room{m_directory.freeCores(job.upstream, now), cores};
     const Duration wait
         = m_load.expectedWait(job.priority, workOf(job, job.spec.taskCount), room, now);
-    if (wait > allowed && !(isStarting && cores == 0)) {
+    if (wait * WaitMargin > allowed && !(isStarting && cores == 0)) {
         const DispatchAnswer answer{JobOutcome::Refused, "overloaded",
                                     std::max(wait - allowed, MinRetryAfter)};
         out.emplace_back(LogEvent{
@@ -380,6 +384,7 @@
     message.startBy = *startBy;
     message.endBy = *endBy;
     message.finishBy = *m_directory.agentTime(worker->agent, job.objectiveAt);
+    message.orderBy = *m_directory.agentTime(worker->agent, job.latestStart);
     message.number = m_directory.book(*worker, job.priority, job.spec.needs);
     out.emplace_back(SendToAgent{worker->agent, std::move(message)});
     return true;
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -145,9 +145,9 @@
         TimePoint endedAt{};
     };
 
-    // Order in which jobs get room: by the latest start that meets their objective. The priority
-    // decides which jobs are taken at all; among those taken, an order by priority would leave
-    // begun jobs of less urgent queues behind, and their finished tasks would be lost.
+    // Order in which jobs get room: by the latest start that meets their objective, a little
+    // later for less urgent queues. A strict order by priority would leave begun jobs of less
+    // urgent queues behind, and their finished tasks would be lost.
     struct Rank
     {
         TimePoint latestStart;
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -253,9 +253,9 @@
 }
 
 // Ties go to the one that arrived first.
-std::pair<TimePoint, std::uint64_t> TaskRunner::latestStart(const Task &task)
+std::pair<TimePoint, std::uint64_t> TaskRunner::orderOf(const Task &task)
 {
-    return {task.assignment.finishBy - task.assignment.expectedRun, task.arrival};
+    return {task.assignment.orderBy, task.arrival};
 }
 
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
@@ -269,7 +269,7 @@
         for (auto &[id, task] : worker.tasks) {
             if (task.state != State::Queued)
                 continue;
-            if (!best || latestStart(task) < latestStart(*best))
+            if (!best || orderOf(task) < orderOf(*best))
                 best = &task;
         }
         // Only the first in order may start: smaller tasks behind it must not starve it.
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -241,7 +241,7 @@
 
     void step(TimePoint now, RunnerOutbox &out);
     void expire(Worker &worker, TimePoint now, RunnerOutbox &out);
-    static std::pair<TimePoint, std::uint64_t> latestStart(const Task &task);
+    static std::pair<TimePoint, std::uint64_t> orderOf(const Task &task);
     void startQueued(Worker &worker, TimePoint now, RunnerOutbox &out);
     void sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
     void sendHold(Worker &worker, TimePoint now, RunnerOutbox &out);
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -23,7 +23,7 @@
 constexpr double SpeedPower = 2;
 // A task is bound to a busy worker only if it is expected to start there within this time; the
 // worker's agent then starts the most urgent first. It hides the way of the news that room is free.
-constexpr double LongestQueueMs = 25;
+constexpr double LongestQueueMs = 8;
 constexpr double PreferredWeight = 4; // of a worker with the preferred label
 
 double decay(Duration age, double memoryMs)
