--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -68,8 +68,8 @@
         Duration redialPause = ShortestRedial;
         std::optional<PeerHello> entry; // once it has introduced itself
         TimePoint entryClock{};
-        bool isInventoryComplete = false;
-        std::uint64_t loadVersion = 0; // sent
+        std::vector<std::string> clearWorkers; // as sent
+        std::uint64_t loadVersion = 0;         // sent
     };
 
     TaskRunnerSettings runnerSettings() const
@@ -278,7 +278,7 @@
     void sendInventory(Dial &it)
     {
         TaskInventory inventory = m_runner.inventoryOf(it.entry->instance);
-        it.isInventoryComplete = inventory.isComplete;
+        it.clearWorkers = inventory.clearWorkers;
         it.link->send(std::move(inventory));
     }
 
@@ -297,7 +297,7 @@
         for (auto &[address, it] : m_dials) {
             if (!it.entry || it.loadVersion == m_loadVersion)
                 continue;
-            if (!it.isInventoryComplete)
+            if (it.clearWorkers != m_runner.inventoryOf(it.entry->instance).clearWorkers)
                 sendInventory(it);
             sendLoadsTo(it);
         }
@@ -323,8 +323,6 @@
             } else if (!it.link && now >= it.redialAt) {
                 dial(address, it);
             } else if (it.entry) {
-                if (!it.isInventoryComplete)
-                    sendInventory(it);
                 it.link->send(beatFor(it));
             }
         }
--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -109,7 +109,7 @@
 template <typename A>
 void fields(A &a, TaskInventory &it)
 {
-    a(it.started, it.waiting, it.ended, it.isComplete);
+    a(it.started, it.waiting, it.ended, it.clearWorkers);
 }
 
 template <typename T>
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -256,8 +256,8 @@
                          {"reason", errorOf(config).reason}}});
         if (valueOf(config).version <= m_dispatcher.config().version)
             return;
-        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
-            dispatcher.configure(std::move(valueOf(config)), now, out);
+        step([&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
+            dispatcher.configure(std::move(valueOf(config)), out);
         });
         m_metrics.set("cactuscove_config_revision", {},
                       static_cast<double>(m_dispatcher.config().version));
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -119,14 +119,16 @@
     StartRefusal reason = StartRefusal::Expired;
 };
 
-// Agent to entry, after its hello: every task of this entry that the agent knows. An assignment
-// that is missing here was not received and never will be.
+// Agent to entry, after its hello and when more workers are clear: every task of this entry that
+// the agent knows. An assignment of an older connection that is missing here was not received and
+// never will be.
 struct TaskInventory
 {
     std::vector<TaskStarted> started; // and not ended
     std::vector<TaskStarted> waiting; // accepted and not started
     std::vector<TaskEnded> ended;     // lately
-    bool isComplete = true;           // false: tasks of an earlier run of the agent may still run
+    // Workers at which nothing runs that an earlier process of the agent started.
+    std::vector<std::string> clearWorkers;
 };
 
 using PeerMessage
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -128,6 +128,18 @@
     return out;
 }
 
+int descriptorOf(MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
+bool hasCallerLeft(MHD_Connection *connection)
+{
+    char byte = 0;
+    const ssize_t n = recv(descriptorOf(connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 MHD_Result collectHeader(void *map, MHD_ValueKind, const char *key, const char *value)
 {
     auto &headers = *static_cast<std::map<std::string, std::string> *>(map);
@@ -260,6 +272,9 @@
                                                   + std::to_string(m_limits.maxBodyBytes) + "}\n"};
         exchange.response->headers["Connection"] = "close";
     } else if (!exchange.dispatched) {
+        // After a suspension a request may be read whose caller has long left and asked elsewhere.
+        if (m_limits.watchCallers && hasCallerLeft(exchange.connection))
+            return MHD_NO;
         exchange.dispatched = true;
         m_handler(exchange.id, std::move(exchange.request));
     }
@@ -343,18 +358,13 @@
 // The daemon does not look at a suspended connection.
 void HttpServer::Impl::watchCaller(Exchange &exchange)
 {
-    const int fd = MHD_get_connection_info(exchange.connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-                       ->connect_fd;
-    exchange.callerWatcher = std::make_unique<IoWatcher>(m_loop, fd, [this, &exchange, fd](int) {
-        char byte = 0;
-        const ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
-            return;
-        if (n > 0)
-            exchange.callerWatcher->watch(IoWatcher::None); // the caller's next request
-        else
-            drop(exchange.id);
-    });
+    exchange.callerWatcher = std::make_unique<IoWatcher>(
+        m_loop, descriptorOf(exchange.connection), [this, &exchange](int) {
+            if (hasCallerLeft(exchange.connection))
+                drop(exchange.id);
+            else
+                exchange.callerWatcher->watch(IoWatcher::None);
+        });
     exchange.callerWatcher->watch(IoWatcher::Readable);
 }
 
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -28,6 +28,8 @@
 constexpr Duration MoveTime = 12ms;
 // Inputs come at least with each beat; a longer gap means that the process was suspended.
 constexpr Duration SuspensionGap = 300ms;
+// Agents list ends for a little longer than this.
+constexpr Duration InventoryMemory = 3s;
 constexpr Duration StartupTime = 1500ms;
 // How much later a job counts for each step of its priority.
 constexpr Duration UrgencyStep = 100ms;
@@ -82,11 +84,11 @@
 {
     return static_cast<std::size_t>(
         std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &it) {
-            return it.second.spec.queue == queue && !it.second.everStarted;
+            return it.second.spec.queue == queue && !it.second.mayHaveStarted;
         }));
 }
 
-void JobDispatcher::configure(DispatchConfig config, TimePoint now, DispatcherOutbox &out)
+void JobDispatcher::configure(DispatchConfig config, DispatcherOutbox &out)
 {
     out.emplace_back(LogEvent{Severity::Info,
                               "config_in_force",
@@ -292,7 +294,7 @@
     if (mayRun)
         return;
     DispatchAnswer answer = *job.closing;
-    if (answer.outcome == JobOutcome::Unknown && !job.everStarted) {
+    if (answer.outcome == JobOutcome::Unknown && !job.mayHaveStarted) {
         answer.outcome = JobOutcome::Refused;
         answer.retryAfter = std::max(answer.retryAfter, MinRetryAfter);
     }
@@ -426,6 +428,7 @@
         Job &job = m_jobs.at(number);
         for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
             if (job.tasks[i].state == State::Unproven && now >= job.tasks[i].provenAt) {
+                job.mayHaveStarted = true; // it has ended by now, if it ran
                 onProof(number, job, i, now, out);
                 if (!m_jobs.count(number))
                     break;
@@ -437,7 +440,7 @@
                 finish(number, *job.closing, now, out);
             continue;
         }
-        const bool isUntouched = job.waiting == job.tasks.size() && !job.everStarted;
+        const bool isUntouched = job.waiting == job.tasks.size() && !job.mayHaveStarted;
         if (now >= job.deadline)
             beginClosing(number, job, {JobOutcome::Unknown, "deadline", {}}, now, out);
         else if (isUntouched && now + expectedSpan(job) > std::min(job.objectiveAt, job.deadline))
@@ -476,7 +479,7 @@
             continue;
         }
         next = std::min(next, job.deadline);
-        if (job.waiting == job.tasks.size() && !job.everStarted)
+        if (job.waiting == job.tasks.size() && !job.mayHaveStarted)
             next = std::min(next, std::min(job.objectiveAt, job.deadline) - expectedSpan(job)
                                       + Duration(1));
     }
@@ -508,6 +511,7 @@
                                 || task.state == State::Withdrawn;
             if (!mayRun || task.worker.agent != agent)
                 continue;
+            task.unprovenAt = now;
             task.provenAt = now + m_settings.proofTime;
             setState(number, job, task, State::Unproven);
         }
@@ -562,8 +566,8 @@
     if (!job)
         return onUnknownTask(agent, message, out);
     Task &task = job->tasks[message.task.index];
-    if (!job->everStarted) {
-        job->everStarted = true;
+    if (!job->mayHaveStarted) {
+        job->mayHaveStarted = true;
         job->firstStartAt = now;
     }
     if (task.state == State::Assigned)
@@ -669,8 +673,8 @@
 }
 
 // What the agent does not list after a new connection it never received, since it reads no older
-// connection any more. What an earlier process of the agent ran has ended once the list is
-// complete.
+// connection any more. What an earlier process of the agent ran has ended at workers that are
+// clear.
 void JobDispatcher::onInventory(Incarnation agent, const TaskInventory &inventory, TimePoint now,
                                 DispatcherOutbox &out)
 {
@@ -700,16 +704,23 @@
                     onStarted(agent, it, now, out);
             }
         }
+    const std::vector<std::string> &clear = inventory.clearWorkers;
     std::vector<std::pair<JobNumber, std::uint32_t>> proven;
-    for (const auto &[number, job] : m_jobs)
+    for (auto &[number, job] : m_jobs)
         for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
             const Task &task = job.tasks[i];
             if (task.state != State::Unproven || task.agentName != named->second.name)
                 continue;
             const bool isSameProcess = task.worker.agent == agent;
             const bool isListed = listed.count({{job.spec.id, i}, task.attempt}) > 0;
-            if (isSameProcess ? !isListed : inventory.isComplete)
+            const bool isClear
+                = std::find(clear.begin(), clear.end(), task.worker.worker) != clear.end();
+            if (isSameProcess ? !isListed : isClear)
                 proven.emplace_back(number, i);
+            // Only the same process remembers whether it started the task, and for a while.
+            job.mayHaveStarted |= !isSameProcess && isClear;
+            job.mayHaveStarted
+                |= isSameProcess && !isListed && now - task.unprovenAt > InventoryMemory;
         }
     for (const auto &[number, index] : proven) {
         const auto it = m_jobs.find(number);
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -74,7 +74,7 @@
     JobDispatcher(DispatcherSettings settings, TimePoint startedAt);
 
     // Commands
-    void configure(DispatchConfig config, TimePoint now, DispatcherOutbox &out);
+    void configure(DispatchConfig config, DispatcherOutbox &out);
     // `patience` is how long the caller waits from now.
     void submit(CallerId caller, BestEffortJob job, Duration patience, TimePoint now,
                 DispatcherOutbox &out);
@@ -113,6 +113,7 @@
         int failures = 0;
         WorkerKey worker;
         std::string agentName;
+        TimePoint unprovenAt{};
         TimePoint provenAt = NeverTime; // Unproven: has ended by then
         std::vector<WorkerKey> avoid;   // where it failed, was refused or was too slow
     };
@@ -130,8 +131,8 @@
         TimePoint objectiveAt{}; // an answer by then meets the queue's objective
         TimePoint deadline{};    // the caller waits no longer
         Duration expectedRun{};
-        TimePoint latestStart{}; // to meet the objective
-        bool everStarted = false;
+        TimePoint latestStart{};     // to meet the objective
+        bool mayHaveStarted = false; // some task; else the job may be refused
         std::optional<DispatchAnswer>
             closing;         // its tasks are being withdrawn; then this is the answer
         TimePoint closeBy{}; // without the proofs by then the outcome is Unknown
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -842,7 +842,8 @@
 {
     TaskInventory inventory;
     for (const auto &[workerId, worker] : m_workers) {
-        inventory.isComplete &= worker.isSynced && worker.orphans.empty();
+        if (worker.isSynced && worker.orphans.empty())
+            inventory.clearWorkers.push_back(workerId);
         for (const auto &[id, task] : worker.tasks) {
             if (task.entry != entry)
                 continue;
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
+#include <cstdlib>
 
 namespace cactuscove {
 
@@ -79,6 +81,7 @@
     {
         std::unique_ptr<TaskRunner> runner;
         std::uint64_t sentVersion = 0;
+        TimePoint startedAt = Start;
     };
 
     struct Entry : Process
@@ -211,7 +214,7 @@
         settings.seed = options.seed * 100 + i;
         it.dispatcher = std::make_unique<JobDispatcher>(settings, now);
         DispatcherOutbox out;
-        it.dispatcher->configure(config, now, out);
+        it.dispatcher->configure(config, out);
         perform(i, out);
     }
 
@@ -232,6 +235,8 @@
                 sendToAgent(i, send->agent, std::move(send->message));
             else if (auto *answer = std::get_if<AnswerJob>(&effect))
                 onAnswer(answer->caller.value, answer->answer);
+            else if (auto *event = std::get_if<LogEvent>(&effect))
+                trace("entry" + std::to_string(i), *event);
         }
         Entry &it = entries[i];
         const TimePoint next = it.dispatcher->nextTimer();
@@ -256,6 +261,7 @@
         it.frozenUntil = now;
         it.runner = std::make_unique<TaskRunner>(TaskRunnerSettings{}, now);
         it.sentVersion = 0;
+        it.startedAt = now;
     }
 
     void stepAgent(std::size_t i, const std::function<void(TaskRunner &, RunnerOutbox &)> &f)
@@ -279,6 +285,8 @@
                 callWorker(i, *stop);
             else if (auto *hold = std::get_if<HoldRuns>(&effect))
                 callWorker(i, *hold);
+            else if (auto *event = std::get_if<LogEvent>(&effect))
+                trace("agent" + std::to_string(i), *event);
         }
         Agent &it = agents[i];
         if (it.runner->loadVersion() != it.sentVersion) {
@@ -307,6 +315,22 @@
             sendToEntry(agent, entryId(entry), std::move(load));
     }
 
+    // Prints the events of one job: DISPATCH_TRACE=job17.
+    void trace(const std::string &who, const LogEvent &event) const
+    {
+        static const char *const job = std::getenv("DISPATCH_TRACE");
+        if (!job)
+            return;
+        std::string line = std::to_string(ms(now - Start)) + ' ' + who + ' ' + event.name;
+        bool isAbout = event.name.starts_with("worker") || event.name == "runs_lost";
+        for (const auto &[name, value] : event.fields) {
+            isAbout |= value == job;
+            line += ' ' + name + '=' + value;
+        }
+        if (isAbout)
+            std::printf("%s\n", line.c_str());
+    }
+
     // Links: in order, lost when cut, none after a new connection
 
     void sendToAgent(std::size_t entry, Incarnation to, PeerMessage message)
@@ -414,7 +438,7 @@
                 if (entries[e].isUp && entries[e].frozenUntil <= now)
                     sendToAgent(e, agentId(a), PeerBeat{now, {}, 0});
                 if (agents[a].isUp && agents[a].frozenUntil <= now) {
-                    if (!agents[a].runner->inventoryOf(entryId(e)).isComplete)
+                    if (now - agents[a].startedAt < 5s)
                         sendToEntry(a, entryId(e), agents[a].runner->inventoryOf(entryId(e)));
                     sendToEntry(a, entryId(e),
                                 PeerBeat{now, {}, static_cast<std::uint32_t>(entries.size())});
@@ -564,6 +588,11 @@
         Job &job = jobs[found->second];
         job.ran = true;
         ++startCount;
+        trace("worker" + std::to_string(it.index), {Severity::Info,
+                                                    "run_started",
+                                                    {{"job", order.task.jobId},
+                                                     {"task", std::to_string(order.task.index)},
+                                                     {"attempt", std::to_string(order.attempt)}}});
         progress(it);
         Run run;
         run.attempt = order.attempt;
@@ -758,11 +787,16 @@
         const std::size_t e
             = up[static_cast<std::size_t>(uniform() * static_cast<double>(up.size()))];
         const std::uint64_t caller = ++callerNumber;
+        trace("caller" + std::to_string(caller),
+              {Severity::Info, "job_sent", {{"job", job.spec.id}, {"entry", std::to_string(e)}}});
         job.caller = caller;
         job.entry = e;
         callers[caller] = number;
         const std::uint64_t life = entries[e].life;
         stepEntry(e, [this, caller, number](JobDispatcher &dispatcher, DispatcherOutbox &out) {
+            // The HTTP server drops a request whose caller has closed the connection meanwhile.
+            if (jobs[number].caller != caller)
+                return;
             dispatcher.submit(CallerId{caller}, jobs[number].spec, jobs[number].patience, now, out);
         });
         // The caller gives up, or loses its connection with the process, and comes back.
@@ -770,6 +804,7 @@
             if (jobs[number].isAnswered || jobs[number].caller != caller)
                 return;
             jobs[number].wasOnlyRefused = false;
+            jobs[number].caller = 0;
             if (entries[e].life == life)
                 stepEntry(e, [this, caller](JobDispatcher &dispatcher, DispatcherOutbox &out) {
                     dispatcher.callerGone(CallerId{caller}, now, out);
@@ -794,6 +829,8 @@
             post(now + ResubmitPause, [this, number] { sendJob(number); });
             return;
         }
+        trace("caller" + std::to_string(caller),
+              {Severity::Info, "job_answered", {{"job", job.spec.id}}});
         job.isAnswered = true;
         job.outcome = answer.outcome;
         job.answeredAt = now;
@@ -895,7 +932,10 @@
     it.agents[i].isUp = false;
     ++it.agents[i].life;
     it.agents[i].timerAt = NeverTime;
-    it.post(it.now + down, [this, i] { m_impl->startAgent(i); });
+    it.post(it.now + down, [this, i, life = it.agents[i].life] {
+        if (m_impl->agents[i].life == life)
+            m_impl->startAgent(i);
+    });
 }
 
 void DispatchFleet::killEntry(int entry, Duration down)
@@ -910,7 +950,10 @@
     ++it.entries[i].life;
     it.entries[i].timerAt = NeverTime;
     it.loseCallersOf(i);
-    it.post(it.now + down, [this, i] { m_impl->startEntry(i); });
+    it.post(it.now + down, [this, i, life = it.entries[i].life] {
+        if (m_impl->entries[i].life == life)
+            m_impl->startEntry(i);
+    });
 }
 
 void DispatchFleet::freezeAgent(int agent, Duration length)
@@ -940,8 +983,10 @@
     it.endNumber = 0;
     it.sequence = 0;
     const auto i = static_cast<std::size_t>(worker);
-    m_impl->post(m_impl->now + down, [this, i] {
+    m_impl->post(m_impl->now + down, [this, i, life = it.life] {
         Impl::Worker &again = m_impl->workers[i];
+        if (again.life != life)
+            return; // it crashed once more
         again.isUp = true;
         again.bornAt = again.progressAt = again.leaseEnd = m_impl->now;
         m_impl->heartbeat(i, again.life);
