--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -284,7 +284,7 @@
 
     void sendLoadsTo(Dial &it)
     {
-        for (WorkerLoad &load : m_runner.loadsFor(it.entry->instance))
+        for (WorkerLoad &load : m_runner.loadsFor(it.entry->instance, bootNow()))
             it.link->send(std::move(load));
         it.loadVersion = m_runner.loadVersion();
     }
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -527,9 +527,9 @@
         m_directory.agentClock(agent, beat->sentAt, now);
         m_entriesHeard[agent] = beat->entries;
     } else if (const auto *update = std::get_if<WorkerUpdate>(&message)) {
-        m_directory.update(agent, *update, now);
+        m_directory.update(agent, *update);
     } else if (const auto *load = std::get_if<WorkerLoad>(&message)) {
-        m_directory.load(agent, *load, now);
+        m_directory.load(agent, *load);
     } else if (const auto *started = std::get_if<TaskStarted>(&message)) {
         onStarted(agent, *started, now, out);
     } else if (const auto *late = std::get_if<TaskLate>(&message)) {
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -3,6 +3,7 @@
 #include "taskrunner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cactuscove {
@@ -43,6 +44,12 @@
 // Weights of the newest end in the running means of a worker's speed and failures.
 constexpr double NewestSpeed = 0.1;
 constexpr double NewestEnd = 0.15;
+constexpr double SlownessMemoryMs = 2500;
+constexpr double FailureMemoryMs = 800;
+// Entries are told of worse workers at this pace, as their marks fade.
+constexpr double BadSlowness = 1.4;
+constexpr double BadFailureShare = 0.1;
+constexpr Duration BadTellPause = 200ms;
 constexpr double MaxRatio = 10;            // one stuck task must not condemn a worker
 constexpr double NearlyFull = 0.7;         // of the processor
 constexpr std::size_t MaxListedEnds = 500; // of one reply; a longer list continues in the next
@@ -519,6 +526,10 @@
         = elapsedMs >= MinElapsedMs && slowness >= (runs >= EnoughRuns ? SlowWorker : StuckWorker);
     const bool wasSlow = worker.runningSlowness > 0;
     worker.runningSlowness = isSlow ? slowness : 0;
+    if (isSlow) {
+        fade(worker, now);
+        worker.slowness = std::max(worker.slowness, slowness);
+    }
     if (isSlow != wasSlow)
         ++m_loadVersion;
     if (!isSlow)
@@ -566,7 +577,7 @@
                                {"ran_ms", text(toMs(runTime))},
                                {"expected_ms", text(toMs(task.assignment.expectedRun))},
                                {"start_calls", text(task.startCalls)}}});
-    learn(worker, task, end, runTime);
+    learn(worker, task, end, runTime, now);
     ++m_loadVersion;
 }
 
@@ -610,8 +621,21 @@
     worker.orphans.clear();
 }
 
-void TaskRunner::learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime)
+void TaskRunner::fade(Worker &worker, TimePoint now)
+{
+    const auto decay = [&](double memoryMs) {
+        return std::exp(-static_cast<double>(toMs(now - worker.judgedAt)) / memoryMs);
+    };
+    if (worker.slowness > 1)
+        worker.slowness = 1 + (worker.slowness - 1) * decay(SlownessMemoryMs);
+    worker.failureShare *= decay(FailureMemoryMs);
+    worker.judgedAt = now;
+}
+
+void TaskRunner::learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime,
+                       TimePoint now)
 {
+    fade(worker, now);
     if (end == TaskEnd::Done && task.assignment.expectedRun > Duration{}) {
         const double ratio = static_cast<double>(runTime.count())
                              / static_cast<double>(task.assignment.expectedRun.count());
@@ -723,6 +747,12 @@
             return onWorkerLeft(std::string(worker.info.id), now, out);
         stopOrphans(worker, now, out);
         startQueued(worker, now, out);
+        const bool isBad = worker.slowness > BadSlowness || worker.failureShare > BadFailureShare;
+        if (isBad && now - worker.badToldAt > BadTellPause) {
+            fade(worker, now);
+            worker.badToldAt = now;
+            ++m_loadVersion;
+        }
         if (now < worker.nextHoldAt)
             continue;
         if (worker.hold.value != 0)
@@ -865,7 +895,7 @@
     return updates;
 }
 
-std::vector<WorkerLoad> TaskRunner::loadsFor(Incarnation entry) const
+std::vector<WorkerLoad> TaskRunner::loadsFor(Incarnation entry, TimePoint now) const
 {
     const auto from = m_entries.find(entry);
     std::vector<WorkerLoad> loads;
@@ -885,8 +915,13 @@
         for (const auto &[priority, needs] : queued)
             load.queued.push_back({priority, needs});
         load.freeingRate /= std::max(1.0, worker.slowness);
-        load.slowness = std::max(worker.slowness, worker.runningSlowness);
-        load.failureShare = worker.failureShare;
+        Worker judged;
+        judged.slowness = worker.slowness;
+        judged.failureShare = worker.failureShare;
+        judged.judgedAt = worker.judgedAt;
+        fade(judged, now);
+        load.slowness = std::max(judged.slowness, worker.runningSlowness);
+        load.failureShare = judged.failureShare;
         load.assignments = from == m_entries.end() ? 0 : from->second.assignments;
         loads.push_back(std::move(load));
     }
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -159,7 +159,7 @@
     TimePoint nextTimer() const;
     TaskInventory inventoryOf(Incarnation entry) const;
     std::vector<WorkerUpdate> workers() const;
-    std::vector<WorkerLoad> loadsFor(Incarnation entry) const;
+    std::vector<WorkerLoad> loadsFor(Incarnation entry, TimePoint now) const;
     std::uint64_t loadVersion() const { return m_loadVersion; } // changes with loadsFor()
     bool isNearlyFull() const;                                  // some worker has little room left
     std::size_t openTasks() const;                              // queued, running or being stopped
@@ -224,8 +224,10 @@
         std::vector<Orphan> orphans;
         double slowness = 1;        // mean of the newest ends
         double runningSlowness = 0; // by the progress of what runs; 0: too little to tell
-        double failureShare = 0;
-        std::string failedJob; // of the newest failure
+        double failureShare = 0;    // of the newest ends
+        TimePoint judgedAt{};       // when slowness and failureShare changed last
+        TimePoint badToldAt{};      // when a load was sent for their sake
+        std::string failedJob;      // of the newest failure
     };
 
     struct Entry
@@ -270,7 +272,9 @@
                     RunnerOutbox &out);
     // Tells a slow worker from a long task: all that runs there is slow.
     void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
-    void learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime);
+    void learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime, TimePoint now);
+    // Bad marks fade, so that the worker is tried again.
+    static void fade(Worker &worker, TimePoint now);
     void hear(Worker &worker, WorkerClock clock, TimePoint now);
     bool isSilent(Incarnation entry, TimePoint now) const;
     Resources used(const Worker &worker) const;
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -16,22 +16,14 @@
 constexpr Duration AgentSilence = 350ms;
 // A worker whose failures exceed the fleet's mean by this much gets no tasks.
 constexpr double FailureExcess = 0.2;
-// What was said of a worker loses its weight in this time, so that it is tried again.
-constexpr double FailureMemoryMs = 800;
-constexpr double SlownessMemoryMs = 2000;
 // Weight of a worker falls with this power of its slowness.
 constexpr double SpeedPower = 2;
+constexpr double SmallestSlowness = 0.1;
 // A task is bound to a busy worker only if it is expected to start there within this time; the
 // worker's agent then starts the most urgent first. It hides the way of the news that room is free.
 constexpr double LongestQueueMs = 8;
 constexpr double PreferredWeight = 4; // of a worker with the preferred label
 
-double decay(Duration age, double memoryMs)
-{
-    return std::exp(-std::max(0.0, std::chrono::duration<double, std::milli>(age).count())
-                    / memoryMs);
-}
-
 bool hasLabel(const WorkerInfo &worker, std::string_view label)
 {
     return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
@@ -90,7 +82,7 @@
     std::erase_if(m_workers, [&](const auto &it) { return it.first.agent == agent; });
 }
 
-void WorkerDirectory::update(Incarnation agent, const WorkerUpdate &update, TimePoint)
+void WorkerDirectory::update(Incarnation agent, const WorkerUpdate &update)
 {
     const WorkerKey key{agent, update.worker.id};
     if (update.isGone)
@@ -99,7 +91,7 @@
         m_workers[key].info = update.worker;
 }
 
-void WorkerDirectory::load(Incarnation agent, const WorkerLoad &load, TimePoint now)
+void WorkerDirectory::load(Incarnation agent, const WorkerLoad &load)
 {
     const auto it = m_workers.find({agent, load.workerId});
     if (it == m_workers.end())
@@ -107,7 +99,6 @@
     Worker &worker = it->second;
     worker.load = load;
     worker.hasLoad = true;
-    worker.loadAt = now;
     worker.sent.erase(worker.sent.begin(), worker.sent.upper_bound(load.assignments));
 }
 
@@ -160,23 +151,11 @@
     return missing / 1000 / worker.load.freeingRate;
 }
 
-double WorkerDirectory::failureShareOf(const Worker &worker, TimePoint now)
-{
-    return worker.load.failureShare * decay(now - worker.loadAt, FailureMemoryMs);
-}
-
-double WorkerDirectory::slownessOf(const Worker &worker, TimePoint now)
-{
-    const double slowness = std::max(worker.load.slowness, 0.1);
-    return slowness <= 1 ? slowness
-                         : 1 + (slowness - 1) * decay(now - worker.loadAt, SlownessMemoryMs);
-}
-
-double WorkerDirectory::meanFailureShare(TimePoint now) const
+double WorkerDirectory::meanFailureShare() const
 {
     double sum = 0;
     for (const auto &[key, worker] : m_workers)
-        sum += failureShareOf(worker, now);
+        sum += worker.load.failureShare;
     return m_workers.empty() ? 0 : sum / static_cast<double>(m_workers.size());
 }
 
@@ -191,15 +170,15 @@
     std::vector<Candidate> good;
     std::vector<Candidate> avoided;
     bool hasAlternative = false; // to the avoided workers, be it busy now
-    const double failureLimit = meanFailureShare(now) + FailureExcess;
+    const double failureLimit = meanFailureShare() + FailureExcess;
     for (const auto &[key, worker] : m_workers) {
         if (worker.info.upstream != request.upstream || !isUsable(key, worker, now))
             continue;
         if (!request.requiredLabel.empty() && !hasLabel(worker.info, request.requiredLabel))
             continue;
-        if (failureShareOf(worker, now) > failureLimit)
+        if (worker.load.failureShare > failureLimit)
             continue;
-        const double slowness = slownessOf(worker, now);
+        const double slowness = std::max(worker.load.slowness, SmallestSlowness);
         if (request.maxSlowness > 0 && slowness > request.maxSlowness)
             continue;
         const bool isAvoided
@@ -286,12 +265,6 @@
     return it->second.clock + (at - it->second.clockAt);
 }
 
-double WorkerDirectory::slownessOf(const WorkerKey &key, TimePoint now) const
-{
-    const auto it = m_workers.find(key);
-    return it == m_workers.end() ? 1 : slownessOf(it->second, now);
-}
-
 std::size_t WorkerDirectory::connectedAgents() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -35,8 +35,8 @@
     // The agent's clock read `sentAt` at some time before `now`.
     void agentClock(Incarnation agent, TimePoint sentAt, TimePoint now);
     void forgetAgent(Incarnation agent);
-    void update(Incarnation agent, const WorkerUpdate &update, TimePoint now);
-    void load(Incarnation agent, const WorkerLoad &load, TimePoint now);
+    void update(Incarnation agent, const WorkerUpdate &update);
+    void load(Incarnation agent, const WorkerLoad &load);
     // Books room at a worker until a report contains it; returns the assignment's number.
     std::uint64_t book(const WorkerKey &key, int priority, const Resources &needs);
     // No tasks for this worker before `until`: it refused one.
@@ -64,7 +64,6 @@
     bool isConnected(Incarnation agent) const;
     // Reads the agent's clock not later than it shows at `at`; none without contact.
     std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
-    double slownessOf(const WorkerKey &key, TimePoint now) const;
     std::size_t connectedAgents() const;
 
 private:
@@ -84,7 +83,6 @@
         WorkerInfo info;
         WorkerLoad load;
         bool hasLoad = false;
-        TimePoint loadAt{};
         std::map<std::uint64_t, QueuedRoom> sent; // by number; not yet in `load`
         TimePoint pausedUntil{};
     };
@@ -94,9 +92,7 @@
     static Resources freeOf(const Worker &worker, int priority);
     // Until the task would start.
     static double expectedWaitMs(const Worker &worker, const Request &request);
-    double meanFailureShare(TimePoint now) const;
-    static double slownessOf(const Worker &worker, TimePoint now);
-    static double failureShareOf(const Worker &worker, TimePoint now);
+    double meanFailureShare() const;
 
     std::string m_dataCentre;
     std::mt19937_64 m_random;
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -311,7 +311,7 @@
     {
         if (!links[entry][agent].isUp)
             return;
-        for (WorkerLoad &load : agents[agent].runner->loadsFor(entryId(entry)))
+        for (WorkerLoad &load : agents[agent].runner->loadsFor(entryId(entry), now))
             sendToEntry(agent, entryId(entry), std::move(load));
     }
 
