--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -498,6 +498,11 @@
     enter(now, out);
     m_agents[agent.instance] = agent;
     m_directory.agentConnected(agent.instance, agent.name, agent.dataCentre, now);
+    // While the agent hears this entry, it goes on with its tasks: no time proves anything.
+    for (auto &[number, job] : m_jobs)
+        for (Task &task : job.tasks)
+            if (task.state == State::Unproven && task.worker.agent == agent.instance)
+                task.provenAt = NeverTime;
 }
 
 void JobDispatcher::onDisconnected(Incarnation agent, TimePoint now, DispatcherOutbox &out)
@@ -508,10 +513,12 @@
     for (auto &[number, job] : m_jobs) {
         for (Task &task : job.tasks) {
             const bool mayRun = task.state == State::Assigned || task.state == State::Running
-                                || task.state == State::Withdrawn;
+                                || task.state == State::Withdrawn
+                                || task.state == State::Unproven;
             if (!mayRun || task.worker.agent != agent)
                 continue;
-            task.unprovenAt = now;
+            if (task.state != State::Unproven)
+                task.unprovenAt = now;
             task.provenAt = now + m_settings.proofTime;
             setState(number, job, task, State::Unproven);
         }
