--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -27,6 +27,9 @@
 // A dialled connection that is not open by then is given up: its packets are lost or the path is
 // cut.
 constexpr Duration DialTimeout = 300ms;
+// For calls under way and a worker's slow clock, between the last end of a lost job's run and the
+// earliest repeat by its caller.
+constexpr Duration ResubmitMargin = 150ms;
 // Part of the shutdown time in which runs may end by themselves.
 constexpr double DrainShare = 0.8;
 
@@ -75,11 +78,11 @@
     TaskRunnerSettings runnerSettings() const
     {
         TaskRunnerSettings settings;
-        settings.leaseTime = m_settings.leaseTime;
         settings.stopTime = m_settings.stopTime;
-        // Tasks of a silent entry must be gone before its callers come back to another one.
-        settings.entrySilence
-            = std::min<Duration>(settings.entrySilence, m_settings.resubmitPause / 2);
+        const Duration spare = m_settings.resubmitPause - m_settings.stopTime - ResubmitMargin;
+        settings.entrySilence = std::min<Duration>(settings.entrySilence, spare / 2);
+        settings.leaseTime = std::min(
+            {settings.leaseTime, m_settings.leaseTime, Duration(spare - settings.entrySilence)});
         return settings;
     }
 
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -123,11 +123,14 @@
 using RunnerEffect = std::variant<StartRun, StopRun, HoldRuns, SendToEntry, LogEvent>;
 using RunnerOutbox = std::vector<RunnerEffect>;
 
+// An agent may be suspended just before it notices that an entry is silent; its runs then last for
+// the lease. So the silence, the lease and a stop together must be shorter than the pause after
+// which a caller repeats a job that it believes lost.
 struct TaskRunnerSettings
 {
-    Duration leaseTime = std::chrono::milliseconds(1000);   // longest lease that a worker grants
+    Duration leaseTime = std::chrono::milliseconds(600);    // of all runs at a worker
     Duration stopTime = std::chrono::milliseconds(50);      // a stop takes at most this
-    Duration entrySilence = std::chrono::milliseconds(600); // then its tasks are stopped
+    Duration entrySilence = std::chrono::milliseconds(500); // then its tasks are stopped
 };
 
 class TaskRunner
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -635,6 +635,14 @@
     {
         progress(it);
         const auto node = it.runs.extract(task);
+        trace("worker" + std::to_string(it.index),
+              {Severity::Info,
+               "run_ended",
+               {{"job", task.jobId},
+                {"task", std::to_string(task.index)},
+                {"attempt", std::to_string(node.mapped().attempt)},
+                {"end", std::string(nameOf(end))},
+                {"lease_end_ms", std::to_string(ms(it.leaseEnd - Start))}}});
         it.highest[task] = std::max(it.highest[task], node.mapped().attempt);
         it.ended.push_back({++it.endNumber, task, node.mapped().attempt, end});
         for (const auto &hold : std::exchange(it.waitingHolds, {}))
@@ -958,12 +966,14 @@
 
 void DispatchFleet::freezeAgent(int agent, Duration length)
 {
-    m_impl->agents[static_cast<std::size_t>(agent)].frozenUntil = m_impl->now + length;
+    TimePoint &until = m_impl->agents[static_cast<std::size_t>(agent)].frozenUntil;
+    until = std::max(until, m_impl->now + length);
 }
 
 void DispatchFleet::freezeEntry(int entry, Duration length)
 {
-    m_impl->entries[static_cast<std::size_t>(entry)].frozenUntil = m_impl->now + length;
+    TimePoint &until = m_impl->entries[static_cast<std::size_t>(entry)].frozenUntil;
+    until = std::max(until, m_impl->now + length);
 }
 
 void DispatchFleet::cut(int entry, int agent, bool isCut)
