--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -336,7 +336,7 @@
         out.emplace_back(AnswerJob{caller, answer});
         m_jobsByCaller.erase(caller);
     }
-    if (answer.outcome != JobOutcome::Completed && attempt > 0)
+    if (attempt > 0)
         m_pastJobs[job.spec.id] = {attempt, now};
     m_jobsById.erase(job.spec.id);
     m_jobs.erase(it);
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -202,7 +202,7 @@
     RunTimeModel m_runTimes;
     std::map<JobNumber, Job> m_jobs;
     std::map<std::string, JobNumber, std::less<>> m_jobsById;
-    std::map<std::string, PastJob, std::less<>> m_pastJobs; // that may have runs left
+    std::map<std::string, PastJob, std::less<>> m_pastJobs; // lately; agents may still tell of them
     std::map<CallerId, JobNumber> m_jobsByCaller;
     std::set<Rank> m_ready; // jobs with waiting tasks that are not being closed
     std::map<Incarnation, PeerHello> m_agents;
