--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+// The library allocates what a length in the frame says before it reads the elements.
+constexpr std::size_t MaxElements = 1 << 16; // of one array
+constexpr std::size_t MaxDepth = 8;
+
 // Lists the fields of each type for a Writer or a Reader.
 template <typename A>
 void fields(A &a, Resources &it)
@@ -316,7 +320,9 @@
         return FrameError{"no header"};
     const std::string_view body = frame.substr(FrameHeaderBytes);
     try {
-        const msgpack::object_handle handle = msgpack::unpack(body.data(), body.size());
+        const msgpack::object_handle handle = msgpack::unpack(
+            body.data(), body.size(), nullptr, nullptr,
+            msgpack::unpack_limit(MaxElements, 0, body.size(), body.size(), 0, MaxDepth));
         if (handle.get().type != msgpack::type::ARRAY)
             return FrameError{"not an array of messages"};
         const msgpack::object_array &array = handle.get().via.array;
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,272 @@
+// Formats of the users' platform: what is decoded, and what is refused rather than guessed.
+
+#include "platform.h"
+
+#include "textencoding.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cactuscove::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr char EntrySettings[] = R"(
+node_name = "edge-cape-north-1"
+ip = "10.1.0.13"
+zone = "cape-north"
+port_range = [7720,7735]
+seeds = ["10.1.0.13:8166","10.2.0.30:8166"]
+[bind_addrs]
+frontend = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+[bounds]
+hold_max_ms = 1000
+stop_timeout_ms = 50
+grace_s = 6
+resend_ms = 1300
+drain_ms = 2000
+config_apply_ms = 2000
+[platform]
+address = "10.200.1.7:8169"
+)";
+
+CallResult reply(int status, std::string body)
+{
+    HttpReply it;
+    it.status = status;
+    it.body = std::move(body);
+    return it;
+}
+
+HttpRequest heartbeat(std::string body)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/-/instances/i-7f";
+    request.body = std::move(body);
+    return request;
+}
+
+std::string record(std::string_view key, std::string_view value)
+{
+    std::string out("\0\0\0", 3);
+    out += static_cast<char>(1 + key.size() + value.size());
+    out += static_cast<char>(key.size());
+    return out.append(key).append(value);
+}
+
+} // namespace
+
+TEST(PlatformSettings, AreDecodedOnce)
+{
+    const auto settings = parseSettings(EntrySettings, Role::Entry);
+    ASSERT_TRUE(isOk(settings)) << errorOf(settings).lines.front();
+    EXPECT_EQ(valueOf(settings).callerAddress, "10.1.0.13:8161");
+    EXPECT_EQ(valueOf(settings).linkAddress, "10.1.0.13:7720");
+    EXPECT_EQ(valueOf(settings).seedLinks,
+              (std::vector<std::string>{"10.1.0.13:7720", "10.2.0.30:7720"}));
+    EXPECT_EQ(valueOf(settings).shutdownTime, 6s);
+}
+
+// Guards against an operator who mends one mistake a start.
+TEST(PlatformSettings, NameEveryMistakeAtOnce)
+{
+    const auto settings = parseSettings("node_name = 7\nport_range = [0]\n", Role::Agent);
+    ASSERT_FALSE(isOk(settings));
+    const auto &lines = errorOf(settings).lines;
+    EXPECT_GE(lines.size(), 8u);
+    EXPECT_NE(std::find(lines.begin(), lines.end(), "node_name: missing or not a string"),
+              lines.end());
+    EXPECT_NE(
+        std::find(lines.begin(), lines.end(), "bind_addrs.control_plane: missing or not a string"),
+        lines.end());
+    EXPECT_FALSE(isOk(parseSettings("node_name = ", Role::Agent)));
+}
+
+TEST(PlatformJobs, ABestEffortJobIsDecoded)
+{
+    const auto job
+        = parseJob("5c0e7a21d94b36f8",
+                   R"({"spec":"x\"y","best_effort":true,"phases":[)"
+                   R"({"count":4,"cpu":500,"mem_mb":256,"est_runtime_ms":90,"gang":false}]})");
+    ASSERT_TRUE(isOk(job)) << errorOf(job).field;
+    EXPECT_EQ(valueOf(job).payload, "x\"y");
+    EXPECT_EQ(valueOf(job).taskCount, 4u);
+    EXPECT_EQ(valueOf(job).needs, (Resources{500, 256, 0}));
+    EXPECT_EQ(valueOf(job).declared, 90ms);
+}
+
+// Guards against running a part of what a job asks for.
+TEST(PlatformJobs, WhatIsNotBuiltIsRefusedByItsField)
+{
+    const auto fieldOf = [](const char *body) {
+        const auto job = parseJob("5c0e7a21d94b36f8", body);
+        return isOk(job) ? std::string("taken") : errorOf(job).field;
+    };
+    EXPECT_EQ(fieldOf(R"({"phases":[{"count":1}]})"), "best_effort");
+    EXPECT_EQ(fieldOf(R"({"best_effort":true,"phases":[{},{}]})"), "phases");
+    EXPECT_EQ(fieldOf(R"({"best_effort":true,"phases":[{"count":1,"gang":true}]})"),
+              "phases[0].gang");
+    EXPECT_EQ(fieldOf(R"({"best_effort":true,"repeat_count":2,"phases":[{"count":1}]})"),
+              "repeat_count");
+    EXPECT_EQ(fieldOf(R"({"best_effort":true,"phases":[{"count":"1"}]})"), "body");
+    EXPECT_EQ(fieldOf("nonsense"), "body");
+}
+
+TEST(PlatformJobs, RetryAfterIsAtLeastASecond)
+{
+    const HttpResponse response = formatAnswer({JobOutcome::Refused, "overloaded", 20ms});
+    EXPECT_EQ(response.status, 503);
+    EXPECT_EQ(response.headers.at("Retry-After"), "1");
+}
+
+TEST(PlatformWorkers, AHeartbeatIsDecoded)
+{
+    const auto news = parseWorkerNews(heartbeat(
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"draining","seq_num":4,)"
+        R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"born":1788269136761})"));
+    ASSERT_TRUE(isOk(news)) << errorOf(news).reason;
+    const WorkerInfo &info = *valueOf(news).info;
+    EXPECT_EQ(info.id, "i-7f");
+    EXPECT_TRUE(info.isDraining);
+    EXPECT_EQ(info.capacity.cpuMillis, 16000);
+    EXPECT_EQ(info.labels, (std::vector<std::string>{"a", "r1-3"}));
+    EXPECT_EQ(info.bornAtMs, 1788269136761);
+}
+
+// A heartbeat of another writer names no worker to use.
+TEST(PlatformWorkers, AnUnreadableHeartbeatNamesNoWorker)
+{
+    for (
+        const char *body :
+        {"", "[]", R"({"service":"s"})",
+         R"({"service":"s","address":"nowhere","zone":"z","state":"ready","seq_num":4,"capacity":{"cpu":1}})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","state":"odd","seq_num":4,"capacity":{"cpu":1}})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","state":"ready","seq_num":"4","capacity":{"cpu":1}})"})
+        EXPECT_FALSE(isOk(parseWorkerNews(heartbeat(body)))) << body;
+}
+
+TEST(PlatformWorkers, ListsOfRunsAreDecoded)
+{
+    const HoldReply hold = parseHoldReply(reply(
+        200, R"({"clock_ms":482113,"born":5,"active":[["5c0e.0.0.17",2,"",41,3]],)"
+             R"("finished":[[58,"5c0e.0.0.9",1,"done",""],[59,"5c0e.0.0.8",3,"lapsed",""]]})"));
+    ASSERT_EQ(hold.answer, CallAnswer::Ok);
+    EXPECT_EQ(hold.clock.value, 482113);
+    ASSERT_EQ(hold.active.size(), 1u);
+    EXPECT_EQ(hold.active[0].task, (TaskId{"5c0e", 17}));
+    EXPECT_EQ(hold.active[0].percent, 41);
+    ASSERT_EQ(hold.ended.size(), 2u);
+    EXPECT_EQ(hold.ended[0].end, TaskEnd::Done);
+    EXPECT_EQ(hold.ended[1].end, TaskEnd::Lost);
+}
+
+// An empty list means that nothing runs; an unreadable one must not.
+TEST(PlatformWorkers, AnUnreadableListIsNoAnswer)
+{
+    for (const char *body : {"", "{}", R"({"clock_ms":1,"active":{},"finished":[]})",
+                             R"({"clock_ms":1,"active":[[1]],"finished":[]})"})
+        EXPECT_EQ(parseHoldReply(reply(200, body)).answer, CallAnswer::NoAnswer) << body;
+}
+
+TEST(PlatformWorkers, RefusalsOfAStartAreToldApart)
+{
+    EXPECT_EQ(parseStartReply(reply(200, R"({"clock_ms":1})")).answer, StartAnswer::Accepted);
+    EXPECT_EQ(parseStartReply(reply(409, R"({"reason":"late"})")).answer, StartAnswer::Late);
+    EXPECT_EQ(parseStartReply(reply(409, R"({"reason":"room"})")).answer, StartAnswer::NoRoom);
+    EXPECT_EQ(parseStartReply(reply(409, R"({"reason":"old"})")).answer, StartAnswer::OldAttempt);
+    EXPECT_EQ(parseStartReply(reply(503, "")).answer, StartAnswer::Unhealthy);
+    EXPECT_EQ(parseStartReply(reply(421, "")).answer, StartAnswer::OtherLife);
+    EXPECT_EQ(parseStartReply(reply(500, "")).answer, StartAnswer::NoAnswer);
+    EXPECT_EQ(parseStartReply(HttpCallError{HttpFailure::TimedOut, ""}).answer,
+              StartAnswer::NoAnswer);
+    EXPECT_EQ(parseStartReply(HttpCallError{HttpFailure::NotSent, ""}).answer,
+              StartAnswer::NotSent);
+}
+
+TEST(PlatformWorkers, AStartCarriesThePayloadUnchanged)
+{
+    StartRun order;
+    order.task = {"5c0e", 3};
+    order.attempt = 2;
+    order.payload = "a\"b\\c\n\x01";
+    order.deadline = WorkerClock{70};
+    EXPECT_EQ(callOf(order).body,
+              R"({"task":"5c0e.0.0.3","attempt":2,"spec":"a\"b\\c\u000a\u0001",)"
+              R"("deadline_ms":70})");
+}
+
+TEST(PlatformStore, RecordsOfALongReadAreDecoded)
+{
+    const std::string offsets(16, '\0');
+    const std::string whole
+        = offsets + record("config", "one") + record("k", "") + record("m", "2");
+    const auto page = parseRead(reply(200, whole), LogOffset{7});
+    ASSERT_TRUE(isOk(page));
+    ASSERT_EQ(valueOf(page).records.size(), 3u);
+    EXPECT_EQ(valueOf(page).records[0].key, "config");
+    EXPECT_EQ(valueOf(page).records[0].value, "one");
+    EXPECT_EQ(valueOf(page).records[2].offset, LogOffset{9});
+    EXPECT_EQ(valueOf(page).next, LogOffset{10});
+
+    // A record that is cut at the largest answer is read again.
+    const auto cut = parseRead(reply(200, whole.substr(0, whole.size() - 1)), LogOffset{7});
+    ASSERT_TRUE(isOk(cut));
+    EXPECT_EQ(valueOf(cut).next, LogOffset{9});
+}
+
+TEST(PlatformStore, FailuresAreToldApart)
+{
+    EXPECT_EQ(errorOf(parseRead(reply(410, ""), {})).kind, StoreFailure::Trimmed);
+    EXPECT_EQ(errorOf(parseRead(reply(429, ""), {})).kind, StoreFailure::Refused);
+    EXPECT_EQ(errorOf(parseRead(reply(200, "short"), {})).kind, StoreFailure::Malformed);
+    EXPECT_EQ(errorOf(parseNewest(reply(200, "[]"))).kind, StoreFailure::Malformed);
+    EXPECT_EQ(errorOf(parseNewest(HttpCallError{})).kind, StoreFailure::Unreachable);
+}
+
+TEST(PlatformStore, NewestRecordsAreDecoded)
+{
+    const auto page
+        = parseNewest(reply(200, R"({"items":[{"key":"config","value":")" + toBase64("{\"a\":1}")
+                                     + R"(","offset":4},{"key":"odd","value":"!","offset":5}],)"
+                                       R"("has_more":true,"end_offset":6})"));
+    ASSERT_TRUE(isOk(page));
+    ASSERT_EQ(valueOf(page).records.size(), 1u);
+    EXPECT_EQ(valueOf(page).records[0].value, "{\"a\":1}");
+    EXPECT_EQ(valueOf(page).continueFrom, "config");
+}
+
+TEST(PlatformConfig, QueuesAreDecoded)
+{
+    const auto config = parseConfig(
+        R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/","service":"s",)"
+        R"("timeout_ms":1500,"target_latency_ms":60,"priority":2,"attempts":4,"slack_factor":1.6}]})");
+    ASSERT_TRUE(isOk(config)) << errorOf(config).reason;
+    const QueueSettings &queue = valueOf(config).queues.at(0);
+    EXPECT_EQ(queue.priority, 2);
+    EXPECT_EQ(queue.targetLatency, 60ms);
+    EXPECT_DOUBLE_EQ(queue.slackFactor, 1.6);
+    EXPECT_FALSE(isOk(parseConfig(R"({"routes":[]})")));
+    EXPECT_FALSE(isOk(parseConfig(R"({"version":7,"routes":[{"name":"r"}]})")));
+}
+
+TEST(QueueMatch, TheLongestPrefixOfTheHostWins)
+{
+    DispatchConfig config;
+    config.queues.resize(3);
+    config.queues[0].host = config.queues[1].host = "a.example";
+    config.queues[0].pathPrefix = "/x/";
+    config.queues[1].pathPrefix = "/x/y/";
+    config.queues[2].host = "b.example";
+    config.queues[2].pathPrefix = "/";
+    EXPECT_EQ(matchQueue(config, "A.example:80", "/x/y/1").queue, &config.queues[1]);
+    EXPECT_EQ(matchQueue(config, "a.example", "/x/z").rest, "z");
+    EXPECT_EQ(matchQueue(config, "a.example", "/z").queue, nullptr);
+    EXPECT_EQ(matchQueue(config, "c.example", "/x/").queue, nullptr);
+}
+
+} // namespace cactuscove::platform
