--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -513,12 +513,20 @@
     for (auto &[number, job] : m_jobs) {
         for (Task &task : job.tasks) {
             const bool mayRun = task.state == State::Assigned || task.state == State::Running
-                                || task.state == State::Withdrawn
-                                || task.state == State::Unproven;
+                                || task.state == State::Withdrawn || task.state == State::Unproven;
             if (!mayRun || task.worker.agent != agent)
                 continue;
-            if (task.state != State::Unproven)
+            if (task.state != State::Unproven) {
                 task.unprovenAt = now;
+                out.emplace_back(LogEvent{Severity::Warning,
+                                          "task_unproven",
+                                          {{"job", job.spec.id},
+                                           {"task", std::to_string(&task - job.tasks.data())},
+                                           {"attempt", std::to_string(task.attempt)},
+                                           {"worker", task.worker.worker},
+                                           {"agent", task.agentName},
+                                           {"proven_in_ms", ms(m_settings.proofTime)}}});
+            }
             task.provenAt = now + m_settings.proofTime;
             setState(number, job, task, State::Unproven);
         }
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -422,6 +422,8 @@
     if (reply.answer == CallAnswer::OtherLife)
         return onWorkerLeft(std::string(worker->info.id), now, out);
     if (reply.answer != CallAnswer::Ok) {
+        if (isNewest)
+            noteUnanswered(*worker, now, out);
         if (isNewest && reply.answer == CallAnswer::NotSent)
             worker->nextHoldAt = now + RetryPause;
         return;
@@ -765,8 +767,9 @@
 
 void TaskRunner::noteUnanswered(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    ++worker.holdsUnanswered;
-    if (worker.isUnresponsive || now - worker.listedAt <= WorkerPatience)
+    if (worker.holdsUnanswered++ == 0)
+        worker.unansweredSince = now;
+    if (worker.isUnresponsive || now - worker.unansweredSince <= WorkerPatience)
         return;
     worker.isUnresponsive = true;
     ++m_loadVersion;
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -220,6 +220,7 @@
         WorkerCallId hold;      // newest; 0 once it has ended
         TimePoint nextHoldAt{}; // also if the newest has not ended
         int holdsUnanswered = 0;
+        TimePoint unansweredSince{}; // the first of them
         TimePoint listedAt{};        // newest answer to a hold
         bool isUnresponsive = false; // no such answer for too long
         TimePoint unhealthyUntil{};
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -487,7 +487,9 @@
         post(now + delay, [this, i, agentLife, order, isLost] {
             Worker &it = workers[i];
             if (!it.isUp) {
-                if (!isLost)
+                if (!isLost && options.refusesWhenDown)
+                    refused(i, agentLife, order);
+                else if (!isLost)
                     post(now + order.timeout,
                          [this, i, agentLife, order] { noAnswer(i, agentLife, order); });
                 return;
@@ -500,6 +502,23 @@
         });
     }
 
+    template <typename Order>
+    void refused(std::size_t i, std::uint64_t agentLife, const Order &order)
+    {
+        if (agents[i].life != agentLife)
+            return;
+        stepAgent(i, [this, order](TaskRunner &runner, RunnerOutbox &out) {
+            HoldReply hold;
+            hold.answer = CallAnswer::NotSent;
+            if constexpr (std::is_same_v<Order, StartRun>)
+                runner.onStartReply(order.call, {StartAnswer::NotSent, std::nullopt}, now, out);
+            else if constexpr (std::is_same_v<Order, StopRun>)
+                runner.onStopReply(order.call, {CallAnswer::NotSent, std::nullopt}, now, out);
+            else
+                runner.onHoldReply(order.call, hold, now, out);
+        });
+    }
+
     template <typename Order>
     void noAnswer(std::size_t i, std::uint64_t agentLife, const Order &order)
     {
@@ -1049,6 +1068,15 @@
     return m_impl->violations;
 }
 
+Duration DispatchFleet::slowestAnswer() const
+{
+    Duration slowest{};
+    for (const Impl::Job &job : m_impl->jobs)
+        if (job.isAnswered)
+            slowest = std::max<Duration>(slowest, job.answeredAt - job.objectiveAt);
+    return slowest;
+}
+
 std::size_t DispatchFleet::starts() const
 {
     return m_impl->startCount;
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -43,6 +43,7 @@
     // Multiplies a kind's rate at a time; empty: always 1.
     std::function<double(const JobKind &kind, Duration at)> burst;
     double lostAnswers = 0; // share of worker calls that are carried out late and never answered
+    bool refusesWhenDown = false; // a worker that is down refuses connections, else it is silent
     double failures = 0.002;
     std::uint64_t seed = 1;
 };
@@ -83,6 +84,7 @@
     // ran.
     const std::vector<std::string> &violations() const;
     std::size_t starts() const;
+    Duration slowestAnswer() const; // beyond the objective
 
 private:
     class Impl;
--- a/tests/dispatchfleet_test.cpp
+++ b/tests/dispatchfleet_test.cpp
@@ -95,6 +95,25 @@
     EXPECT_GT(fleet.worth(), 0.95) << describe(fleet);
 }
 
+// A worker that is gone refuses connections at once. Guards against an agent that goes on waiting
+// for the runs there: their jobs must end elsewhere soon after the lease.
+TEST(DispatchFleet, PlacesTheRunsOfAGoneWorkerElsewhere)
+{
+    DispatchFleetOptions options = bookingFleet(5);
+    options.length = 8s;
+    options.refusesWhenDown = true;
+    DispatchFleet fleet(options);
+    fleet.at(3s, [&] { fleet.crashWorker(2, 60s); });
+    fleet.run();
+    int unanswered = 0;
+    for (const auto &[queue, it] : fleet.results())
+        unanswered += it.other;
+    EXPECT_EQ(unanswered, 0) << describe(fleet);
+    EXPECT_LT(fleet.slowestAnswer(), 3s) << describe(fleet);
+    EXPECT_TRUE(fleet.violations().empty()) << fleet.violations().front();
+    EXPECT_GT(fleet.worth(), 0.97) << describe(fleet);
+}
+
 // One answer in sixteen is lost and its order carried out seconds later. Guards against waiting for
 // lost answers, and against starts that are carried out late.
 TEST(DispatchFleet, KeepsItsObjectivesWhenAnswersOfWorkersAreLost)
