--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -332,6 +332,8 @@
                                {"objective_ms", ms(job.objectiveAt - job.arrivedAt)},
                                {"attempt", std::to_string(attempt)},
                                {"config", std::to_string(m_config.version)}}});
+    if (answer.outcome == JobOutcome::Completed)
+        m_load.answered(now > job.objectiveAt);
     for (const CallerId caller : job.callers) {
         out.emplace_back(AnswerJob{caller, answer});
         m_jobsByCaller.erase(caller);
--- a/src/jobhome.cpp
+++ b/src/jobhome.cpp
@@ -134,7 +134,7 @@
     if (known != nullptr && !isForgotten(*known, now - ageOf(message, now))) {
         if (known->spec.contentHash != spec.contentHash)
             return refuse(from, spec.key, SubmitRefusal::ContentMismatch, out);
-        return reply(from, *known, now, out);
+        return reply(from, *known, message.sentAt, now, out);
     }
     const ShardKnowledge knowledge = m_parts.shards.knowledge(shard);
     if (knowledge == ShardKnowledge::Moving)
@@ -147,7 +147,7 @@
     decide(job, now, out);
     // Unless it was answered at once or not kept.
     if (Job *kept = find(spec.key); kept != nullptr && kept->state != JobState::Answered)
-        reply(from, *kept, now, out);
+        reply(from, *kept, message.sentAt, now, out);
 }
 
 void JobHome::onCancel(Incarnation from, const CancelJob &message, TimePoint now, Outbox &out)
@@ -156,9 +156,9 @@
         return refuse(from, message.key, SubmitRefusal::NotHome, out);
     Job *job = find(message.key);
     if (job == nullptr)
-        return answerUnseen(from, message.key, out);
+        return answerUnseen(from, message.key, message.sentAt, out);
     if (job->state != JobState::Running) // a waiting job: the witnesses may know more
-        return reply(from, *job, now, out);
+        return reply(from, *job, message.sentAt, now, out);
     addEntry(*job, from);
     giveUp(*job, "cancelled", std::nullopt, now, out);
 }
@@ -169,9 +169,9 @@
         return refuse(from, message.key, SubmitRefusal::NotHome, out);
     Job *job = find(message.key);
     if (job == nullptr)
-        return answerUnseen(from, message.key, out);
+        return answerUnseen(from, message.key, message.sentAt, out);
     addEntry(*job, from);
-    reply(from, *job, now, out);
+    reply(from, *job, message.sentAt, now, out);
 }
 
 bool JobHome::isHome(ShardId shard, Epoch epoch) const
@@ -289,10 +289,10 @@
 }
 
 // A retry time counts from the first answer, so that all who asked may come back at the same time.
-void JobHome::reply(Incarnation to, Job &job, TimePoint now, Outbox &out)
+void JobHome::reply(Incarnation to, Job &job, Duration askedAt, TimePoint now, Outbox &out)
 {
     if (job.state == JobState::Answered) {
-        JobAnswer answer{job.spec.key, job.epoch, job.answer};
+        JobAnswer answer{job.spec.key, job.epoch, job.answer, askedAt};
         std::optional<Duration> &retryAfter = answer.answer.retryAfter;
         if (retryAfter)
             retryAfter = std::max(*retryAfter - (now - job.answeredAt), Duration::zero());
@@ -325,7 +325,7 @@
         job.attemptBase = std::max(job.attemptBase, task.attempts);
     job.tasks.clear();
     for (const Incarnation entry : job.entries)
-        out.send(entry, JobAnswer{job.spec.key, job.epoch, job.answer});
+        out.send(entry, JobAnswer{job.spec.key, job.epoch, job.answer, {}});
     job.entries.clear();
     job.spec.tasks.clear();
     const std::string outcome(nameOf(job.answer.outcome));
--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -179,7 +179,7 @@
     void onSubmit(Incarnation from, const SubmitJob &message, TimePoint now, Outbox &out);
     void onCancel(Incarnation from, const CancelJob &message, TimePoint now, Outbox &out);
     void onQuery(Incarnation from, const QueryJob &message, TimePoint now, Outbox &out);
-    void answerUnseen(Incarnation from, const JobKey &key, Outbox &out) const;
+    void answerUnseen(Incarnation from, const JobKey &key, Duration askedAt, Outbox &out) const;
     bool isHome(ShardId shard, Epoch epoch) const;
     Job *find(const JobKey &key);
     static bool isForgotten(const Job &job, TimePoint now);
@@ -190,7 +190,7 @@
     static std::optional<Answer> provedAnswer(const WitnessedJob &seen, const JobSpec *spec);
     static WitnessedJob witnessOf(const Job &job);
     std::optional<Answer> refusalOf(const Job &job, TimePoint now);
-    static void reply(Incarnation to, Job &job, TimePoint now, Outbox &out);
+    static void reply(Incarnation to, Job &job, Duration askedAt, TimePoint now, Outbox &out);
     static void addEntry(Job &job, Incarnation entry);
     void finish(Job &job, Answer answer, TimePoint now, Outbox &out);
     void forget(Job &job);
--- a/src/jobhomememory.cpp
+++ b/src/jobhomememory.cpp
@@ -89,7 +89,8 @@
 }
 
 // Answers for a key without a specification that this home has not accepted.
-void JobHome::answerUnseen(Incarnation from, const JobKey &key, Outbox &out) const
+void JobHome::answerUnseen(Incarnation from, const JobKey &key, Duration askedAt,
+                           Outbox &out) const
 {
     const ShardId shard = shardOf(key);
     const Epoch epoch = m_parts.shards.epoch(shard);
@@ -98,15 +99,15 @@
         return refuse(from, key, SubmitRefusal::Moving, out);
     if (const WitnessedJob *seen = m_parts.shards.witnessed(hashOf(key))) {
         if (const auto answer = provedAnswer(*seen, nullptr))
-            out.send(from, JobAnswer{key, epoch, *answer});
+            out.send(from, JobAnswer{key, epoch, *answer, askedAt});
         else if (m_parts.shards.isRoundOver(shard))
-            out.send(from, JobAnswer{key, epoch, unknown("home_lost")});
+            out.send(from, JobAnswer{key, epoch, unknown("home_lost"), askedAt});
         return; // else the entry asks again
     }
     if (knowledge == ShardKnowledge::Complete)
         out.send(from, JobNotFound{key, epoch});
     else if (knowledge == ShardKnowledge::Incomplete)
-        out.send(from, JobAnswer{key, epoch, unknown("witness_missing", spread(key, ShortRetry))});
+        out.send(from, JobAnswer{key, epoch, unknown("witness_missing", spread(key, ShortRetry)), askedAt});
 }
 
 // Rule R7: after the retry time of a not_run answer the key is new again.
--- a/src/jobrouter.cpp
+++ b/src/jobrouter.cpp
@@ -156,12 +156,13 @@
     }
     if (job.spec && !job.isAccepted && now < job.deadline) {
         remember(job, now);
-        out.send(home, SubmitJob{*job.spec, job.epoch, job.deadline - now, job.trace});
+        out.send(home, SubmitJob{*job.spec, job.epoch, job.deadline - now, job.trace,
+                                 now.time_since_epoch()});
     } else if (!job.wantsCancel) {
-        out.send(home, QueryJob{key, job.epoch}); // smaller than the job itself
+        out.send(home, QueryJob{key, job.epoch, now.time_since_epoch()}); // smaller than the job itself
     }
     if (job.wantsCancel)
-        out.send(home, CancelJob{key, job.epoch});
+        out.send(home, CancelJob{key, job.epoch, now.time_since_epoch()});
 }
 
 // 0 if there is none that could answer, or while this process is not active.
@@ -224,6 +225,16 @@
     if (message.answer.outcome != Outcome::Completed
         && !pendingAt(message.key, from, message.epoch))
         return;
+    // After its retry time the key is new, and a repeat of this entry may have started the job. An
+    // answer may have been under way for longer than that, so it is asked for once more.
+    const std::optional<Duration> &retryAfter = message.answer.retryAfter;
+    const bool isStale = message.answer.outcome == Outcome::NotRun && retryAfter
+                         && now.time_since_epoch() - message.askedAt >= *retryAfter;
+    if (isStale) {
+        it->second.nextSend = now;
+        update(message.key);
+        return;
+    }
     answerAll(message.key, it->second, message.answer, now, out);
 }
 
--- a/src/loadcontrol.cpp
+++ b/src/loadcontrol.cpp
@@ -12,6 +12,9 @@
 constexpr double RateMemoryMs = 500;
 // Part of the cores that a less urgent priority may count on whatever the more urgent ones use.
 constexpr double FloorShare = 0.1;
+constexpr double NewestAnswer = 0.05;   // weight in the share of late answers
+constexpr double UsualLateShare = 0.08; // by the expected run time, while there is room for all
+constexpr double LateWeight = 12;
 constexpr double SmallestRate = 0.001; // cores; keeps the wait finite without a fleet
 
 double toMs(Duration duration)
@@ -47,6 +50,11 @@
     level.ratedAt = now;
 }
 
+void LoadControl::answered(bool isLate)
+{
+    m_lateShare += NewestAnswer * (isLate - m_lateShare);
+}
+
 Work LoadControl::waitingWork(int priority) const
 {
     Work sum;
@@ -79,8 +87,9 @@
     // What was started lately shows what this entry gets, and is a lower bound while nothing waits.
     const double total = std::max(room.shareCores, all);
     const double rate = std::max({total - urgent, total * FloorShare, SmallestRate});
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>((waiting.coreMs + job.coreMs) * blocked / rate));
+    const double correction = 1 + LateWeight * std::max(0.0, m_lateShare - UsualLateShare);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+        (waiting.coreMs + job.coreMs) * blocked / rate * correction));
 }
 
 } // namespace cactuscove
--- a/src/loadcontrol.h
+++ b/src/loadcontrol.h
@@ -34,6 +34,9 @@
     void queued(int priority, const Work &work);   // a task began to wait
     void unqueued(int priority, const Work &work); // it was sent to a worker, or given up
     void started(int priority, const Work &work, TimePoint now);
+    // A job was answered. Late answers show that waits are underestimated: the fleet may have less
+    // room than its workers say, for example while some of them fail what they start.
+    void answered(bool isLate);
 
     // Queries
     // Until the last task of a job with this priority and work would start if it arrived now.
@@ -51,6 +54,7 @@
 
     double rateOf(const Level &level, TimePoint now) const;
 
+    double m_lateShare = 0;        // of the newest answers
     std::map<int, Level> m_levels; // by priority, the most urgent first
 };
 
--- a/src/messagefields.h
+++ b/src/messagefields.h
@@ -148,7 +148,8 @@
 {
     return std::tuple{required("spec", &SubmitJob::spec), required("epoch", &SubmitJob::epoch),
                       required("remaining", &SubmitJob::remaining),
-                      optional("trace", &SubmitJob::trace)};
+                      optional("trace", &SubmitJob::trace),
+                      optional("sent_at", &SubmitJob::sentAt)};
 }
 
 constexpr auto fieldsOf(Tag<JobAccepted>)
@@ -159,7 +160,8 @@
 constexpr auto fieldsOf(Tag<JobAnswer>)
 {
     return std::tuple{required("key", &JobAnswer::key), required("epoch", &JobAnswer::epoch),
-                      required("answer", &JobAnswer::answer)};
+                      required("answer", &JobAnswer::answer),
+                      optional("asked_at", &JobAnswer::askedAt)};
 }
 
 constexpr auto fieldsOf(Tag<SubmitRefused>)
@@ -171,12 +173,14 @@
 
 constexpr auto fieldsOf(Tag<CancelJob>)
 {
-    return std::tuple{required("key", &CancelJob::key), required("epoch", &CancelJob::epoch)};
+    return std::tuple{required("key", &CancelJob::key), required("epoch", &CancelJob::epoch),
+                      optional("sent_at", &CancelJob::sentAt)};
 }
 
 constexpr auto fieldsOf(Tag<QueryJob>)
 {
-    return std::tuple{required("key", &QueryJob::key), required("epoch", &QueryJob::epoch)};
+    return std::tuple{required("key", &QueryJob::key), required("epoch", &QueryJob::epoch),
+                      optional("sent_at", &QueryJob::sentAt)};
 }
 
 constexpr auto fieldsOf(Tag<JobNotFound>)
--- a/src/messages.h
+++ b/src/messages.h
@@ -51,6 +51,7 @@
     Epoch epoch;
     Duration remaining{}; // until the deadline, at the time of sending
     TraceContext trace;
+    Duration sentAt{}; // on the entry's clock; the answer to this message repeats it
 };
 
 struct JobAccepted
@@ -64,6 +65,7 @@
     JobKey key;
     Epoch epoch;
     Answer answer;
+    Duration askedAt{}; // `sentAt` of the message that it answers; 0 if it answers none
 };
 
 enum class SubmitRefusal {
@@ -83,6 +85,7 @@
 {
     JobKey key;
     Epoch epoch;
+    Duration sentAt{}; // as in SubmitJob
 };
 
 // Entry -> home: asks for the answer of a job whose specification the entry does not have.
@@ -90,6 +93,7 @@
 {
     JobKey key;
     Epoch epoch;
+    Duration sentAt{}; // as in SubmitJob
 };
 
 // The home knows its shard completely and has never seen the key, or has forgotten it.
--- a/tests/jobrouter_test.cpp
+++ b/tests/jobrouter_test.cpp
@@ -79,6 +79,27 @@
 };
 
 // R3: a key that is missing from the witness reply could be started again by the next home.
+// A not_run answer holds until its retry time. Guards against passing one on that was under way for
+// longer: a repeat of this entry may have started the job meanwhile.
+TEST_F(JobRouterTest, ANotRunAnswerThatIsOlderThanItsRetryTimeIsAskedForAgain)
+{
+    submit(1);
+    const Duration askedAt = m_now.time_since_epoch();
+    Answer refused;
+    refused.outcome = Outcome::NotRun;
+    refused.reason = "no_upstream";
+    refused.retryAfter = 200ms;
+    advance(250ms);
+    EXPECT_TRUE(allOf<AnswerCaller>(receive(First, JobAnswer{Key, {1}, refused, askedAt})).empty());
+    const auto again = allOf<Send>(advance(1ms));
+    ASSERT_EQ(again.size(), 1u);
+    const auto *repeat = std::get_if<SubmitJob>(&again.front().message);
+    ASSERT_NE(repeat, nullptr);
+    EXPECT_EQ(
+        allOf<AnswerCaller>(receive(First, JobAnswer{Key, {1}, refused, repeat->sentAt})).size(),
+        1u);
+}
+
 TEST_F(JobRouterTest, WitnessListsKeysOfLowerEpochsOnly)
 {
     submit(1);
