--- a/src/jobhomememory.cpp
+++ b/src/jobhomememory.cpp
@@ -89,8 +89,7 @@
 }
 
 // Answers for a key without a specification that this home has not accepted.
-void JobHome::answerUnseen(Incarnation from, const JobKey &key, Duration askedAt,
-                           Outbox &out) const
+void JobHome::answerUnseen(Incarnation from, const JobKey &key, Duration askedAt, Outbox &out) const
 {
     const ShardId shard = shardOf(key);
     const Epoch epoch = m_parts.shards.epoch(shard);
@@ -107,7 +106,8 @@
     if (knowledge == ShardKnowledge::Complete)
         out.send(from, JobNotFound{key, epoch});
     else if (knowledge == ShardKnowledge::Incomplete)
-        out.send(from, JobAnswer{key, epoch, unknown("witness_missing", spread(key, ShortRetry)), askedAt});
+        out.send(from, JobAnswer{key, epoch, unknown("witness_missing", spread(key, ShortRetry)),
+                                 askedAt});
 }
 
 // Rule R7: after the retry time of a not_run answer the key is new again.
--- a/src/jobrouter.cpp
+++ b/src/jobrouter.cpp
@@ -159,7 +159,8 @@
         out.send(home, SubmitJob{*job.spec, job.epoch, job.deadline - now, job.trace,
                                  now.time_since_epoch()});
     } else if (!job.wantsCancel) {
-        out.send(home, QueryJob{key, job.epoch, now.time_since_epoch()}); // smaller than the job itself
+        out.send(home,
+                 QueryJob{key, job.epoch, now.time_since_epoch()}); // smaller than the job itself
     }
     if (job.wantsCancel)
         out.send(home, CancelJob{key, job.epoch, now.time_since_epoch()});
