--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -19,6 +19,7 @@
 // Weight of a worker falls with this power of its slowness.
 constexpr double SpeedPower = 2;
 constexpr double SmallestSlowness = 0.1;
+constexpr double SoundSlowness = 2.5;
 // A task is bound to a busy worker only if it is expected to start there within this time; the
 // worker's agent then starts the most urgent first. It hides the way of the news that room is free.
 constexpr double LongestQueueMs = 8;
@@ -232,11 +233,19 @@
     return !isKnown;
 }
 
+// The room of a worker that fails its tasks or is slow is no room to count on.
+bool WorkerDirectory::isSound(const Worker &worker, double failureLimit)
+{
+    return worker.load.failureShare <= failureLimit && worker.load.slowness <= SoundSlowness;
+}
+
 Resources WorkerDirectory::totalCapacity(std::string_view upstream, TimePoint now) const
 {
     Resources sum;
+    const double failureLimit = meanFailureShare() + FailureExcess;
     for (const auto &[key, worker] : m_workers)
-        if (worker.info.upstream == upstream && isUsable(key, worker, now))
+        if (worker.info.upstream == upstream && isUsable(key, worker, now)
+            && isSound(worker, failureLimit))
             sum += worker.info.capacity;
     return sum;
 }
@@ -244,8 +253,10 @@
 double WorkerDirectory::freeCores(std::string_view upstream, TimePoint now) const
 {
     std::int64_t millis = 0;
+    const double failureLimit = meanFailureShare() + FailureExcess;
     for (const auto &[key, worker] : m_workers)
-        if (worker.info.upstream == upstream && isUsable(key, worker, now))
+        if (worker.info.upstream == upstream && isUsable(key, worker, now)
+            && isSound(worker, failureLimit))
             millis += std::max<std::int64_t>(
                 freeOf(worker, std::numeric_limits<int>::max()).cpuMillis, 0);
     return static_cast<double>(millis) / 1000;
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -58,9 +58,9 @@
     std::optional<WorkerKey> choose(const Request &request, TimePoint now);
     // The task fits on some worker, busy or not. True as long as no worker is known.
     bool couldEverFit(const Request &request) const;
-    // Of all usable workers.
+    // Of all usable workers that neither fail their tasks nor are slow.
     Resources totalCapacity(std::string_view upstream, TimePoint now) const;
-    double freeCores(std::string_view upstream, TimePoint now) const; // of all usable workers
+    double freeCores(std::string_view upstream, TimePoint now) const; // of the same
     bool isConnected(Incarnation agent) const;
     // Reads the agent's clock not later than it shows at `at`; none without contact.
     std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
@@ -93,6 +93,7 @@
     // Until the task would start.
     static double expectedWaitMs(const Worker &worker, const Request &request);
     double meanFailureShare() const;
+    static bool isSound(const Worker &worker, double failureLimit);
 
     std::string m_dataCentre;
     std::mt19937_64 m_random;
--- /dev/null
+++ b/tests/workerdirectory_test.cpp
@@ -0,0 +1,87 @@
+// An entry's view of the workers: the room to count on, and the choice of a worker.
+
+#include "workerdirectory.h"
+
+#include <gtest/gtest.h>
+
+namespace cactuscove {
+
+namespace {
+
+constexpr TimePoint Now{std::chrono::hours(1)};
+constexpr Incarnation Agent{7};
+
+class WorkerDirectoryTest : public testing::Test
+{
+protected:
+    WorkerDirectoryTest()
+    {
+        m_directory.agentConnected(Agent, "agent", "dc", Now);
+        m_directory.agentClock(Agent, Now, Now);
+        for (const char *id : {"a", "b", "c"}) {
+            WorkerInfo info;
+            info.id = id;
+            info.upstream = "u";
+            info.capacity = {10000, 1000, 0};
+            m_directory.update(Agent, {info, false});
+            report(id, 0, 1);
+        }
+    }
+
+    void report(const char *id, double failureShare, double slowness)
+    {
+        WorkerLoad load;
+        load.workerId = id;
+        load.free = {10000, 1000, 0};
+        load.isUsable = true;
+        load.failureShare = failureShare;
+        load.slowness = slowness;
+        m_directory.load(Agent, load);
+    }
+
+    WorkerDirectory m_directory{"dc", 1};
+};
+
+} // namespace
+
+TEST_F(WorkerDirectoryTest, RoomIsWhatWasReportedLessWhatWasSent)
+{
+    EXPECT_EQ(m_directory.freeCores("u", Now), 30);
+    m_directory.book({Agent, "a"}, 0, {4000, 10, 0});
+    EXPECT_EQ(m_directory.freeCores("u", Now), 26);
+}
+
+// A worker that fails what it starts is always empty. Guards against taking jobs on the strength of
+// room that no task is sent to.
+TEST_F(WorkerDirectoryTest, RoomOfFailingAndSlowWorkersIsNotCounted)
+{
+    report("a", 0.9, 1);
+    EXPECT_EQ(m_directory.freeCores("u", Now), 20);
+    EXPECT_EQ(m_directory.totalCapacity("u", Now).cpuMillis, 20000);
+    report("b", 0, 8);
+    EXPECT_EQ(m_directory.freeCores("u", Now), 10);
+    for (int i = 0; i < 20; ++i) {
+        WorkerDirectory::Request request;
+        request.upstream = "u";
+        request.needs = {100, 1, 0};
+        request.maxSlowness = 2;
+        const auto chosen = m_directory.choose(request, Now);
+        ASSERT_TRUE(chosen);
+        EXPECT_EQ(chosen->worker, "c");
+    }
+}
+
+// A task that failed on a worker goes elsewhere, also if all others are busy now.
+TEST_F(WorkerDirectoryTest, AvoidedWorkersAreUsedOnlyWithoutAlternative)
+{
+    const std::vector<WorkerKey> avoid{{Agent, "a"}, {Agent, "b"}};
+    WorkerDirectory::Request request;
+    request.upstream = "u";
+    request.needs = {8000, 1, 0};
+    request.avoid = avoid;
+    EXPECT_EQ(m_directory.choose(request, Now)->worker, "c");
+    m_directory.book({Agent, "c"}, 0, {8000, 1, 0});
+    EXPECT_FALSE(m_directory.choose(request, Now));
+}
+
+} // namespace cactuscove
