one beginning for the three replies of workers; unused members removed

The three reply handlers of the task runner began with the same lines: endCall() serves all. WorkerDirectory::forgetAgent() and isConnected(), its data centre and Worker::isGone had no use.

--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -70,7 +70,7 @@
 JobDispatcher::JobDispatcher(DispatcherSettings settings, TimePoint startedAt)
     : m_settings(std::move(settings))
     , m_startedAt(startedAt)
-    , m_directory(m_settings.dataCentre, m_settings.seed)
+    , m_directory(m_settings.seed)
 {}
 
 const QueueSettings *JobDispatcher::findQueue(std::string_view name) const
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -90,6 +90,20 @@
     return id;
 }
 
+TaskRunner::Worker *TaskRunner::endCall(WorkerCallId call, bool isOtherLife, OpenCall &about,
+                                        TimePoint now, RunnerOutbox &out)
+{
+    auto node = m_calls.extract(call);
+    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped().worker);
+    if (!worker)
+        return nullptr;
+    about = std::move(node.mapped());
+    if (!isOtherLife)
+        return worker;
+    onWorkerLeft(about.worker, now, out);
+    return nullptr;
+}
+
 TaskRunner::Task *TaskRunner::findTask(Worker &worker, const OpenCall &call)
 {
     const auto it = worker.tasks.find(call.task);
@@ -313,15 +327,13 @@
                               RunnerOutbox &out)
 {
     enter(now, out);
-    const auto node = m_calls.extract(call);
-    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped().worker);
+    OpenCall about;
+    Worker *worker = endCall(call, reply.answer == StartAnswer::OtherLife, about, now, out);
     if (!worker)
         return;
     if (reply.clock)
         hear(*worker, *reply.clock, now);
-    if (reply.answer == StartAnswer::OtherLife)
-        return onWorkerLeft(std::string(worker->info.id), now, out);
-    Task *task = findTask(*worker, node.mapped());
+    Task *task = findTask(*worker, about);
     if (task && reply.answer == StartAnswer::Accepted)
         markRunning(*worker, *task, now, out);
     else if (task && task->state == State::Starting)
@@ -361,17 +373,14 @@
                              RunnerOutbox &out)
 {
     enter(now, out);
-    const auto node = m_calls.extract(call);
-    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped().worker);
+    OpenCall about;
+    Worker *worker = endCall(call, reply.answer == CallAnswer::OtherLife, about, now, out);
     if (!worker)
         return;
     if (reply.clock)
         hear(*worker, *reply.clock, now);
-    if (reply.answer == CallAnswer::OtherLife)
-        return onWorkerLeft(std::string(worker->info.id), now, out);
     if (reply.answer != CallAnswer::Ok)
         return; // sent again in its time
-    const OpenCall &about = node.mapped();
     Task *task = findTask(*worker, about);
     if (task && task->state == State::Stopping && !task->stopAcknowledged) {
         task->stopAcknowledged = true;
@@ -412,15 +421,13 @@
                              RunnerOutbox &out)
 {
     enter(now, out);
-    const auto node = m_calls.extract(call);
-    Worker *worker = node.empty() ? nullptr : findWorker(node.mapped().worker);
+    OpenCall about;
+    Worker *worker = endCall(call, reply.answer == CallAnswer::OtherLife, about, now, out);
     if (!worker)
         return;
     const bool isNewest = worker->hold == call;
     if (isNewest)
         worker->hold = {};
-    if (reply.answer == CallAnswer::OtherLife)
-        return onWorkerLeft(std::string(worker->info.id), now, out);
     if (reply.answer != CallAnswer::Ok) {
         if (isNewest)
             noteUnanswered(*worker, now, out);
@@ -445,7 +452,7 @@
     const bool isOvertaken = reply.clock < worker->clock && worker->isSynced;
     hear(*worker, reply.clock, now);
     if (!isOvertaken)
-        applyLists(*worker, reply, node.mapped().sentAt, now, out);
+        applyLists(*worker, reply, about.sentAt, now, out);
 }
 
 void TaskRunner::applyLists(Worker &worker, const HoldReply &reply, TimePoint askedAt,
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -211,11 +211,10 @@
     {
         WorkerInfo info;
         bool isSynced = false; // a list of its runs has been received in this life
-        bool isGone = false;
-        WorkerClock clock;    // of the newest answer
-        TimePoint clockAt{};  // when that was received
-        TimePoint heardAt{};  // heartbeat or answer
-        TimePoint leaseEnd{}; // latest end of any lease that was asked for
+        WorkerClock clock;     // of the newest answer
+        TimePoint clockAt{};   // when that was received
+        TimePoint heardAt{};   // heartbeat or answer
+        TimePoint leaseEnd{};  // latest end of any lease that was asked for
         std::uint64_t acknowledged = 0;
         WorkerCallId hold;      // newest; 0 once it has ended
         TimePoint nextHoldAt{}; // also if the newest has not ended
@@ -285,6 +284,10 @@
     WorkerClock workerTime(const Worker &worker, TimePoint at) const;
     Worker *findWorker(std::string_view id);
     WorkerCallId newCall(OpenCall call);
+    // Takes the ended call into `about` and returns its worker; none if that is gone, or if another
+    // life answered, by which it is known to be gone.
+    Worker *endCall(WorkerCallId call, bool isOtherLife, OpenCall &about, TimePoint now,
+                    RunnerOutbox &out);
     // The started, not ended task that the call is about; none if it has ended or another attempt
     // runs.
     Task *findTask(Worker &worker, const OpenCall &call);
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -32,9 +32,8 @@
 
 } // namespace
 
-WorkerDirectory::WorkerDirectory(std::string dataCentre, std::uint64_t seed)
-    : m_dataCentre(std::move(dataCentre))
-    , m_random(seed)
+WorkerDirectory::WorkerDirectory(std::uint64_t seed)
+    : m_random(seed)
 {}
 
 void WorkerDirectory::agentConnected(Incarnation agent, std::string_view name,
@@ -77,12 +76,6 @@
     it->second.clockAt = now;
 }
 
-void WorkerDirectory::forgetAgent(Incarnation agent)
-{
-    m_agents.erase(agent);
-    std::erase_if(m_workers, [&](const auto &it) { return it.first.agent == agent; });
-}
-
 void WorkerDirectory::update(Incarnation agent, const WorkerUpdate &update)
 {
     const WorkerKey key{agent, update.worker.id};
@@ -262,12 +255,6 @@
     return static_cast<double>(millis) / 1000;
 }
 
-bool WorkerDirectory::isConnected(Incarnation agent) const
-{
-    const auto it = m_agents.find(agent);
-    return it != m_agents.end() && it->second.isConnected;
-}
-
 std::optional<TimePoint> WorkerDirectory::agentTime(Incarnation agent, TimePoint at) const
 {
     const auto it = m_agents.find(agent);
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -25,7 +25,7 @@
 class WorkerDirectory
 {
 public:
-    explicit WorkerDirectory(std::string dataCentre, std::uint64_t seed);
+    explicit WorkerDirectory(std::uint64_t seed);
 
     // Commands
     void agentConnected(Incarnation agent, std::string_view name, std::string_view dataCentre,
@@ -34,7 +34,6 @@
     void agentHeard(Incarnation agent, TimePoint now);
     // The agent's clock read `sentAt` at some time before `now`.
     void agentClock(Incarnation agent, TimePoint sentAt, TimePoint now);
-    void forgetAgent(Incarnation agent);
     void update(Incarnation agent, const WorkerUpdate &update);
     void load(Incarnation agent, const WorkerLoad &load);
     // Books room at a worker until a report contains it; returns the assignment's number.
@@ -61,7 +60,6 @@
     // Of all usable workers that neither fail their tasks nor are slow.
     Resources totalCapacity(std::string_view upstream, TimePoint now) const;
     double freeCores(std::string_view upstream, TimePoint now) const; // of the same
-    bool isConnected(Incarnation agent) const;
     // Reads the agent's clock not later than it shows at `at`; none without contact.
     std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
     std::size_t connectedAgents() const;
@@ -95,7 +93,6 @@
     double meanFailureShare() const;
     static bool isSound(const Worker &worker, double failureLimit);
 
-    std::string m_dataCentre;
     std::mt19937_64 m_random;
     std::map<Incarnation, Agent> m_agents;
     std::map<WorkerKey, Worker> m_workers;
--- a/tests/workerdirectory_test.cpp
+++ b/tests/workerdirectory_test.cpp
@@ -39,7 +39,7 @@
         m_directory.load(Agent, load);
     }
 
-    WorkerDirectory m_directory{"dc", 1};
+    WorkerDirectory m_directory{1};
 };
 
 } // namespace
