--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -363,12 +363,12 @@
 
 } // namespace
 
-int runDispatchAgent(std::span<const std::string>)
+int runDispatchAgent(std::span<const std::string> arguments)
 {
-    auto loaded = loadPlatformSettings(Role::Agent);
-    if (!loaded)
-        return 2;
-    DispatchAgent process(std::move(*loaded));
+    auto loaded = loadPlatformSettings(Role::Agent, arguments);
+    if (!isOk(loaded))
+        return errorOf(loaded).value;
+    DispatchAgent process(std::move(valueOf(loaded)));
     if (const auto error = process.start()) {
         std::fprintf(stderr, "cactuscove dispatch-agent: %s\n", error->reason.c_str());
         return 1;
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -38,6 +38,7 @@
 public:
     explicit DispatchEntry(LoadedSettings loaded)
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
+        , m_linkListen(std::move(loaded.linkListen))
         , m_dispatcher({m_settings.dataCentre, m_self.value, proofTime(m_settings)}, bootNow())
         , m_timer(m_loop, [this] { settle(); })
         , m_beatTimer(m_loop, [this] { beat(); })
@@ -62,8 +63,8 @@
         if (!isOk(readiness))
             return DispatchError{errorOf(readiness).reason};
         m_readiness = std::move(valueOf(readiness));
-        auto listener = FramedListener::listen(m_loop, m_settings.linkAddress,
-                                               [this](int fd) { onAccepted(fd); });
+        auto listener
+            = FramedListener::listen(m_loop, m_linkListen, [this](int fd) { onAccepted(fd); });
         if (!isOk(listener))
             return DispatchError{errorOf(listener).reason};
         m_listener = std::move(valueOf(listener));
@@ -434,6 +435,7 @@
         return m_metrics.text();
     }
 
+    std::string m_linkListen; // ip:port
     JobDispatcher m_dispatcher;
     Timer m_timer;
     Timer m_beatTimer;
@@ -455,12 +457,12 @@
 
 } // namespace
 
-int runDispatchEntry(std::span<const std::string>)
+int runDispatchEntry(std::span<const std::string> arguments)
 {
-    auto loaded = loadPlatformSettings(Role::Entry);
-    if (!loaded)
-        return 2;
-    DispatchEntry process(std::move(*loaded));
+    auto loaded = loadPlatformSettings(Role::Entry, arguments);
+    if (!isOk(loaded))
+        return errorOf(loaded).value;
+    DispatchEntry process(std::move(valueOf(loaded)));
     if (const auto error = process.start()) {
         std::fprintf(stderr, "cactuscove dispatch-entry: %s\n", error->reason.c_str());
         return 1;
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -5,16 +5,24 @@
 #include "logging.h"
 #include "settings.h"
 
+#include <boost/program_options.hpp>
+
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <iostream>
 #include <random>
 #include <unistd.h>
 
 namespace cactuscove {
 
+namespace po = boost::program_options;
+
 namespace {
 
+constexpr ExitStatus Success{0};
+constexpr ExitStatus UsageError{2};
+
 Incarnation newIncarnation()
 {
     std::random_device device;
@@ -29,19 +37,59 @@
 
 } // namespace
 
-std::optional<LoadedSettings> loadPlatformSettings(Role role)
+std::variant<LoadedSettings, ExitStatus>
+loadPlatformSettings(Role role, std::span<const std::string> arguments)
 {
-    const char *path = std::getenv(platform::SettingsVariable);
-    if (!path || !*path) {
-        std::fprintf(stderr, "cactuscove: %s is not set\n", platform::SettingsVariable);
-        return std::nullopt;
+    const std::string program = "cactuscove dispatch-" + std::string(nameOf(role));
+    const char *variable = std::getenv(platform::SettingsVariable);
+    LoadedSettings loaded;
+    po::options_description options(program + " [flags]\n\nFlags");
+    auto add = options.add_options();
+    add("settings", po::value(&loaded.path)->default_value(variable ? variable : ""),
+        "settings file of the platform (TOML); default: the variable CACTUSCOVE_BOOT");
+    if (role == Role::Entry)
+        add("link-listen", po::value(&loaded.linkListen),
+            "ip:port to listen on for other instances, where it differs from the address by which "
+            "they reach this one, as behind a port forwarding");
+    add("help", "print this text");
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser({arguments.begin(), arguments.end()})
+                      .options(options)
+                      .positional({})
+                      .run(),
+                  values);
+        po::notify(values);
+    } catch (const po::error &error) {
+        std::fprintf(stderr, "%s: %s\n", program.c_str(), error.what());
+        return UsageError;
     }
-    auto settings = platform::readSettings(path, role);
-    if (isOk(settings))
-        return LoadedSettings{std::move(valueOf(settings)), path};
-    for (const std::string &it : errorOf(settings).lines)
-        std::fprintf(stderr, "cactuscove: %s: %s\n", path, it.c_str());
-    return std::nullopt;
+    if (values.count("help")) {
+        std::cout << options;
+        return Success;
+    }
+    std::vector<std::string> errors;
+    std::string ip;
+    std::uint16_t port = 0;
+    if (!loaded.linkListen.empty() && !splitAddress(loaded.linkListen, ip, port))
+        errors.push_back("--link-listen=" + loaded.linkListen + ": not ip:port");
+    if (loaded.path.empty()) {
+        errors.push_back("--settings: missing, and CACTUSCOVE_BOOT is not set");
+    } else {
+        auto settings = platform::readSettings(loaded.path, role);
+        if (isOk(settings))
+            loaded.settings = std::move(valueOf(settings));
+        else
+            for (const std::string &it : errorOf(settings).lines)
+                errors.push_back(loaded.path + ": " + it);
+    }
+    for (const std::string &it : errors)
+        std::fprintf(stderr, "%s: %s\n", program.c_str(), it.c_str());
+    if (!errors.empty())
+        return UsageError;
+    if (loaded.linkListen.empty())
+        loaded.linkListen = loaded.settings.linkAddress;
+    return loaded;
 }
 
 DispatchProcess::DispatchProcess(Role role, platform::PlatformSettings settings,
--- a/src/dispatchprocess.h
+++ b/src/dispatchprocess.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace cactuscove {
 
@@ -73,14 +74,18 @@
     std::unique_ptr<HttpServer> m_metricsServer;
 };
 
-// Reads the settings file that the environment names. Prints every mistake; none: the file and its
-// path.
 struct LoadedSettings
 {
     platform::PlatformSettings settings;
-    std::string path;
+    std::string path;       // of the settings file
+    std::string linkListen; // where an entry listens for other instances
 };
 
-std::optional<LoadedSettings> loadPlatformSettings(Role role);
+using ExitStatus = StrongId<struct ExitStatusTag, int>;
+
+// Reads the flags and the settings file. Where there is nothing to run, prints the help or every
+// mistake and returns the exit status of the process.
+std::variant<LoadedSettings, ExitStatus>
+loadPlatformSettings(Role role, std::span<const std::string> arguments);
 
 } // namespace cactuscove
--- a/tools/cuttingproxy.cpp
+++ b/tools/cuttingproxy.cpp
@@ -2,6 +2,7 @@
 //
 //   POST /silence   open connections pass nothing any more and stay open; new ones work (SIGUSR1)
 //   POST /cut       open connections are reset (SIGUSR2)
+//   POST /deafen    open connections pass nothing from the target to the client any more
 //   PUT /delay      {ms}: every byte from now on is passed that much later
 //   PUT /refuse     {on}: new connections are refused while on
 //   GET /connections  {open, silent, accepted}
@@ -85,6 +86,12 @@
             it.watcher->watch(IoWatcher::None);
     }
 
+    void deafen()
+    {
+        m_isDeaf = true;
+        update();
+    }
+
     // With this option, close() sends a reset in place of an orderly end.
     void reset()
     {
@@ -163,7 +170,8 @@
         TimePoint next = NeverTime;
         for (int n = 0; n < 2; ++n) {
             End &it = m_ends[n];
-            const bool mayRead = !it.hasReadEnd && m_ends[1 - n].outgoingBytes < MaxBufferedBytes;
+            const bool mayRead = !it.hasReadEnd && !(m_isDeaf && n == TargetEnd)
+                                 && m_ends[1 - n].outgoingBytes < MaxBufferedBytes;
             const bool mayWrite = !it.outgoing.empty() && it.outgoing.front().due <= m_loop.now();
             if (!it.outgoing.empty() && !mayWrite)
                 next = std::min(next, it.outgoing.front().due);
@@ -182,12 +190,15 @@
         m_onEnd();
     }
 
+    static constexpr int TargetEnd = 1; // of m_ends; the other is the client's
+
     EventLoop &m_loop;
     std::function<void()> m_onEnd;
     Timer m_timer; // for delayed data
     End m_ends[2];
     Duration m_delay{};
     bool m_isSilent = false;
+    bool m_isDeaf = false; // nothing is read from the target
     bool m_hasEnded = false;
 };
 
@@ -245,6 +256,12 @@
             relay->silence();
     }
 
+    void deafen()
+    {
+        for (auto &[id, relay] : m_relays)
+            relay->deafen();
+    }
+
     void cut()
     {
         for (auto &[id, relay] : m_relays)
@@ -285,6 +302,8 @@
             silence();
         } else if (request.method == "POST" && request.path == "/cut") {
             cut();
+        } else if (request.method == "POST" && request.path == "/deafen") {
+            deafen();
         } else if (request.path == "/delay" && isJson && body["ms"].isUInt()) {
             m_delay = std::chrono::milliseconds(body["ms"].asUInt());
             for (auto &[id, relay] : m_relays)
