--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -43,7 +43,7 @@
     // Multiplies a kind's rate at a time; empty: always 1.
     std::function<double(const JobKind &kind, Duration at)> burst;
     double lostAnswers = 0; // share of worker calls that are carried out late and never answered
-    bool checksDeadlines = true; // a worker refuses a start after its deadline
+    bool checksDeadlines = true;  // a worker refuses a start after its deadline
     bool refusesWhenDown = false; // a worker that is down refuses connections, else it is silent
     double failures = 0.002;
     TaskRunnerSettings runner;
