--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -194,6 +194,19 @@
 
     void onEntryAddress(const std::string &address) override { dial(address, m_dials[address]); }
 
+    // Another entry says that this one is there: a pause or a dial to its machine of before would
+    // take longer.
+    void onEntryAlive(const std::string &address)
+    {
+        if (addEntryAddress(address, "entry"))
+            return;
+        const auto it = m_dials.find(address);
+        if (it == m_dials.end() || it->second.entry)
+            return;
+        if (bootNow() - it->second.dialledAt > ShortestRedial)
+            dial(address, it->second);
+    }
+
     void dial(const std::string &address, Dial &it)
     {
         it.entry.reset();
@@ -257,7 +270,7 @@
             it.entryClock = beat->sentAt;
         else if (const auto *known = std::get_if<KnownEntries>(&message))
             for (const std::string &address : known->addresses)
-                m_loop.post([this, address] { addEntryAddress(address, "entry"); });
+                m_loop.post([this, address] { onEntryAlive(address); });
     }
 
     void onHello(Dial &it, const PeerHello &hello, TimePoint now, RunnerOutbox &out)
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace cactuscove {
@@ -369,10 +370,8 @@
         log({Severity::Info,
              hello.role == Role::Agent ? "agent_connected" : "entry_connected",
              {{"name", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
-        if (hello.role == Role::Entry) {
-            m_loop.post([this, address = hello.address] { addEntryAddress(address, "hello"); });
-            return;
-        }
+        if (hello.role == Role::Entry)
+            return onEntryHello(hello);
         const auto [agent, isNew] = m_agentLinks.try_emplace(hello.instance, id);
         if (!isNew) {
             // The agent reads only its newest connection: what is unsent on the older one is lost.
@@ -383,6 +382,16 @@
         m_dispatcher.onConnected(hello, now, out);
     }
 
+    // Agents that lost the process before this one may wait long before they dial again.
+    void onEntryHello(const PeerHello &hello)
+    {
+        m_loop.post([this, address = hello.address] { addEntryAddress(address, "hello"); });
+        if (!m_entriesMet.insert(hello.instance).second)
+            return;
+        for (const auto &[agent, id] : m_agentLinks)
+            m_links.at(id).link->send(KnownEntries{{hello.address}});
+    }
+
     void beat()
     {
         m_beatTimer.startIn(BeatInterval);
@@ -447,8 +456,9 @@
     std::unique_ptr<StoreFollower> m_operatorsFollower;
     std::map<LinkId, Link> m_links;
     std::map<Incarnation, LinkId> m_agentLinks; // newest connection of each agent
-    std::map<std::string, TimePoint> m_dialAt;  // other entries, by address
-    std::map<RequestId, TimePoint> m_arrivals;  // jobs that are not answered
+    std::set<Incarnation> m_entriesMet;
+    std::map<std::string, TimePoint> m_dialAt; // other entries, by address
+    std::map<RequestId, TimePoint> m_arrivals; // jobs that are not answered
     LinkId m_lastLink = 0;
     std::optional<bool> m_wasReady;
     bool m_refusing = false;
--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -7,7 +7,7 @@
 import unittest
 
 from dispatchfleet import GRACE_S, Caller, DispatchFleet, in_threads, overlapping_runs, untrue_answers
-from fleet import wait_until
+from fleet import http, metric, wait_until
 
 
 class DispatchTest(unittest.TestCase):
@@ -103,6 +103,19 @@
         self.fleet.wait_ready()
         wait_until("room at the restarted agent", lambda: self.submit(1)[0].state == "completed")
 
+    # Agents wait longer and longer before they dial a lost entry again. Guards against an entry that
+    # is back and refuses jobs for want of agents: the others tell their agents of it.
+    def test_an_entry_that_is_back_has_its_agents_soon(self):
+        entry = self.fleet.entries[0]
+        for _ in range(3):
+            self.fleet.kill(entry)
+            time.sleep(2.0)  # until the pauses are long
+            self.fleet.start(entry)
+            wait_until("start", lambda: http("GET", entry.metrics, "/metrics", timeout=1))
+            seconds = wait_until("agents", lambda: metric(
+                entry.metrics, "cactuscove_up_members") == len(self.fleet.agents))
+            self.assertLess(seconds, 0.3)
+
     # A new version is in force at every entry within its bound, and again after a restart.
     def test_configuration(self):
         self.assertEqual(self.submit(1, queue="later")[0].status, 404)
