task runner and dispatcher split by concept; marks of workers are a class of their own

workermarks: speed and failures of a worker, with tests of its own. taskrunnercalls and jobdispatcheragents: calls to workers, messages from agents. One set of duration conversions in place of four; members that nothing reads are gone (echo of beats, two bounds, a data centre).

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -69,8 +69,7 @@
         TimePoint heardAt{};
         TimePoint redialAt{};
         Duration redialPause = ShortestRedial;
-        std::optional<PeerHello> entry; // once it has introduced itself
-        TimePoint entryClock{};
+        std::optional<PeerHello> entry;        // once it has introduced itself
         std::vector<std::string> clearWorkers; // as sent
         std::uint64_t loadVersion = 0;         // sent
     };
@@ -266,8 +265,6 @@
             m_runner.onAssign(it.entry->instance, *assign, now, out);
         else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
             m_runner.onWithdraw(it.entry->instance, *withdraw, now, out);
-        else if (const auto *beat = std::get_if<PeerBeat>(&message))
-            it.entryClock = beat->sentAt;
         else if (const auto *known = std::get_if<KnownEntries>(&message))
             for (const std::string &address : known->addresses)
                 m_loop.post([this, address] { onEntryAlive(address); });
@@ -283,7 +280,7 @@
              "entry_connected",
              {{"entry", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
         m_runner.onEntryHello(hello.instance, hello.name, now, out);
-        it.link->send(beatFor(it));
+        it.link->send(nextBeat());
         sendInventory(it);
         for (const WorkerUpdate &update : m_runner.workers())
             it.link->send(update);
@@ -318,11 +315,11 @@
         }
     }
 
-    PeerBeat beatFor(const Dial &it) const
+    PeerBeat nextBeat() const
     {
         const auto heard = std::count_if(m_dials.begin(), m_dials.end(),
                                          [](const auto &dial) { return dial.second.entry; });
-        return {bootNow(), it.entryClock, static_cast<std::uint32_t>(heard)};
+        return {bootNow(), static_cast<std::uint32_t>(heard)};
     }
 
     void beat()
@@ -338,7 +335,7 @@
             } else if (!it.link && now >= it.redialAt) {
                 dial(address, it);
             } else if (it.entry) {
-                it.link->send(beatFor(it));
+                it.link->send(nextBeat());
             }
         }
     }
--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -45,7 +45,7 @@
 template <typename A>
 void fields(A &a, PeerBeat &it)
 {
-    a(it.sentAt, it.echo, it.entries);
+    a(it.sentAt, it.entries);
 }
 
 template <typename A>
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -40,7 +40,7 @@
     explicit DispatchEntry(LoadedSettings loaded)
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
         , m_linkListen(std::move(loaded.linkListen))
-        , m_dispatcher({m_settings.dataCentre, m_self.value, proofTime(m_settings)}, bootNow())
+        , m_dispatcher({m_self.value, proofTime(m_settings)}, bootNow())
         , m_timer(m_loop, [this] { settle(); })
         , m_beatTimer(m_loop, [this] { beat(); })
         , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
@@ -86,7 +86,6 @@
         std::string dialled; // address; empty for an accepted connection
         TimePoint heardAt{};
         std::optional<PeerHello> peer;
-        TimePoint peerClock{};
     };
 
     using LinkId = std::uint64_t;
@@ -356,8 +355,6 @@
                     for (const std::string &address : known->addresses)
                         m_loop.post([this, address] { addEntryAddress(address, "entry"); });
                 else if (it.peer && it.peer->role == Role::Agent) {
-                    if (const auto *beat = std::get_if<PeerBeat>(&message))
-                        it.peerClock = beat->sentAt;
                     dispatcher.onMessage(it.peer->instance, message, now, out);
                 }
             }
@@ -401,7 +398,7 @@
             if (now - it.heardAt > DeadLink)
                 silent.push_back(id);
             else if (it.link->isOpen())
-                it.link->send(PeerBeat{now, it.peerClock, 0});
+                it.link->send(PeerBeat{now, 0});
         }
         for (const LinkId id : silent)
             closeLink(id, "silent");
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -27,7 +27,6 @@
 struct PeerBeat
 {
     TimePoint sentAt;          // sender's clock
-    TimePoint echo;            // newest `sentAt` that the sender has received, receiver's clock
     std::uint32_t entries = 0; // entries that the sender hears, itself included
 };
 
--- a/src/dispatchtypes.h
+++ b/src/dispatchtypes.h
@@ -14,6 +14,10 @@
 
 namespace cactuscove {
 
+// Inputs come at least with each beat of another instance; a longer gap means that the process was
+// suspended.
+inline constexpr Duration SuspensionGap = std::chrono::milliseconds(300);
+
 // One route of the operators' configuration: which requests it takes and how their jobs are run.
 struct QueueSettings
 {
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -1,7 +1,9 @@
-// Inputs of the dispatcher: callers, agents and time.
+// Inputs of the dispatcher: callers and time.
 
 #include "jobdispatcher.h"
 
+#include "durations.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -16,40 +18,21 @@
 constexpr Duration StartPatience = 150ms;
 // The wait is underestimated as often as not, and a job that is late has used room in vain.
 constexpr double WaitMargin = 1.4;
-constexpr Duration RefusedPause = 20ms;    // of a worker that refused a start
-constexpr Duration UnhealthyPause = 250ms; // of a worker that refuses all starts
 // Agents prove within this time that withdrawn tasks do not run; else the outcome is unknown.
 constexpr Duration CloseTime = 200ms;
 // The answer must be on its way before the caller's own timer ends.
 constexpr Duration AnswerMargin = 8ms;
 // Workers up to this slow are used even if the objective is then missed: the others may be busy.
 constexpr double AcceptableSlowness = 1.6;
-// Time to stop a run and start it elsewhere.
-constexpr Duration MoveTime = 12ms;
-// Inputs come at least with each beat; a longer gap means that the process was suspended.
-constexpr Duration SuspensionGap = 300ms;
-// Agents list ends for a little longer than this.
-constexpr Duration InventoryMemory = 3s;
 constexpr Duration StartupTime = 1500ms;
 // How much later a job counts for each step of its priority.
 constexpr Duration UrgencyStep = 100ms;
-constexpr std::uint32_t AttemptStep = 16; // to get above attempts that others made
 constexpr Duration PastJobMemory = 10s;
 constexpr Duration MinRetryAfter = 200ms;
 constexpr Duration NoWorkerRetryAfter = 1s;
 // The longest of several tasks takes longer than the mean one.
 constexpr double SpreadPerDoubling = 0.06;
 
-double toMs(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-std::string ms(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 std::string_view nameOf(JobOutcome outcome)
@@ -155,7 +138,7 @@
                                {"reason", answer.reason},
                                {"config", std::to_string(m_config.version)},
                                {"agents", std::to_string(m_directory.connectedAgents())},
-                               {"retry_ms", ms(answer.retryAfter)}}});
+                               {"retry_ms", msText(answer.retryAfter)}}});
     out.emplace_back(AnswerJob{caller, answer});
 }
 
@@ -220,8 +203,8 @@
             {{"job", job.spec.id},
              {"queue", job.spec.queue},
              {"reason", answer.reason},
-             {"wait_ms", ms(wait)},
-             {"allowed_ms", ms(allowed)},
+             {"wait_ms", msText(wait)},
+             {"allowed_ms", msText(allowed)},
              {"waiting_core_ms",
               std::to_string(static_cast<std::int64_t>(m_load.waitingWork(job.priority).coreMs))},
              {"free_cores", std::to_string(static_cast<std::int64_t>(room.freeCores))},
@@ -316,7 +299,7 @@
             setState(number, job, task, State::Withdrawn);
     }
     const auto since
-        = [&](TimePoint at) { return at == TimePoint{} ? "-1" : ms(at - job.arrivedAt); };
+        = [&](TimePoint at) { return at == TimePoint{} ? "-1" : msText(at - job.arrivedAt); };
     out.emplace_back(LogEvent{Severity::Info,
                               "job_answered",
                               {{"job", job.spec.id},
@@ -327,9 +310,9 @@
                                {"done", std::to_string(job.done)},
                                {"callers", std::to_string(job.callers.size())},
                                {"first_start_ms", since(job.firstStartAt)},
-                               {"took_ms", ms(now - job.arrivedAt)},
-                               {"expected_ms", ms(job.expectedRun)},
-                               {"objective_ms", ms(job.objectiveAt - job.arrivedAt)},
+                               {"took_ms", msText(now - job.arrivedAt)},
+                               {"expected_ms", msText(job.expectedRun)},
+                               {"objective_ms", msText(job.objectiveAt - job.arrivedAt)},
                                {"attempt", std::to_string(attempt)},
                                {"config", std::to_string(m_config.version)}}});
     if (answer.outcome == JobOutcome::Completed)
@@ -493,257 +476,4 @@
     return next;
 }
 
-// Agents
-
-void JobDispatcher::onConnected(const PeerHello &agent, TimePoint now, DispatcherOutbox &out)
-{
-    enter(now, out);
-    m_agents[agent.instance] = agent;
-    m_directory.agentConnected(agent.instance, agent.name, agent.dataCentre, now);
-    // While the agent hears this entry, it goes on with its tasks: no time proves anything.
-    for (auto &[number, job] : m_jobs)
-        for (Task &task : job.tasks)
-            if (task.state == State::Unproven && task.worker.agent == agent.instance)
-                task.provenAt = NeverTime;
-}
-
-void JobDispatcher::onDisconnected(Incarnation agent, TimePoint now, DispatcherOutbox &out)
-{
-    enter(now, out);
-    m_directory.agentDisconnected(agent);
-    m_entriesHeard.erase(agent);
-    for (auto &[number, job] : m_jobs) {
-        for (Task &task : job.tasks) {
-            const bool mayRun = task.state == State::Assigned || task.state == State::Running
-                                || task.state == State::Withdrawn || task.state == State::Unproven;
-            if (!mayRun || task.worker.agent != agent)
-                continue;
-            if (task.state != State::Unproven) {
-                task.unprovenAt = now;
-                out.emplace_back(LogEvent{Severity::Warning,
-                                          "task_unproven",
-                                          {{"job", job.spec.id},
-                                           {"task", std::to_string(&task - job.tasks.data())},
-                                           {"attempt", std::to_string(task.attempt)},
-                                           {"worker", task.worker.worker},
-                                           {"agent", task.agentName},
-                                           {"proven_in_ms", ms(m_settings.proofTime)}}});
-            }
-            task.provenAt = now + m_settings.proofTime;
-            setState(number, job, task, State::Unproven);
-        }
-    }
-}
-
-void JobDispatcher::onMessage(Incarnation agent, const PeerMessage &message, TimePoint now,
-                              DispatcherOutbox &out)
-{
-    enter(now, out);
-    m_directory.agentHeard(agent, now);
-    if (const auto *beat = std::get_if<PeerBeat>(&message)) {
-        m_directory.agentClock(agent, beat->sentAt, now);
-        m_entriesHeard[agent] = beat->entries;
-    } else if (const auto *update = std::get_if<WorkerUpdate>(&message)) {
-        m_directory.update(agent, *update);
-    } else if (const auto *load = std::get_if<WorkerLoad>(&message)) {
-        m_directory.load(agent, *load);
-    } else if (const auto *started = std::get_if<TaskStarted>(&message)) {
-        onStarted(agent, *started, now, out);
-    } else if (const auto *late = std::get_if<TaskLate>(&message)) {
-        onLate(agent, *late, now, out);
-    } else if (const auto *ended = std::get_if<TaskEnded>(&message)) {
-        onEnded(agent, *ended, now, out);
-    } else if (const auto *refused = std::get_if<StartRefused>(&message)) {
-        onStartRefused(agent, *refused, now, out);
-    } else if (const auto *inventory = std::get_if<TaskInventory>(&message)) {
-        onInventory(agent, *inventory, now, out);
-    }
-}
-
-std::pair<JobDispatcher::JobNumber, JobDispatcher::Job *>
-JobDispatcher::findJob(const TaskId &task, Incarnation agent, std::uint32_t attempt)
-{
-    const auto it = m_jobsById.find(task.jobId);
-    if (it == m_jobsById.end())
-        return {};
-    Job &job = m_jobs.at(it->second);
-    if (task.index >= job.tasks.size())
-        return {};
-    const Task &known = job.tasks[task.index];
-    const bool isOut = known.state != State::Waiting && known.state != State::Done;
-    if (!isOut || known.attempt != attempt || known.worker.agent != agent)
-        return {};
-    return {it->second, &job};
-}
-
-void JobDispatcher::onStarted(Incarnation agent, const TaskStarted &message, TimePoint now,
-                              DispatcherOutbox &out)
-{
-    const auto [number, job] = findJob(message.task, agent, message.attempt);
-    if (!job)
-        return onUnknownTask(agent, message, out);
-    Task &task = job->tasks[message.task.index];
-    if (!job->mayHaveStarted) {
-        job->mayHaveStarted = true;
-        job->firstStartAt = now;
-    }
-    if (task.state == State::Assigned)
-        setState(number, *job, task, State::Running);
-}
-
-void JobDispatcher::avoid(Task &task)
-{
-    if (std::find(task.avoid.begin(), task.avoid.end(), task.worker) == task.avoid.end())
-        task.avoid.push_back(task.worker);
-}
-
-void JobDispatcher::onUnknownTask(Incarnation agent, const TaskStarted &task,
-                                  DispatcherOutbox &out) const
-{
-    out.emplace_back(SendToAgent{agent, WithdrawTask{task.task, task.attempt}});
-}
-
-// A run that would end in time elsewhere, or much sooner, is stopped and placed again.
-void JobDispatcher::onLate(Incarnation agent, const TaskLate &message, TimePoint now,
-                           DispatcherOutbox &out)
-{
-    const auto [number, job] = findJob(message.task, agent, message.attempt);
-    if (!job || job->closing)
-        return;
-    Task &task = job->tasks[message.task.index];
-    if (task.state != State::Running)
-        return;
-    const Duration elsewhere = MoveTime + job->expectedRun;
-    const bool meetsObjective = now + elsewhere <= job->objectiveAt;
-    const bool isMuchSooner = elsewhere * 2 < message.remaining && now + elsewhere < job->deadline;
-    if (!meetsObjective && !isMuchSooner)
-        return;
-    Task elsewhereTask = task;
-    avoid(elsewhereTask);
-    if (!m_directory.choose(requestOf(*job, elsewhereTask, now), now))
-        return; // no room elsewhere
-    avoid(task);
-    withdraw(*job, message.task.index, out);
-    setState(number, *job, task, State::Withdrawn);
-    out.emplace_back(LogEvent{Severity::Info,
-                              "task_moved",
-                              {{"job", job->spec.id},
-                               {"task", std::to_string(message.task.index)},
-                               {"attempt", std::to_string(message.attempt)},
-                               {"worker", task.worker.worker},
-                               {"remaining_ms", ms(message.remaining)},
-                               {"expected_ms", ms(job->expectedRun)},
-                               {"objective_ms", ms(job->objectiveAt - now)}}});
-}
-
-void JobDispatcher::onEnded(Incarnation agent, const TaskEnded &message, TimePoint now,
-                            DispatcherOutbox &out)
-{
-    const auto [number, job] = findJob(message.task, agent, message.attempt);
-    if (!job)
-        return;
-    // An end proves a start, also if the message about it was lost with a connection.
-    onStarted(agent, {message.task, message.attempt}, now, out);
-    Task &task = job->tasks[message.task.index];
-    if (message.end == TaskEnd::Done) {
-        m_runTimes.learn(job->spec.queue, message.runTime, job->spec.declared);
-        setState(number, *job, task, State::Done);
-        if (job->done == job->tasks.size())
-            finish(number, {JobOutcome::Completed, {}, {}}, now, out);
-        else if (job->closing)
-            checkClosed(number, now, out);
-        return;
-    }
-    avoid(task);
-    if (message.end == TaskEnd::Failed && ++task.failures >= job->maxAttempts) {
-        setState(number, *job, task, State::Waiting);
-        finish(number, {JobOutcome::Failed, "task_failed", {}}, now, out);
-        return;
-    }
-    onProof(number, *job, message.task.index, now, out);
-}
-
-void JobDispatcher::onProof(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
-                            DispatcherOutbox &out)
-{
-    setState(number, job, job.tasks[index], State::Waiting);
-    if (job.closing)
-        checkClosed(number, now, out);
-}
-
-void JobDispatcher::onStartRefused(Incarnation agent, const StartRefused &message, TimePoint now,
-                                   DispatcherOutbox &out)
-{
-    const auto [number, job] = findJob(message.task, agent, message.attempt);
-    if (!job)
-        return;
-    Task &task = job->tasks[message.task.index];
-    if (message.reason == StartRefusal::OldAttempt)
-        task.attempt += AttemptStep;
-    const bool isSick = message.reason == StartRefusal::Unhealthy
-                        || message.reason == StartRefusal::NoWorker
-                        || message.reason == StartRefusal::Draining;
-    if (message.reason != StartRefusal::OldAttempt && message.reason != StartRefusal::Withdrawn)
-        m_directory.pause(task.worker, now + (isSick ? UnhealthyPause : RefusedPause));
-    avoid(task);
-    onProof(number, *job, message.task.index, now, out);
-}
-
-// What the agent does not list after a new connection it never received, since it reads no older
-// connection any more. What an earlier process of the agent ran has ended at workers that are
-// clear.
-void JobDispatcher::onInventory(Incarnation agent, const TaskInventory &inventory, TimePoint now,
-                                DispatcherOutbox &out)
-{
-    const auto named = m_agents.find(agent);
-    if (named == m_agents.end())
-        return;
-    for (const TaskEnded &it : inventory.ended)
-        onEnded(agent, it, now, out);
-    std::set<std::pair<TaskId, std::uint32_t>> listed;
-    for (const auto *list : {&inventory.started, &inventory.waiting})
-        for (const TaskStarted &it : *list) {
-            listed.insert({it.task, it.attempt});
-            const auto [number, job] = findJob(it.task, agent, it.attempt);
-            if (!job) {
-                onUnknownTask(agent, it, out);
-                continue;
-            }
-            Task &task = job->tasks[it.task.index];
-            if (task.state != State::Unproven)
-                continue;
-            if (job->closing) {
-                withdraw(*job, it.task.index, out);
-                setState(number, *job, task, State::Withdrawn);
-            } else {
-                setState(number, *job, task, State::Assigned);
-                if (list == &inventory.started)
-                    onStarted(agent, it, now, out);
-            }
-        }
-    const std::vector<std::string> &clear = inventory.clearWorkers;
-    std::vector<std::pair<JobNumber, std::uint32_t>> proven;
-    for (auto &[number, job] : m_jobs)
-        for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
-            const Task &task = job.tasks[i];
-            if (task.state != State::Unproven || task.agentName != named->second.name)
-                continue;
-            const bool isSameProcess = task.worker.agent == agent;
-            const bool isListed = listed.count({{job.spec.id, i}, task.attempt}) > 0;
-            const bool isClear
-                = std::find(clear.begin(), clear.end(), task.worker.worker) != clear.end();
-            if (isSameProcess ? !isListed : isClear)
-                proven.emplace_back(number, i);
-            // Only the same process remembers whether it started the task, and for a while.
-            job.mayHaveStarted |= !isSameProcess && isClear;
-            job.mayHaveStarted
-                |= isSameProcess && !isListed && now - task.unprovenAt > InventoryMemory;
-        }
-    for (const auto &[number, index] : proven) {
-        const auto it = m_jobs.find(number);
-        if (it != m_jobs.end())
-            onProof(number, it->second, index, now, out);
-    }
-}
-
 } // namespace cactuscove
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -62,7 +62,6 @@
 
 struct DispatcherSettings
 {
-    std::string dataCentre;
     std::uint64_t seed = 0;
     // A run that an agent was told to start has ended this long after the agent was last heard.
     Duration proofTime = std::chrono::milliseconds(1800);
--- a/src/loadcontrol.cpp
+++ b/src/loadcontrol.cpp
@@ -2,6 +2,8 @@
 
 #include "loadcontrol.h"
 
+#include "durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,11 +19,6 @@
 constexpr double LateWeight = 12;
 constexpr double SmallestRate = 0.001; // cores; keeps the wait finite without a fleet
 
-double toMs(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 } // namespace
 
 void LoadControl::queued(int priority, const Work &work)
--- a/src/runtimemodel.cpp
+++ b/src/runtimemodel.cpp
@@ -2,6 +2,8 @@
 
 #include "runtimemodel.h"
 
+#include "durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,16 +15,6 @@
 constexpr double MaxOverMean = 3;
 constexpr double DefaultMs = 200; // the middle of what sub-second tasks take
 
-double toMs(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-Duration fromMs(double ms)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
-}
-
 // The first ends weigh more, so that a mean is there soon.
 void blend(double &mean, double value, int samples)
 {
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -12,6 +12,7 @@
 
 #include "dispatchmessages.h"
 #include "outbox.h"
+#include "workermarks.h"
 
 #include <cstdint>
 #include <deque>
@@ -227,12 +228,8 @@
         TimePoint unhealthyUntil{};
         std::map<TaskId, Task> tasks;
         std::vector<Orphan> orphans;
-        double slowness = 1;        // mean of the newest ends
-        double runningSlowness = 0; // by the progress of what runs; 0: too little to tell
-        double failureShare = 0;    // of the newest ends
-        TimePoint judgedAt{};       // when slowness and failureShare changed last
-        TimePoint badToldAt{};      // when a load was sent for their sake
-        std::string failedJob;      // of the newest failure
+        WorkerMarks marks;
+        TimePoint badToldAt{}; // when a load was sent for the sake of bad marks
     };
 
     struct Entry
@@ -275,11 +272,7 @@
     // since.
     void applyLists(Worker &worker, const HoldReply &reply, TimePoint askedAt, TimePoint now,
                     RunnerOutbox &out);
-    // Tells a slow worker from a long task: all that runs there is slow.
     void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
-    void learn(Worker &worker, const Task &task, TaskEnd end, Duration runTime, TimePoint now);
-    // Bad marks fade, so that the worker is tried again.
-    static void fade(Worker &worker, TimePoint now);
     void hear(Worker &worker, WorkerClock clock, TimePoint now);
     bool isSilent(Incarnation entry, TimePoint now) const;
     Resources used(const Worker &worker) const;
--- a/tests/dispatchcodec_test.cpp
+++ b/tests/dispatchcodec_test.cpp
@@ -36,7 +36,7 @@
     inventory.ended = {{{"b", 0}, 1, TaskEnd::Failed, 5ms}};
     inventory.clearWorkers = {"w1"};
     return {PeerHello{"name", Incarnation{9}, Role::Entry, "dc", "1.2.3.4:5"},
-            PeerBeat{TimePoint(2h), TimePoint(1h), 3},
+            PeerBeat{TimePoint(2h), 3},
             KnownEntries{{"1.2.3.4:5"}},
             assign,
             WithdrawTask{{"5c0e", 3}, 2},
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -399,7 +399,7 @@
         const Incarnation entry = entryId(e);
         stepAgent(a, [this, e, a, entry](TaskRunner &runner, RunnerOutbox &out) {
             runner.onEntryHello(entry, "entry" + std::to_string(e), now, out);
-            sendToEntry(a, entry, PeerBeat{now, {}, static_cast<std::uint32_t>(entries.size())});
+            sendToEntry(a, entry, PeerBeat{now, static_cast<std::uint32_t>(entries.size())});
             sendToEntry(a, entry, runner.inventoryOf(entry));
             for (const WorkerUpdate &update : runner.workers())
                 sendToEntry(a, entry, update);
@@ -437,12 +437,12 @@
                 if (!link.isUp)
                     continue;
                 if (entries[e].isUp && entries[e].frozenUntil <= now)
-                    sendToAgent(e, agentId(a), PeerBeat{now, {}, 0});
+                    sendToAgent(e, agentId(a), PeerBeat{now, 0});
                 if (agents[a].isUp && agents[a].frozenUntil <= now) {
                     if (now - agents[a].startedAt < 5s)
                         sendToEntry(a, entryId(e), agents[a].runner->inventoryOf(entryId(e)));
                     sendToEntry(a, entryId(e),
-                                PeerBeat{now, {}, static_cast<std::uint32_t>(entries.size())});
+                                PeerBeat{now, static_cast<std::uint32_t>(entries.size())});
                 }
             }
         post(now + BeatPause, [this] { planBeats(); });
--- /dev/null
+++ b/tests/workermarks_test.cpp
@@ -0,0 +1,95 @@
+// Marks of workers: who is taken for slow or failing, and for how long.
+
+#include "workermarks.h"
+
+#include <gtest/gtest.h>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+
+TaskId taskOf(const std::string &job)
+{
+    return {job, 0};
+}
+
+void endTasks(WorkerMarks &marks, int count, TaskEnd end, Duration runTime)
+{
+    for (int i = 0; i < count; ++i)
+        marks.ended(taskOf("job" + std::to_string(i)), end, runTime, 100ms, Start);
+}
+
+} // namespace
+
+TEST(WorkerMarks, AWorkerThatKeepsToTheExpectedTimesIsGood)
+{
+    WorkerMarks marks;
+    endTasks(marks, 50, TaskEnd::Done, 110ms);
+    EXPECT_FALSE(marks.isBad());
+    EXPECT_LT(marks.slowness(Start), 1.2);
+    EXPECT_EQ(marks.failureShare(Start), 0);
+}
+
+// Guards against a failing worker that draws the work because it looks idle.
+TEST(WorkerMarks, AFailingWorkerIsBadAfterFewFailures)
+{
+    WorkerMarks marks;
+    endTasks(marks, 3, TaskEnd::Failed, 1ms);
+    EXPECT_TRUE(marks.isBad());
+    EXPECT_GT(marks.failureShare(Start), 0.3);
+}
+
+// Guards against workers that lose their standing by one job that fails everywhere.
+TEST(WorkerMarks, ManyFailedTasksOfOneJobCountOnce)
+{
+    WorkerMarks marks;
+    marks.ended(taskOf("job"), TaskEnd::Failed, 1ms, 100ms, Start);
+    const double once = marks.failureShare(Start);
+    for (int i = 0; i < 20; ++i)
+        marks.ended(taskOf("job"), TaskEnd::Failed, 1ms, 100ms, Start);
+    EXPECT_EQ(marks.failureShare(Start), once);
+}
+
+// Guards against a worker that is avoided for good after it has recovered.
+TEST(WorkerMarks, BadMarksFade)
+{
+    WorkerMarks marks;
+    endTasks(marks, 30, TaskEnd::Done, 500ms);
+    endTasks(marks, 10, TaskEnd::Failed, 1ms);
+    EXPECT_GT(marks.slowness(Start), 3);
+    EXPECT_LT(marks.slowness(Start + 10s), 1.1);
+    EXPECT_LT(marks.failureShare(Start + 5s), 0.01);
+}
+
+// Guards against waiting for the end of tasks that stand still.
+TEST(WorkerMarks, TasksThatStandStillShowASlowWorker)
+{
+    WorkerMarks marks;
+    marks.progressed({2, 60, 1}, Start);
+    EXPECT_TRUE(marks.isRunningSlow());
+    EXPECT_GE(marks.slowness(Start), 20);
+}
+
+// Two long tasks are no slow worker; of four, all that are slow are.
+TEST(WorkerMarks, FewLongTasksDoNotShowASlowWorker)
+{
+    WorkerMarks marks;
+    marks.progressed({2, 60, 15}, Start);
+    EXPECT_FALSE(marks.isRunningSlow());
+    marks.progressed({4, 60, 15}, Start);
+    EXPECT_TRUE(marks.isRunningSlow());
+}
+
+// The first 40 ms of runs say nothing.
+TEST(WorkerMarks, ShortRunsSayNothing)
+{
+    WorkerMarks marks;
+    marks.progressed({4, 39, 1}, Start);
+    EXPECT_FALSE(marks.isRunningSlow());
+}
+
+} // namespace cactuscove
