--- a/src/jobhome.cpp
+++ b/src/jobhome.cpp
@@ -35,7 +35,7 @@
 JobHome::JobHome(Incarnation self, JobHomeParts parts, std::uint64_t seed)
     : m_self(self)
     , m_parts(parts)
-    , m_random(seed)
+    , m_spanIds(seed)
 {}
 
 JobHome::~JobHome() = default;
@@ -424,13 +424,8 @@
 
 std::string JobHome::nextSpanId()
 {
-    m_random += 0x9e3779b97f4a7c15ULL; // splitmix64
-    std::uint64_t n = m_random;
-    n = (n ^ (n >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    n = (n ^ (n >> 27)) * 0x94d049bb133111ebULL;
-    n ^= n >> 31;
     char text[17];
-    std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(n));
+    std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(m_spanIds.next()));
     return text;
 }
 
--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -8,6 +8,7 @@
 #include "messages.h"
 #include "outbox.h"
 #include "placement.h"
+#include "random.h"
 #include "retrybudget.h"
 #include "shardownership.h"
 #include "types.h"
@@ -246,7 +247,7 @@
 
     Incarnation m_self;
     JobHomeParts m_parts;
-    std::uint64_t m_random; // state of the generator of span ids
+    Random m_spanIds;
     std::uint64_t m_lastSerial = 0;
     std::unordered_map<JobKey, std::unique_ptr<Job>> m_jobs;
     std::unordered_map<std::uint64_t, Job *> m_bySerial; // every job in m_jobs
--- a/src/placement.h
+++ b/src/placement.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "random.h"
 #include "types.h"
 
 #include <concepts>
@@ -15,21 +16,6 @@
 
 namespace cactuscove {
 
-// Deterministic generator (splitmix64): decisions must repeat under the same seed.
-class Random
-{
-public:
-    explicit Random(std::uint64_t seed)
-        : m_state(seed)
-    {}
-    std::uint64_t next();
-    std::size_t below(std::size_t n) { return static_cast<std::size_t>(next() % n); } // n > 0
-    double fraction();                                                                // in [0, 1)
-
-private:
-    std::uint64_t m_state;
-};
-
 // One agent that could run the task, as the home believes it to be now.
 struct Candidate
 {
--- a/src/tracing.cpp
+++ b/src/tracing.cpp
@@ -78,13 +78,8 @@
 {
     static constexpr char digitChars[] = "0123456789abcdef";
     std::string out;
-    for (std::size_t n = 0; n < digits; ++n) {
-        // SplitMix64; ids must be unique and need not be unpredictable.
-        std::uint64_t z = m_random += 0x9e3779b97f4a7c15;
-        z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
-        z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
-        out += digitChars[(z ^ (z >> 31)) >> 60];
-    }
+    for (std::size_t n = 0; n < digits; ++n)
+        out += digitChars[m_random.next() >> 60];
     return out;
 }
 
--- a/src/tracing.h
+++ b/src/tracing.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "outbox.h"
+#include "random.h"
 #include "types.h"
 
 #include <cstdint>
@@ -33,7 +34,7 @@
     std::string m_service;
     std::string m_instance;
     std::ofstream m_file;
-    std::uint64_t m_random; // state of the id generator
+    Random m_random; // ids must be unique and need not be unpredictable
 };
 
 } // namespace cactuscove
--- a/tests/virtualfleet.cpp
+++ b/tests/virtualfleet.cpp
@@ -498,11 +498,7 @@
 
 std::uint64_t VirtualFleet::random(std::uint64_t below)
 {
-    m_random += 0x9e3779b97f4a7c15ULL; // splitmix64
-    std::uint64_t n = m_random;
-    n = (n ^ (n >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    n = (n ^ (n >> 27)) * 0x94d049bb133111ebULL;
-    return (n ^ (n >> 31)) % below;
+    return m_random.next() % below;
 }
 
 bool VirtualFleet::chance(double probability)
--- a/tests/virtualfleet.h
+++ b/tests/virtualfleet.h
@@ -6,6 +6,7 @@
 #include "agentnode.h"
 #include "entrynode.h"
 #include "fleethistory.h"
+#include "random.h"
 
 #include <deque>
 #include <functional>
@@ -135,7 +136,7 @@
     Duration delay(int fromMicros, int toMicros);
 
     FleetOptions m_options;
-    std::uint64_t m_random;
+    Random m_random;
     TimePoint m_now{};
     std::uint64_t m_lastEvent = 0;
     std::map<std::pair<TimePoint, std::uint64_t>, Action> m_events;
