--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -193,8 +193,8 @@
 
     void onEntryAddress(const std::string &address) override { dial(address, m_dials[address]); }
 
-    // Another entry says that this one is there: a pause or a dial to its machine of before would
-    // take longer.
+    // Another entry has met the one at this address. It is dialled at once: the pause after failed
+    // dials may be long, and a dial from before its start may never be answered.
     void onEntryAlive(const std::string &address)
     {
         if (addEntryAddress(address, "entry"))
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -453,9 +453,9 @@
     std::unique_ptr<StoreFollower> m_operatorsFollower;
     std::map<LinkId, Link> m_links;
     std::map<Incarnation, LinkId> m_agentLinks; // newest connection of each agent
-    std::set<Incarnation> m_entriesMet;
-    std::map<std::string, TimePoint> m_dialAt; // other entries, by address
-    std::map<RequestId, TimePoint> m_arrivals; // jobs that are not answered
+    std::set<Incarnation> m_entriesMet;         // other entries that have introduced themselves
+    std::map<std::string, TimePoint> m_dialAt;  // other entries, by address
+    std::map<RequestId, TimePoint> m_arrivals;  // jobs that are not answered
     LinkId m_lastLink = 0;
     std::optional<bool> m_wasReady;
     bool m_refusing = false;
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -45,17 +45,10 @@
     return role == Role::Entry ? "entry" : "agent";
 }
 
-} // namespace
-
-void holdSignals()
-{
-    changeSignalMask(SIG_BLOCK);
-}
-
-std::variant<LoadedSettings, ExitStatus>
-loadPlatformSettings(Role role, std::span<const std::string> arguments)
+// The flags alone: the paths and addresses of the result are not checked.
+std::variant<LoadedSettings, ExitStatus> parseFlags(Role role, const std::string &program,
+                                                    std::span<const std::string> arguments)
 {
-    const std::string program = "cactuscove dispatch-" + std::string(nameOf(role));
     const char *variable = std::getenv(platform::SettingsVariable);
     LoadedSettings loaded;
     po::options_description options(program + " [flags]\n\nFlags");
@@ -69,42 +62,64 @@
     add("help", "print this text");
     po::variables_map values;
     try {
-        po::store(po::command_line_parser({arguments.begin(), arguments.end()})
-                      .options(options)
-                      .positional({})
-                      .run(),
-                  values);
+        const std::vector<std::string> words(arguments.begin(), arguments.end());
+        po::store(po::command_line_parser(words).options(options).positional({}).run(), values);
         po::notify(values);
     } catch (const po::error &error) {
         std::fprintf(stderr, "%s: %s\n", program.c_str(), error.what());
         return UsageError;
     }
-    if (values.count("help")) {
-        std::cout << options;
-        return Success;
-    }
+    if (!values.count("help"))
+        return loaded;
+    std::cout << options;
+    return Success;
+}
+
+// Reads the settings file and checks the flags; returns every mistake.
+std::vector<std::string> fillSettings(Role role, LoadedSettings &loaded)
+{
     std::vector<std::string> errors;
     std::string ip;
     std::uint16_t port = 0;
     if (!loaded.linkListen.empty() && !splitAddress(loaded.linkListen, ip, port))
         errors.push_back("--link-listen=" + loaded.linkListen + ": not ip:port");
     if (loaded.path.empty()) {
-        errors.push_back("--settings: missing, and CACTUSCOVE_BOOT is not set");
-    } else {
-        auto settings = platform::readSettings(loaded.path, role);
-        if (isOk(settings))
-            loaded.settings = std::move(valueOf(settings));
-        else
-            for (const std::string &it : errorOf(settings).lines)
-                errors.push_back(loaded.path + ": " + it);
+        errors.emplace_back("--settings: missing, and CACTUSCOVE_BOOT is not set");
+        return errors;
+    }
+    auto settings = platform::readSettings(loaded.path, role);
+    if (!isOk(settings)) {
+        for (const std::string &it : errorOf(settings).lines)
+            errors.push_back(loaded.path + ": " + it);
+        return errors;
     }
+    loaded.settings = std::move(valueOf(settings));
+    if (loaded.linkListen.empty())
+        loaded.linkListen = loaded.settings.linkAddress;
+    return errors;
+}
+
+} // namespace
+
+void holdSignals()
+{
+    changeSignalMask(SIG_BLOCK);
+}
+
+std::variant<LoadedSettings, ExitStatus>
+loadPlatformSettings(Role role, std::span<const std::string> arguments)
+{
+    const std::string program = "cactuscove dispatch-" + std::string(nameOf(role));
+    auto flags = parseFlags(role, program, arguments);
+    if (!isOk(flags))
+        return flags;
+    LoadedSettings &loaded = valueOf(flags);
+    const std::vector<std::string> errors = fillSettings(role, loaded);
     for (const std::string &it : errors)
         std::fprintf(stderr, "%s: %s\n", program.c_str(), it.c_str());
     if (!errors.empty())
         return UsageError;
-    if (loaded.linkListen.empty())
-        loaded.linkListen = loaded.settings.linkAddress;
-    return loaded;
+    return flags;
 }
 
 DispatchProcess::DispatchProcess(Role role, platform::PlatformSettings settings,
