--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -51,7 +51,7 @@
 }
 
 JobDispatcher::JobDispatcher(DispatcherSettings settings, TimePoint startedAt)
-    : m_settings(std::move(settings))
+    : m_settings(settings)
     , m_startedAt(startedAt)
     , m_directory(m_settings.seed)
 {}
