best-effort roles: one piece of code where there were twins, and less work on hot paths

Hot paths: a job's arrival passed six times over all workers for the room (two now), the choice of a worker twice for its limits (once now); an agent built the whole inventory of each entry, with the ends of 4 s, for each load that it sends, to compare the names of its clear workers.

Twins: the loop that feeds the decisions of entry and agent (decisionloop), the three calls to workers, the stop order, the head of the replies to starts and stops, parsing of addresses (address) in place of three copies, conversions of durations in the played fleet. submit() is in three steps. Parameters and casts without use are gone.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -3,7 +3,7 @@
 
 #include "dispatchagent.h"
 
-#include "bootclock.h"
+#include "decisionloop.h"
 #include "dispatchprocess.h"
 #include "taskrunner.h"
 
@@ -39,7 +39,7 @@
     explicit DispatchAgent(LoadedSettings loaded)
         : DispatchProcess(Role::Agent, std::move(loaded.settings), std::move(loaded.path))
         , m_runner(runnerSettings(), bootNow())
-        , m_timer(m_loop, [this] { settle(); })
+        , m_decisions(m_loop, m_runner, *this)
         , m_beatTimer(m_loop, [this] { beat(); })
         , m_loadTimer(m_loop, [this] { sendLoads(); })
         , m_shutdownTimer(m_loop, [this] { m_loop.stop(); })
@@ -61,6 +61,8 @@
     }
 
 private:
+    friend class DecisionLoop<TaskRunner, RunnerEffect, DispatchAgent>;
+
     // A connection that this agent dials, to an entry that may not be there.
     struct Dial
     {
@@ -84,77 +86,47 @@
         return settings;
     }
 
-    // Runs one input; the decisions that follow are made once for all inputs of the turn.
-    template <typename Input>
-    void step(Input input)
+    void onSettled(TimePoint now)
     {
-        RunnerOutbox out;
-        input(m_runner, bootNow(), out);
-        performAll(out);
-        if (!std::exchange(m_isSettleDue, true))
-            m_loop.post([this] { settle(); });
-    }
-
-    void settle()
-    {
-        m_isSettleDue = false;
-        RunnerOutbox out;
-        const TimePoint now = bootNow();
-        m_runner.settle(now, out);
-        performAll(out);
-        const TimePoint next = m_runner.nextTimer();
-        if (next == NeverTime)
-            m_timer.stop();
-        else
-            m_timer.startIn(next - now);
         if (m_runner.loadVersion() != m_loadVersion && !std::exchange(m_isLoadDue, true))
             m_loadTimer.startIn(std::max(Duration{}, m_loadsSentAt + loadInterval() - now));
         if (m_shuttingDown && m_runner.openTasks() == 0 && !std::exchange(m_isStopDue, true))
             m_shutdownTimer.startIn(BeatInterval); // the last ends are on their way to the entries
     }
 
-    void performAll(RunnerOutbox &out)
-    {
-        for (RunnerEffect &it : out)
-            std::visit([this](auto &effect) { perform(effect); }, it);
-    }
-
     Duration loadInterval() const
     {
         return m_runner.isNearlyFull() ? BusyLoadInterval : CalmLoadInterval;
     }
 
-    void perform(StartRun &effect)
+    // `kind` is the label in the metrics.
+    template <typename Order, typename Reply>
+    void
+    callWorker(const char *kind, const Order &order, Reply (*parse)(const platform::CallResult &),
+               void (TaskRunner::*onReply)(WorkerCallId, const Reply &, TimePoint, RunnerOutbox &))
     {
-        const WorkerCallId call = effect.call;
-        m_metrics.add("cactuscove_worker_calls_total", {{"call", "start"}});
-        m_http.start(platform::callOf(effect), [this, call](const platform::CallResult &result) {
-            step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
-                runner.onStartReply(call, platform::parseStartReply(result), now, out);
+        m_metrics.add("cactuscove_worker_calls_total", {{"call", kind}});
+        m_http.start(platform::callOf(order), [this, call = order.call, parse,
+                                               onReply](const platform::CallResult &result) {
+            m_decisions.step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+                (runner.*onReply)(call, parse(result), now, out);
             });
         });
     }
 
-    void perform(StopRun &effect)
+    void perform(const StartRun &effect)
     {
-        const WorkerCallId call = effect.call;
-        m_metrics.add("cactuscove_worker_calls_total", {{"call", "stop"}});
-        m_http.start(platform::callOf(effect), [this, call](const platform::CallResult &result) {
-            step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
-                runner.onStopReply(call, platform::parseStopReply(result), now, out);
-            });
-        });
+        callWorker("start", effect, platform::parseStartReply, &TaskRunner::onStartReply);
     }
 
-    void perform(HoldRuns &effect)
+    void perform(const StopRun &effect)
     {
-        const WorkerCallId call = effect.call;
-        m_metrics.add("cactuscove_worker_calls_total", {{"call", "hold"}});
-        m_http.start(platform::callOf(effect), [this, call](const platform::CallResult &result) {
-            step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
-                runner.onHoldReply(call, platform::parseHoldReply(result), now, out);
-            });
-        });
+        callWorker("stop", effect, platform::parseStopReply, &TaskRunner::onStopReply);
+    }
+
+    void perform(const HoldRuns &effect)
+    {
+        callWorker("hold", effect, platform::parseHoldReply, &TaskRunner::onHoldReply);
     }
 
     void perform(SendToEntry &effect)
@@ -180,7 +152,7 @@
             return m_server->respond(id, {error.status, "{}"});
         }
         const platform::WorkerNews &it = valueOf(news);
-        step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+        m_decisions.step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
             if (it.info)
                 runner.onWorker(*it.info, now, out);
             else
@@ -247,7 +219,7 @@
     void onMessages(Dial &it, const std::vector<PeerMessage> &messages)
     {
         it.heardAt = bootNow();
-        step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+        m_decisions.step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
             if (it.entry)
                 runner.onEntryHeard(it.entry->instance, now, out);
             for (const PeerMessage &message : messages)
@@ -306,10 +278,11 @@
         m_isLoadDue = false;
         m_loadVersion = m_runner.loadVersion();
         m_loadsSentAt = bootNow();
+        const std::vector<std::string> clearWorkers = m_runner.clearWorkers();
         for (auto &[address, it] : m_dials) {
             if (!it.entry || it.loadVersion == m_loadVersion)
                 continue;
-            if (it.clearWorkers != m_runner.inventoryOf(it.entry->instance).clearWorkers)
+            if (it.clearWorkers != clearWorkers)
                 sendInventory(it);
             sendLoadsTo(it);
         }
@@ -342,9 +315,8 @@
 
     void beginShutdown() override
     {
-        step([](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
-            runner.beginShutdown(now, out);
-        });
+        m_decisions.step(
+            [](TaskRunner &runner, TimePoint, RunnerOutbox &out) { runner.beginShutdown(out); });
         if (m_runner.openTasks() > 0)
             m_shutdownTimer.startIn(
                 std::chrono::duration_cast<Duration>(m_settings.shutdownTime * DrainShare));
@@ -357,7 +329,7 @@
     }
 
     TaskRunner m_runner;
-    Timer m_timer;
+    DecisionLoop<TaskRunner, RunnerEffect, DispatchAgent> m_decisions;
     Timer m_beatTimer;
     Timer m_loadTimer;
     Timer m_shutdownTimer;
@@ -367,7 +339,6 @@
     TimePoint m_loadsSentAt{};
     bool m_isLoadDue = false;
     bool m_isStopDue = false;
-    bool m_isSettleDue = false;
 };
 
 } // namespace
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -2,7 +2,7 @@
 
 #include "dispatchentry.h"
 
-#include "bootclock.h"
+#include "decisionloop.h"
 #include "dispatchprocess.h"
 #include "jobdispatcher.h"
 
@@ -41,7 +41,7 @@
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
         , m_linkListen(std::move(loaded.linkListen))
         , m_dispatcher({m_self.value, proofTime(m_settings)}, bootNow())
-        , m_timer(m_loop, [this] { settle(); })
+        , m_decisions(m_loop, m_dispatcher, *this)
         , m_beatTimer(m_loop, [this] { beat(); })
         , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
         , m_quietTimer(m_loop, [this] { awaitQuiet(); })
@@ -79,6 +79,8 @@
     }
 
 private:
+    friend class DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry>;
+
     // A connection that an agent or another entry opened, or one to another entry.
     struct Link
     {
@@ -97,37 +99,6 @@
         return settings.leaseTime + settings.leaseTime / 50 + settings.stopTime + 700ms;
     }
 
-    // Runs one input; the decisions that follow are made once for all inputs of the turn.
-    template <typename Input>
-    void step(Input input)
-    {
-        DispatcherOutbox out;
-        input(m_dispatcher, bootNow(), out);
-        performAll(out);
-        if (!std::exchange(m_isSettleDue, true))
-            m_loop.post([this] { settle(); });
-    }
-
-    void settle()
-    {
-        m_isSettleDue = false;
-        DispatcherOutbox out;
-        const TimePoint now = bootNow();
-        m_dispatcher.settle(now, out);
-        performAll(out);
-        const TimePoint next = m_dispatcher.nextTimer();
-        if (next == NeverTime)
-            m_timer.stop();
-        else
-            m_timer.startIn(next - now);
-    }
-
-    void performAll(DispatcherOutbox &out)
-    {
-        for (DispatcherEffect &it : out)
-            std::visit([this](auto &effect) { perform(effect); }, it);
-    }
-
     void perform(AnswerJob &effect)
     {
         const RequestId id{effect.caller.value};
@@ -153,6 +124,8 @@
 
     void perform(LogEvent &effect) { log(effect); }
 
+    void onSettled(TimePoint) {}
+
     // Callers
 
     void respond(RequestId id, HttpResponse response)
@@ -193,7 +166,7 @@
         m_arrivals[id] = bootNow();
         const Duration patience
             = platform::callerPatience(request).value_or(defaultPatience(*match.queue));
-        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+        m_decisions.step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
             dispatcher.submit(CallerId{id.value}, std::move(valueOf(job)), patience, now, out);
         });
     }
@@ -202,7 +175,7 @@
     {
         if (m_arrivals.erase(id) == 0)
             return; // answered
-        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+        m_decisions.step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
             dispatcher.callerGone(CallerId{id.value}, now, out);
         });
     }
@@ -257,7 +230,7 @@
                          {"reason", errorOf(config).reason}}});
         if (valueOf(config).version <= m_dispatcher.config().version)
             return;
-        step([&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
+        m_decisions.step([&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
             dispatcher.configure(std::move(valueOf(config)), out);
         });
         m_metrics.set("cactuscove_config_revision", {},
@@ -338,7 +311,7 @@
         if (agent == m_agentLinks.end() || agent->second != id)
             return; // the agent has a newer connection
         m_agentLinks.erase(agent);
-        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+        m_decisions.step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
             dispatcher.onDisconnected(peer->instance, now, out);
         });
     }
@@ -347,7 +320,7 @@
     {
         Link &it = m_links.at(id);
         it.heardAt = bootNow();
-        step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+        m_decisions.step([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
             for (const PeerMessage &message : messages) {
                 if (const auto *hello = std::get_if<PeerHello>(&message))
                     onHello(id, it, *hello, now, out);
@@ -443,7 +416,7 @@
 
     std::string m_linkListen; // ip:port
     JobDispatcher m_dispatcher;
-    Timer m_timer;
+    DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_beatTimer;
     Timer m_refuseTimer;
     Timer m_quietTimer;
@@ -459,7 +432,6 @@
     LinkId m_lastLink = 0;
     std::optional<bool> m_wasReady;
     bool m_refusing = false;
-    bool m_isSettleDue = false;
 };
 
 } // namespace
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatchprocess.h"
 
+#include "address.h"
 #include "logging.h"
 #include "settings.h"
 
@@ -79,9 +80,7 @@
 std::vector<std::string> fillSettings(Role role, LoadedSettings &loaded)
 {
     std::vector<std::string> errors;
-    std::string ip;
-    std::uint16_t port = 0;
-    if (!loaded.linkListen.empty() && !splitAddress(loaded.linkListen, ip, port))
+    if (!loaded.linkListen.empty() && !isAddress(loaded.linkListen))
         errors.push_back("--link-listen=" + loaded.linkListen + ": not ip:port");
     if (loaded.path.empty()) {
         errors.emplace_back("--settings: missing, and CACTUSCOVE_BOOT is not set");
@@ -182,9 +181,7 @@
 
 bool DispatchProcess::addEntryAddress(const std::string &address, std::string_view source)
 {
-    std::string ip;
-    std::uint16_t port = 0;
-    if (address == m_settings.linkAddress || !splitAddress(address, ip, port)
+    if (address == m_settings.linkAddress || !isAddress(address)
         || !m_entryAddresses.insert(address).second)
         return false;
     log({Severity::Info, "entry_known", {{"address", address}, {"source", std::string(source)}}});
--- a/src/dispatchprocess.h
+++ b/src/dispatchprocess.h
@@ -47,7 +47,7 @@
     DispatchProcess(Role role, platform::PlatformSettings settings, std::string settingsPath);
 
     void log(const LogEvent &event);
-    // Follows the entries' topic; addEntry() gets each address that is not known yet.
+    // Follows the entries' topic; onEntryAddress() gets each address that is not known yet.
     void followEntries();
     bool addEntryAddress(const std::string &address, std::string_view source);
     std::optional<DispatchError> serveMetrics();
--- a/src/framedlink.cpp
+++ b/src/framedlink.cpp
@@ -2,7 +2,7 @@
 
 #include "framedlink.h"
 
-#include "httpserver.h"
+#include "address.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -26,18 +26,6 @@
 constexpr std::size_t ReadBytes = 64 << 10;
 constexpr int Backlog = 256;
 
-bool fillAddress(std::string_view address, sockaddr_in &out)
-{
-    std::string ip;
-    std::uint16_t port = 0;
-    if (!splitAddress(address, ip, port))
-        return false;
-    out = {};
-    out.sin_family = AF_INET;
-    out.sin_port = htons(port);
-    return inet_pton(AF_INET, ip.c_str(), &out.sin_addr) == 1;
-}
-
 void tune(int fd)
 {
     const int on = 1;
@@ -234,7 +222,7 @@
 FramedLink::dial(EventLoop &loop, std::string_view address, Handlers handlers)
 {
     sockaddr_in target{};
-    if (!fillAddress(address, target))
+    if (!toSockaddr(address, target))
         return LinkError{"not an IPv4 address with a port: " + std::string(address)};
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0)
@@ -321,7 +309,7 @@
                        std::function<void(int fd)> onAccepted)
 {
     sockaddr_in own{};
-    if (!fillAddress(address, own))
+    if (!toSockaddr(address, own))
         return LinkError{"not an IPv4 address with a port: " + std::string(address)};
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0)
--- a/src/httpserver.cpp
+++ b/src/httpserver.cpp
@@ -2,6 +2,8 @@
 
 #include "httpserver.h"
 
+#include "address.h"
+
 #include <microhttpd.h>
 
 #include <arpa/inet.h>
@@ -18,17 +20,6 @@
 
 namespace cactuscove {
 
-bool splitAddress(std::string_view address, std::string &ip, std::uint16_t &port)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string_view::npos)
-        return false;
-    const std::string_view digits = address.substr(colon + 1);
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    ip = address.substr(0, colon);
-    return ec == std::errc() && end == digits.data() + digits.size() && !ip.empty();
-}
-
 namespace {
 
 // Most clients read the response only after the whole body is sent, so a body over the limit is
--- a/src/httpserver.h
+++ b/src/httpserver.h
@@ -78,7 +78,4 @@
     std::unique_ptr<Impl> m_impl;
 };
 
-// Splits "ip:port"; the port must be a number from 0 to 65535.
-bool splitAddress(std::string_view address, std::string &ip, std::uint16_t &port);
-
 } // namespace cactuscove
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -166,10 +166,10 @@
     if (!m_directory.couldEverFit(
             {queue->upstream, spec.needs, 0, {}, spec.requiredLabel, spec.preferredLabel}))
         return refuse(caller, spec, "cannot_run", {}, out);
-    const Resources capacity = m_directory.totalCapacity(queue->upstream, now);
+    const WorkerDirectory::Room known = m_directory.roomOf(queue->upstream, now);
     // Agents of a fleet that starts as a whole report within moments; jobs may wait for them.
     const bool isStarting = now - m_startedAt < StartupTime;
-    if (!spec.needs.fitsIn(capacity) && !isStarting)
+    if (!spec.needs.fitsIn(known.capacity) && !isStarting)
         return refuse(caller, spec, "no_upstream", NoWorkerRetryAfter, out);
 
     Job job;
@@ -186,34 +186,50 @@
                       + std::chrono::duration_cast<Duration>(span * queue->slackFactor);
     job.latestStart = job.objectiveAt - span + UrgencyStep * job.priority;
 
+    const FleetRoom room{known.freeCores, shareOf(known.capacity)};
+    const bool mayWait = isStarting && room.shareCores == 0;
+    if (!mayWait && refuseIfOverloaded(caller, job, room, now, out))
+        return;
+    accept(caller, std::move(job));
+}
+
+double JobDispatcher::shareOf(const Resources &capacity) const
+{
     std::uint32_t entries = 1;
     for (const auto &[agent, heard] : m_entriesHeard)
         entries = std::max(entries, heard);
-    const double cores = static_cast<double>(capacity.cpuMillis) / 1000 / entries;
-    const Duration allowed = std::min(job.objectiveAt, job.deadline) - now - span;
-    const FleetRoom room{m_directory.freeCores(job.upstream, now), cores};
+    return static_cast<double>(capacity.cpuMillis) / 1000 / entries;
+}
+
+bool JobDispatcher::refuseIfOverloaded(CallerId caller, const Job &job, const FleetRoom &room,
+                                       TimePoint now, DispatcherOutbox &out) const
+{
+    const Duration allowed = std::min(job.objectiveAt, job.deadline) - now - expectedSpan(job);
     const Duration wait
         = m_load.expectedWait(job.priority, workOf(job, job.spec.taskCount), room, now);
-    if (wait * WaitMargin > allowed && !(isStarting && cores == 0)) {
-        const DispatchAnswer answer{JobOutcome::Refused, "overloaded",
-                                    std::max(wait - allowed, MinRetryAfter)};
-        out.emplace_back(LogEvent{
-            Severity::Info,
-            "job_refused",
-            {{"job", job.spec.id},
-             {"queue", job.spec.queue},
-             {"reason", answer.reason},
-             {"wait_ms", msText(wait)},
-             {"allowed_ms", msText(allowed)},
-             {"waiting_core_ms",
-              std::to_string(static_cast<std::int64_t>(m_load.waitingWork(job.priority).coreMs))},
-             {"free_cores", std::to_string(static_cast<std::int64_t>(room.freeCores))},
-             {"cores", std::to_string(static_cast<std::int64_t>(cores))},
-             {"config", std::to_string(m_config.version)}}});
-        out.emplace_back(AnswerJob{caller, answer});
-        return;
-    }
+    if (wait * WaitMargin <= allowed)
+        return false;
+    const DispatchAnswer answer{JobOutcome::Refused, "overloaded",
+                                std::max(wait - allowed, MinRetryAfter)};
+    out.emplace_back(LogEvent{
+        Severity::Info,
+        "job_refused",
+        {{"job", job.spec.id},
+         {"queue", job.spec.queue},
+         {"reason", answer.reason},
+         {"wait_ms", msText(wait)},
+         {"allowed_ms", msText(allowed)},
+         {"waiting_core_ms",
+          std::to_string(static_cast<std::int64_t>(m_load.waitingWork(job.priority).coreMs))},
+         {"free_cores", std::to_string(static_cast<std::int64_t>(room.freeCores))},
+         {"cores", std::to_string(static_cast<std::int64_t>(room.shareCores))},
+         {"config", std::to_string(m_config.version)}}});
+    out.emplace_back(AnswerJob{caller, answer});
+    return true;
+}
 
+void JobDispatcher::accept(CallerId caller, Job job)
+{
     std::uint32_t attempt = 0;
     if (const auto past = m_pastJobs.find(job.spec.id); past != m_pastJobs.end())
         attempt = past->second.attempt;
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -173,6 +173,11 @@
                       DispatcherOutbox &out);
     void finish(JobNumber number, DispatchAnswer answer, TimePoint now, DispatcherOutbox &out);
     void withdraw(const Job &job, std::uint32_t index, DispatcherOutbox &out) const;
+    // Cores of the fleet that this entry may count on, beside the others.
+    double shareOf(const Resources &capacity) const;
+    bool refuseIfOverloaded(CallerId caller, const Job &job, const FleetRoom &room, TimePoint now,
+                            DispatcherOutbox &out) const;
+    void accept(CallerId caller, Job job);
     void refuse(CallerId caller, const BestEffortJob &job, std::string reason, Duration retryAfter,
                 DispatcherOutbox &out);
     void onStarted(Incarnation agent, const TaskStarted &message, TimePoint now,
--- a/src/loadcontrol.cpp
+++ b/src/loadcontrol.cpp
@@ -85,8 +85,7 @@
     const double total = std::max(room.shareCores, all);
     const double rate = std::max({total - urgent, total * FloorShare, SmallestRate});
     const double correction = 1 + LateWeight * std::max(0.0, m_lateShare - UsualLateShare);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
-        (waiting.coreMs + job.coreMs) * blocked / rate * correction));
+    return fromMs((waiting.coreMs + job.coreMs) * blocked / rate * correction);
 }
 
 } // namespace cactuscove
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,7 +2,7 @@
 
 #include "settings.h"
 
-#include "httpserver.h"
+#include "address.h"
 
 #include <boost/program_options.hpp>
 
@@ -81,10 +81,7 @@
     std::string address(const std::string &name, bool mayBeEmpty)
     {
         std::string value = text(name);
-        std::string ip;
-        std::uint16_t port = 0;
-        if ((!value.empty() || !mayBeEmpty) && m_values.count(name)
-            && !splitAddress(value, ip, port))
+        if ((!value.empty() || !mayBeEmpty) && m_values.count(name) && !isAddress(value))
             errors.push_back("--" + name + "=" + value + ": not ip:port");
         return value;
     }
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -102,8 +102,7 @@
             out.emplace_back(
                 LogEvent{Severity::Info,
                          "worker_draining",
-                         {{"worker", info.id},
-                          {"sequence", std::to_string(static_cast<std::int64_t>(info.sequence))}}});
+                         {{"worker", info.id}, {"sequence", std::to_string(info.sequence)}}});
         for (const auto &[entry, state] : m_entries)
             out.emplace_back(SendToEntry{entry, WorkerUpdate{info, false}});
         ++m_loadVersion;
@@ -118,7 +117,7 @@
     Worker &worker = it->second;
     loseAllRuns(worker, "worker_left", now, out);
     while (!worker.tasks.empty())
-        refuseTask(worker, worker.tasks.begin(), StartRefusal::NoWorker, now, out);
+        refuseTask(worker, worker.tasks.begin(), StartRefusal::NoWorker, out);
     for (const auto &[entry, state] : m_entries)
         out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
     out.emplace_back(LogEvent{Severity::Info, "worker_gone", {{"worker", worker.info.id}}});
@@ -165,7 +164,7 @@
 }
 
 void TaskRunner::refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it,
-                            StartRefusal reason, TimePoint, RunnerOutbox &out)
+                            StartRefusal reason, RunnerOutbox &out)
 {
     const auto node = worker.tasks.extract(it);
     refuse(node.mapped().entry, node.mapped().assignment, reason, worker.info.id, out);
@@ -180,13 +179,12 @@
         if (task.state != State::Queued)
             lost.push_back(id);
     if (!lost.empty())
-        out.emplace_back(
-            LogEvent{Severity::Warning,
-                     "runs_lost",
-                     {{"worker", worker.info.id},
-                      {"reason", std::string(reason)},
-                      {"count", std::to_string(static_cast<std::int64_t>(lost.size()))},
-                      {"heard_ms", msText(now - worker.heardAt)}}});
+        out.emplace_back(LogEvent{Severity::Warning,
+                                  "runs_lost",
+                                  {{"worker", worker.info.id},
+                                   {"reason", std::string(reason)},
+                                   {"count", std::to_string(lost.size())},
+                                   {"heard_ms", msText(now - worker.heardAt)}}});
     for (const TaskId &id : lost)
         endTask(worker, worker.tasks.find(id), TaskEnd::Lost, now, out);
     worker.orphans.clear();
@@ -240,7 +238,7 @@
         if (task.entry == entry && task.assignment.attempt == assignment.attempt)
             return;
         if (task.state == State::Queued)
-            refuseTask(other, same, StartRefusal::Withdrawn, now, out);
+            refuseTask(other, same, StartRefusal::Withdrawn, out);
         else
             stopTask(other, task, "superseded", now, out);
         return refuse(entry, assignment, StartRefusal::Duplicate, assignment.workerId, out);
@@ -263,7 +261,7 @@
             || it->second.assignment.attempt != request.attempt)
             continue;
         if (it->second.state == State::Queued)
-            refuseTask(worker, it, StartRefusal::Withdrawn, now, out);
+            refuseTask(worker, it, StartRefusal::Withdrawn, out);
         else
             stopTask(worker, it->second, "withdrawn", now, out);
         return;
@@ -348,7 +346,7 @@
         }
     }
     for (const auto &[id, reason] : refused)
-        refuseTask(worker, worker.tasks.find(id), reason, now, out);
+        refuseTask(worker, worker.tasks.find(id), reason, out);
 }
 
 // After a suspension, what has expired meanwhile must go before an input is handled: a message that
@@ -361,7 +359,7 @@
     m_enteredAt = now;
 }
 
-void TaskRunner::beginShutdown(TimePoint now, RunnerOutbox &out)
+void TaskRunner::beginShutdown(RunnerOutbox &out)
 {
     m_shuttingDown = true;
     for (auto &[workerId, worker] : m_workers) {
@@ -370,7 +368,7 @@
             if (task.state == State::Queued)
                 waiting.push_back(id);
         for (const TaskId &id : waiting)
-            refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, now, out);
+            refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
         for (const auto &[entry, state] : m_entries)
             out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
     }
@@ -409,19 +407,26 @@
     return next;
 }
 
+std::vector<std::string> TaskRunner::clearWorkers() const
+{
+    std::vector<std::string> clear;
+    for (const auto &[id, worker] : m_workers)
+        if (worker.isSynced && worker.orphans.empty())
+            clear.push_back(id);
+    return clear;
+}
+
 TaskInventory TaskRunner::inventoryOf(Incarnation entry) const
 {
     TaskInventory inventory;
-    for (const auto &[workerId, worker] : m_workers) {
-        if (worker.isSynced && worker.orphans.empty())
-            inventory.clearWorkers.push_back(workerId);
+    inventory.clearWorkers = clearWorkers();
+    for (const auto &[workerId, worker] : m_workers)
         for (const auto &[id, task] : worker.tasks) {
             if (task.entry != entry)
                 continue;
             auto &list = task.ranForSure ? inventory.started : inventory.waiting;
             list.push_back({id, task.assignment.attempt});
         }
-    }
     for (const EndedTask &it : m_ended)
         if (it.entry == entry)
             inventory.ended.push_back(it.end);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -159,11 +159,13 @@
     // inputs, once for several, and at nextTimer().
     void settle(TimePoint now, RunnerOutbox &out);
     // No new tasks from now on; what runs goes on.
-    void beginShutdown(TimePoint now, RunnerOutbox &out);
+    void beginShutdown(RunnerOutbox &out);
 
     // Queries
     TimePoint nextTimer() const;
     TaskInventory inventoryOf(Incarnation entry) const;
+    // Workers at which nothing runs that an earlier process of this agent started.
+    std::vector<std::string> clearWorkers() const;
     std::vector<WorkerUpdate> workers() const;
     std::vector<WorkerLoad> loadsFor(Incarnation entry, TimePoint now) const;
     std::uint64_t loadVersion() const { return m_loadVersion; } // changes with loadsFor()
@@ -255,6 +257,8 @@
     void stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
                   RunnerOutbox &out);
     void sendStop(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
+    StopRun stopOrder(const Worker &worker, const TaskId &task, std::uint32_t attempt,
+                      TimePoint now);
     void onStartFailed(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
                        RunnerOutbox &out);
     void noteUnanswered(Worker &worker, TimePoint now, RunnerOutbox &out);
@@ -262,7 +266,7 @@
     void endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end, TimePoint now,
                  RunnerOutbox &out);
     void refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it, StartRefusal reason,
-                    TimePoint now, RunnerOutbox &out);
+                    RunnerOutbox &out);
     void refuse(Incarnation entry, const AssignTask &assignment, StartRefusal reason,
                 std::string_view worker, RunnerOutbox &out);
     void loseAllRuns(Worker &worker, std::string_view reason, TimePoint now, RunnerOutbox &out);
@@ -283,6 +287,10 @@
     // life answered, by which it is known to be gone.
     Worker *endCall(WorkerCallId call, bool isOtherLife, OpenCall &about, TimePoint now,
                     RunnerOutbox &out);
+    // The same for the reply to a start or stop, which may tell the worker's clock.
+    template <typename Reply>
+    Worker *endOrder(WorkerCallId call, const Reply &reply, OpenCall &about, TimePoint now,
+                     RunnerOutbox &out);
     // The started, not ended task that the call is about; none if it has ended or another attempt
     // runs.
     Task *findTask(Worker &worker, const OpenCall &call);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -56,6 +56,18 @@
     return nullptr;
 }
 
+template <typename Reply>
+TaskRunner::Worker *TaskRunner::endOrder(WorkerCallId call, const Reply &reply, OpenCall &about,
+                                         TimePoint now, RunnerOutbox &out)
+{
+    enter(now, out);
+    const bool isOtherLife = reply.answer == decltype(reply.answer)::OtherLife;
+    Worker *worker = endCall(call, isOtherLife, about, now, out);
+    if (worker && reply.clock)
+        hear(*worker, *reply.clock, now);
+    return worker;
+}
+
 TaskRunner::Task *TaskRunner::findTask(Worker &worker, const OpenCall &call)
 {
     const auto it = worker.tasks.find(call.task);
@@ -97,8 +109,18 @@
 {
     const AssignTask &it = task.assignment;
     task.retryAt = now + retryPause(task.stopCalls++);
-    out.emplace_back(StopRun{newCall({worker.info.id, it.task, it.attempt, now}), worker.info.id,
-                             worker.info.address, it.task, it.attempt, AnswerPatience});
+    out.emplace_back(stopOrder(worker, it.task, it.attempt, now));
+}
+
+StopRun TaskRunner::stopOrder(const Worker &worker, const TaskId &task, std::uint32_t attempt,
+                              TimePoint now)
+{
+    return {newCall({worker.info.id, task, attempt, now}),
+            worker.info.id,
+            worker.info.address,
+            task,
+            attempt,
+            AnswerPatience};
 }
 
 void TaskRunner::stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
@@ -136,9 +158,7 @@
                                        {"attempt", std::to_string(it.attempt)},
                                        {"worker", worker.info.id}}});
         it.retryAt = now + LongestRetry;
-        out.emplace_back(StopRun{newCall({worker.info.id, it.task, it.attempt, now}),
-                                 worker.info.id, worker.info.address, it.task, it.attempt,
-                                 AnswerPatience});
+        out.emplace_back(stopOrder(worker, it.task, it.attempt, now));
     }
 }
 
@@ -189,13 +209,10 @@
 void TaskRunner::onStartReply(WorkerCallId call, const StartReply &reply, TimePoint now,
                               RunnerOutbox &out)
 {
-    enter(now, out);
     OpenCall about;
-    Worker *worker = endCall(call, reply.answer == StartAnswer::OtherLife, about, now, out);
+    Worker *worker = endOrder(call, reply, about, now, out);
     if (!worker)
         return;
-    if (reply.clock)
-        hear(*worker, *reply.clock, now);
     Task *task = findTask(*worker, about);
     if (task && reply.answer == StartAnswer::Accepted)
         markRunning(*worker, *task, now, out);
@@ -229,19 +246,16 @@
     const StartRefusal reason = isLate  ? StartRefusal::Expired
                                 : isOld ? StartRefusal::OldAttempt
                                         : StartRefusal::Unhealthy;
-    refuseTask(worker, worker.tasks.find(task.assignment.task), reason, now, out);
+    refuseTask(worker, worker.tasks.find(task.assignment.task), reason, out);
 }
 
 void TaskRunner::onStopReply(WorkerCallId call, const StopReply &reply, TimePoint now,
                              RunnerOutbox &out)
 {
-    enter(now, out);
     OpenCall about;
-    Worker *worker = endCall(call, reply.answer == CallAnswer::OtherLife, about, now, out);
+    Worker *worker = endOrder(call, reply, about, now, out);
     if (!worker)
         return;
-    if (reply.clock)
-        hear(*worker, *reply.clock, now);
     if (reply.answer != CallAnswer::Ok)
         return; // sent again in its time
     Task *task = findTask(*worker, about);
@@ -370,7 +384,7 @@
             if (it->second.ranForSure)
                 endTask(worker, it, TaskEnd::Lost, now, out);
             else
-                refuseTask(worker, it, StartRefusal::Withdrawn, now, out);
+                refuseTask(worker, it, StartRefusal::Withdrawn, out);
         }
     }
     const bool isClean = worker.orphans.empty();
--- a/src/upstreamapi.cpp
+++ b/src/upstreamapi.cpp
@@ -2,13 +2,13 @@
 
 #include "upstreamapi.h"
 
-#include "httpserver.h"
+#include "address.h"
 
 #include <json/reader.h>
 #include <json/value.h>
 #include <json/writer.h>
 
-#include <arpa/inet.h>
+#include <netinet/in.h>
 
 #include <algorithm>
 #include <memory>
@@ -97,11 +97,8 @@
 
 bool isIpWithPort(const std::string &address)
 {
-    std::string ip;
-    std::uint16_t port = 0;
-    in_addr parsed{};
-    return splitAddress(address, ip, port) && port != 0
-           && inet_pton(AF_INET, ip.c_str(), &parsed) == 1;
+    sockaddr_in parsed{};
+    return toSockaddr(address, parsed) && parsed.sin_port != 0;
 }
 
 } // namespace
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -145,12 +145,21 @@
     return missing / 1000 / worker.load.freeingRate;
 }
 
-double WorkerDirectory::meanFailureShare() const
+WorkerDirectory::Limits WorkerDirectory::limitsOf(std::string_view upstream, double slowness) const
 {
-    double sum = 0;
-    for (const auto &[key, worker] : m_workers)
-        sum += worker.load.failureShare;
-    return m_workers.empty() ? 0 : sum / static_cast<double>(m_workers.size());
+    double failures = 0;
+    std::size_t known = 0; // of the upstream
+    std::size_t slow = 0;
+    for (const auto &[key, worker] : m_workers) {
+        failures += worker.load.failureShare;
+        if (worker.info.upstream != upstream || !worker.hasLoad)
+            continue;
+        ++known;
+        slow += worker.load.slowness > slowness;
+    }
+    const double mean = m_workers.empty() ? 0 : failures / static_cast<double>(m_workers.size());
+    return {mean + FailureExcess,
+            slow * 2 >= known ? std::numeric_limits<double>::infinity() : slowness};
 }
 
 std::optional<WorkerKey> WorkerDirectory::choose(const Request &request, TimePoint now)
@@ -164,19 +173,18 @@
     std::vector<Candidate> good;
     std::vector<Candidate> avoided;
     bool hasAlternative = false; // to the avoided workers, be it busy now
-    const double failureLimit = meanFailureShare() + FailureExcess;
-    const double slowest = request.maxSlowness > 0
-                               ? slownessLimit(request.upstream, request.maxSlowness)
-                               : std::numeric_limits<double>::infinity();
+    const double unlimited = std::numeric_limits<double>::infinity();
+    const Limits limits
+        = limitsOf(request.upstream, request.maxSlowness > 0 ? request.maxSlowness : unlimited);
     for (const auto &[key, worker] : m_workers) {
         if (worker.info.upstream != request.upstream || !isUsable(key, worker, now))
             continue;
         if (!request.requiredLabel.empty() && !hasLabel(worker.info, request.requiredLabel))
             continue;
-        if (worker.load.failureShare > failureLimit)
+        if (worker.load.failureShare > limits.failureShare)
             continue;
         const double slowness = std::max(worker.load.slowness, SmallestSlowness);
-        if (slowness > slowest)
+        if (slowness > limits.slowness)
             continue;
         const bool isAvoided
             = std::find(request.avoid.begin(), request.avoid.end(), key) != request.avoid.end();
@@ -229,46 +237,23 @@
     return !isKnown;
 }
 
-double WorkerDirectory::slownessLimit(std::string_view upstream, double limit) const
+// The room of a worker that fails its tasks or is slow is no room to count on.
+WorkerDirectory::Room WorkerDirectory::roomOf(std::string_view upstream, TimePoint now) const
 {
-    std::size_t known = 0;
-    std::size_t slow = 0;
+    const Limits limits = limitsOf(upstream, SoundSlowness);
+    Room room;
+    std::int64_t freeMillis = 0;
     for (const auto &[key, worker] : m_workers) {
-        if (worker.info.upstream != upstream || !worker.hasLoad)
+        if (worker.info.upstream != upstream || !isUsable(key, worker, now)
+            || worker.load.failureShare > limits.failureShare
+            || worker.load.slowness > limits.slowness)
             continue;
-        ++known;
-        slow += worker.load.slowness > limit;
+        room.capacity += worker.info.capacity;
+        const Resources free = freeOf(worker, std::numeric_limits<int>::max());
+        freeMillis += std::max<std::int64_t>(free.cpuMillis, 0);
     }
-    return slow * 2 >= known ? std::numeric_limits<double>::infinity() : limit;
-}
-
-// The room of a worker that fails its tasks or is slow is no room to count on.
-template <typename Function>
-void WorkerDirectory::forEachSound(std::string_view upstream, TimePoint now, Function f) const
-{
-    const double failureLimit = meanFailureShare() + FailureExcess;
-    const double slowest = slownessLimit(upstream, SoundSlowness);
-    for (const auto &[key, worker] : m_workers)
-        if (worker.info.upstream == upstream && isUsable(key, worker, now)
-            && worker.load.failureShare <= failureLimit && worker.load.slowness <= slowest)
-            f(worker);
-}
-
-Resources WorkerDirectory::totalCapacity(std::string_view upstream, TimePoint now) const
-{
-    Resources sum;
-    forEachSound(upstream, now, [&](const Worker &it) { sum += it.info.capacity; });
-    return sum;
-}
-
-double WorkerDirectory::freeCores(std::string_view upstream, TimePoint now) const
-{
-    std::int64_t millis = 0;
-    forEachSound(upstream, now, [&](const Worker &it) {
-        const Resources free = freeOf(it, std::numeric_limits<int>::max());
-        millis += std::max<std::int64_t>(free.cpuMillis, 0);
-    });
-    return static_cast<double>(millis) / 1000;
+    room.freeCores = static_cast<double>(freeMillis) / 1000;
+    return room;
 }
 
 std::optional<TimePoint> WorkerDirectory::agentTime(Incarnation agent, TimePoint at) const
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -58,8 +58,12 @@
     // The task fits on some worker, busy or not. True as long as no worker is known.
     bool couldEverFit(const Request &request) const;
     // Of all usable workers that neither fail their tasks nor are slow.
-    Resources totalCapacity(std::string_view upstream, TimePoint now) const;
-    double freeCores(std::string_view upstream, TimePoint now) const; // of the same
+    struct Room
+    {
+        Resources capacity;
+        double freeCores = 0;
+    };
+    Room roomOf(std::string_view upstream, TimePoint now) const;
     // Reads the agent's clock not later than it shows at `at`; none without contact.
     std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
     std::size_t connectedAgents() const;
@@ -90,12 +94,15 @@
     static Resources freeOf(const Worker &worker, int priority);
     // Until the task would start.
     static double expectedWaitMs(const Worker &worker, const Request &request);
-    double meanFailureShare() const;
-    template <typename Function>
-    void forEachSound(std::string_view upstream, TimePoint now, Function f) const;
-    // Where half of the workers are slower than that, the expected run times are wrong and the
-    // workers are not to blame: then no worker counts as slow.
-    double slownessLimit(std::string_view upstream, double limit) const;
+    // Worse workers are left out.
+    struct Limits
+    {
+        double failureShare = 0;
+        double slowness = 0;
+    };
+    // Where half of the workers are slower than `slowness`, the expected run times are wrong and
+    // the workers are not to blame: then no worker counts as slow.
+    Limits limitsOf(std::string_view upstream, double slowness) const;
 
     std::mt19937_64 m_random;
     std::map<Incarnation, Agent> m_agents;
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatchfleet.h"
 
+#include "durations.h"
+
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -22,16 +24,6 @@
 constexpr double LatePart = 0.2; // of a job's worth, for a late answer
 constexpr TimePoint Start{std::chrono::hours(1)};
 
-double ms(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
-Duration fromMs(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
-}
-
 } // namespace
 
 class DispatchFleet::Impl
@@ -322,7 +314,7 @@
         static const char *const job = std::getenv("DISPATCH_TRACE");
         if (!job)
             return;
-        std::string line = std::to_string(ms(now - Start)) + ' ' + who + ' ' + event.name;
+        std::string line = std::to_string(toMs(now - Start)) + ' ' + who + ' ' + event.name;
         bool isAbout = event.name.starts_with("worker") || event.name == "runs_lost";
         for (const auto &[name, value] : event.fields) {
             isAbout |= value == job;
@@ -463,7 +455,7 @@
         info.upstream = "upstream";
         info.address = "worker";
         info.capacity = it.capacity;
-        info.bornAtMs = static_cast<std::int64_t>(ms(it.bornAt.time_since_epoch()));
+        info.bornAtMs = static_cast<std::int64_t>(toMs(it.bornAt.time_since_epoch()));
         info.sequence = ++it.sequence;
         stepAgent(i, [this, info](TaskRunner &runner, RunnerOutbox &out) {
             runner.onWorker(info, now, out);
@@ -472,7 +464,7 @@
 
     WorkerClock clockOf(const Worker &it) const
     {
-        return WorkerClock{static_cast<std::int64_t>(ms(now - it.bornAt))};
+        return WorkerClock{static_cast<std::int64_t>(toMs(now - it.bornAt))};
     }
 
     // Carries out `order` at the worker and passes its reply to the agent, or loses it.
@@ -645,7 +637,7 @@
 
     void progress(Worker &it)
     {
-        const double elapsed = ms(now - it.progressAt);
+        const double elapsed = toMs(now - it.progressAt);
         it.progressAt = now;
         for (auto &[task, run] : it.runs)
             run.doneMs = std::min(run.workMs, run.doneMs + elapsed * it.speed);
@@ -662,7 +654,7 @@
                 {"task", std::to_string(task.index)},
                 {"attempt", std::to_string(node.mapped().attempt)},
                 {"end", std::string(nameOf(end))},
-                {"lease_end_ms", std::to_string(ms(it.leaseEnd - Start))}}});
+                {"lease_end_ms", std::to_string(toMs(it.leaseEnd - Start))}}});
         it.highest[task] = std::max(it.highest[task], node.mapped().attempt);
         it.ended.push_back({++it.endNumber, task, node.mapped().attempt, end});
         for (const auto &hold : std::exchange(it.waitingHolds, {}))
@@ -737,7 +729,7 @@
                 violations.push_back("task " + task.jobId + "/" + std::to_string(task.index)
                                      + " runs on w" + std::to_string(it.index) + " and w"
                                      + std::to_string(starting.index) + " at "
-                                     + std::to_string(ms(now - Start)));
+                                     + std::to_string(toMs(now - Start)));
     }
 
     void checkLimit(const Worker &it)
@@ -747,7 +739,7 @@
             used += run.needs;
         if (!used.fitsIn(it.capacity))
             violations.push_back("w" + std::to_string(it.index) + " over its capacity at "
-                                 + std::to_string(ms(now - Start)));
+                                 + std::to_string(toMs(now - Start)));
     }
 
     // Callers
--- a/tests/workerdirectory_test.cpp
+++ b/tests/workerdirectory_test.cpp
@@ -46,9 +46,9 @@
 
 TEST_F(WorkerDirectoryTest, RoomIsWhatWasReportedLessWhatWasSent)
 {
-    EXPECT_EQ(m_directory.freeCores("u", Now), 30);
+    EXPECT_EQ(m_directory.roomOf("u", Now).freeCores, 30);
     m_directory.book({Agent, "a"}, 0, {4000, 10, 0});
-    EXPECT_EQ(m_directory.freeCores("u", Now), 26);
+    EXPECT_EQ(m_directory.roomOf("u", Now).freeCores, 26);
 }
 
 // Guards against refusing everything where the expected run times are wrong.
@@ -56,8 +56,8 @@
 {
     report("a", 0, 9);
     report("b", 0, 5);
-    EXPECT_EQ(m_directory.totalCapacity("u", Now).cpuMillis, 30000);
-    EXPECT_EQ(m_directory.freeCores("u", Now), 30);
+    EXPECT_EQ(m_directory.roomOf("u", Now).capacity.cpuMillis, 30000);
+    EXPECT_EQ(m_directory.roomOf("u", Now).freeCores, 30);
     WorkerDirectory::Request request{"u", {1000, 10, 0}, 0, {}, {}, {}};
     request.maxSlowness = 1.6;
     report("c", 0, 2);
@@ -69,10 +69,10 @@
 TEST_F(WorkerDirectoryTest, RoomOfFailingAndSlowWorkersIsNotCounted)
 {
     report("a", 0.9, 1);
-    EXPECT_EQ(m_directory.freeCores("u", Now), 20);
-    EXPECT_EQ(m_directory.totalCapacity("u", Now).cpuMillis, 20000);
+    EXPECT_EQ(m_directory.roomOf("u", Now).freeCores, 20);
+    EXPECT_EQ(m_directory.roomOf("u", Now).capacity.cpuMillis, 20000);
     report("b", 0, 8);
-    EXPECT_EQ(m_directory.freeCores("u", Now), 10);
+    EXPECT_EQ(m_directory.roomOf("u", Now).freeCores, 10);
     for (int i = 0; i < 20; ++i) {
         WorkerDirectory::Request request;
         request.upstream = "u";
--- a/tools/cuttingproxy.cpp
+++ b/tools/cuttingproxy.cpp
@@ -7,6 +7,7 @@
 //   PUT /refuse     {on}: new connections are refused while on
 //   GET /connections  {open, silent, accepted}
 
+#include "address.h"
 #include "eventloop.h"
 #include "httpserver.h"
 
@@ -33,18 +34,6 @@
 constexpr std::size_t ChunkBytes = 64 << 10;
 constexpr std::size_t MaxBufferedBytes = 1 << 20; // per direction; more is left to TCP
 
-bool toSockaddr(const std::string &address, sockaddr_in &out)
-{
-    std::string ip;
-    std::uint16_t port = 0;
-    out = {};
-    out.sin_family = AF_INET;
-    if (!splitAddress(address, ip, port) || inet_pton(AF_INET, ip.c_str(), &out.sin_addr) != 1)
-        return false;
-    out.sin_port = htons(port);
-    return true;
-}
-
 // One accepted connection and the one to the target that belongs to it.
 class Relay
 {
