dispatch system tests wait on states in place of fixed sleeps

Answers that have come, and dials that a proxy has seen. On a build whose entries do not tell of each other's return, test_an_entry_that_is_back_has_its_agents_soon still fails.

--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -3,7 +3,6 @@
 import os
 import signal
 import threading
-import time
 import unittest
 
 from dispatchfleet import GRACE_S, Caller, DispatchFleet, in_threads, overlapping_runs, untrue_answers
@@ -45,6 +44,13 @@
             caller.close()
         return in_threads([lambda seed=n: work(seed) for n in range(callers)])
 
+    def wait_answers(self, count=50):
+        """Until that many more answers have come."""
+        def answered():
+            return sum(it.answer is not None for job in list(self.jobs) for it in job.submissions)
+        before = answered()
+        wait_until("answers", lambda: answered() >= before + count)
+
     # Every task of every job runs once, and the answer says so.
     def test_the_whole_path(self):
         for entry in self.fleet.entries:
@@ -80,7 +86,7 @@
     def test_shutdown_of_an_entry_loses_no_answer(self):
         stop = threading.Event()
         threads = self.keep_submitting(8, stop, tasks=2, run_ms=60)
-        time.sleep(1)
+        self.wait_answers()
         entry = self.fleet.entries[0]
         entry.process.send_signal(signal.SIGTERM)
         seconds = wait_until("end of the entry", lambda: not entry.is_running(), limit=GRACE_S)
@@ -97,12 +103,12 @@
         stop = threading.Event()
         threads = self.keep_submitting(6, stop, tasks=2, run_ms=60)
         for number in (signal.SIGTERM, signal.SIGKILL):
-            time.sleep(1)
+            self.wait_answers()
             agent = self.fleet.agents[0]
             agent.process.send_signal(number)
             wait_until("end of the agent", lambda it=agent: not it.is_running(), limit=GRACE_S)
             self.fleet.start(agent)
-        time.sleep(1)
+        self.wait_answers()
         stop.set()
         for it in threads:
             it.join(20)
@@ -116,8 +122,10 @@
     def test_an_entry_that_is_back_has_its_agents_soon(self):
         entry = self.fleet.entries[0]
         for _ in range(3):
+            dials = self.fleet.accepted("link1")
             self.fleet.kill(entry)
-            time.sleep(2.0)  # until the pauses are long
+            # Five by each agent and three by the other entry: by then each agent pauses for 1 s.
+            wait_until("dials", lambda n=dials: self.fleet.accepted("link1") >= n + 18)
             self.fleet.start(entry)
             wait_until("start", lambda: http("GET", entry.metrics, "/metrics", timeout=1))
             seconds = wait_until("agents", lambda: metric(
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -141,6 +141,10 @@
     def harm(self, proxy, method, path, body=None):
         call(method, self.proxies[proxy], path, body, timeout=2)
 
+    def accepted(self, proxy):
+        """Connections that the proxy has accepted so far."""
+        return call("GET", self.proxies[proxy], "/connections").body["accepted"]
+
     def is_ready(self, entry):
         reply = call("GET", f"{entry.own}:{READY_PORT}", "/-/readyz", timeout=1)
         return (reply is not None and reply.status == 200
