a topic is read in pieces, limited by progress in place of the whole time

Ruled out: the store (other readers were served) and the parser.

Now a read ends only when nothing comes for the limit, a failed one goes on from what was received, and a reader that is behind skips to the newest record of each key.

--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -196,7 +196,7 @@
     settings.topic = platform::ownTopic(EntriesTopic);
     // Entries also tell of each other, so a silent connection here does little harm.
     settings.wait = std::chrono::seconds(15);
-    settings.timeout = std::chrono::milliseconds(15500);
+    settings.stallTimeout = std::chrono::milliseconds(15500);
     settings.seed = m_self.value;
     m_entriesFollower = std::make_unique<StoreFollower>(
         m_loop, m_http, std::move(settings),
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -23,6 +23,8 @@
     HttpClient::Callback callback;
     HttpReply reply;
     std::size_t bodyRead = 0;
+    bool hasProgressed = false;        // since the stall timer was set
+    std::unique_ptr<Timer> stallTimer; // none without a stall timeout
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
 
@@ -52,6 +54,7 @@
     auto &it = *static_cast<Transfer *>(transfer);
     if (it.reply.body.size() + size * n > it.call.maxReplyBytes)
         return 0; // libcurl closes the connection
+    it.hasProgressed = true;
     it.reply.body.append(data, size * n);
     return size * n;
 }
@@ -70,7 +73,9 @@
         value.remove_prefix(1);
     while (!value.empty() && std::isspace(static_cast<unsigned char>(value.back())))
         value.remove_suffix(1);
-    static_cast<Transfer *>(transfer)->reply.headers[std::move(name)] = value;
+    auto &it = *static_cast<Transfer *>(transfer);
+    it.hasProgressed = true;
+    it.reply.headers[std::move(name)] = value;
     return size * n;
 }
 
@@ -133,6 +138,7 @@
     void watchSocket(curl_socket_t fd, int what);
     void drive(curl_socket_t fd, int flags);
     void finishTransfers();
+    void checkStall(HttpCallId id);
 
     EventLoop &m_loop;
     Timer m_timer;
@@ -205,6 +211,24 @@
     }
 }
 
+// Progress is looked at once per stall timeout, so a stall is found after one to two of them.
+void HttpClient::Impl::checkStall(HttpCallId id)
+{
+    const auto it = m_transfers.find(id);
+    if (it == m_transfers.end())
+        return;
+    Transfer &transfer = *it->second;
+    if (std::exchange(transfer.hasProgressed, false)) {
+        transfer.stallTimer->startIn(transfer.call.stallTimeout);
+        return;
+    }
+    HttpCallError error = classify(transfer.easy, CURLE_OPERATION_TIMEDOUT);
+    error.detail = "no progress";
+    const auto node = m_transfers.extract(it);
+    curl_multi_remove_handle(m_multi, node.mapped()->easy);
+    node.mapped()->callback(std::move(error));
+}
+
 HttpCallId HttpClient::Impl::start(HttpCall call, Callback callback)
 {
     auto transfer = std::make_unique<Transfer>();
@@ -246,6 +270,12 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
 
     const HttpCallId id = transfer->id;
+    if (it.stallTimeout > Duration{}) {
+        // Posted, as a stalled transfer destroys its timer.
+        transfer->stallTimer = std::make_unique<Timer>(
+            m_loop, [this, id] { m_loop.post([this, id] { checkStall(id); }); });
+        transfer->stallTimer->startIn(it.stallTimeout);
+    }
     curl_multi_add_handle(m_multi, easy);
     m_transfers.emplace(id, std::move(transfer));
     return id;
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -21,6 +21,9 @@
     std::string body;
     Duration timeout = std::chrono::seconds(2); // for the whole call
     Duration connectTimeout = std::chrono::seconds(1);
+    // Longest pause between two pieces of the reply, and before its first one; 0: only `timeout`
+    // counts. A large reply on a slow link takes long but never pauses.
+    Duration stallTimeout{};
     // Uses a new connection and closes it afterwards. libcurl may resend a request when a reused
     // connection closes before the first response byte; on a new connection it never does.
     bool freshConnection = false;
--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -2,6 +2,8 @@
 
 #include "storefollower.h"
 
+#include <algorithm>
+
 namespace cactuscove {
 
 namespace {
@@ -11,6 +13,7 @@
 // All instances lose the store at once and must not come back at once.
 constexpr Duration ShortestPause = 60ms;
 constexpr Duration PauseSpread = 120ms;
+constexpr int MaxDoublings = 2; // of the spread, after repeated failures
 
 } // namespace
 
@@ -27,10 +30,11 @@
     m_readTimer.startIn({});
 }
 
-Duration StoreFollower::pause()
+Duration StoreFollower::pause(int failuresBefore)
 {
-    std::uniform_int_distribution<Duration::rep> spread(0, PauseSpread.count());
-    return ShortestPause + Duration(spread(m_random));
+    const Duration spread = PauseSpread * (1 << std::min(failuresBefore, MaxDoublings));
+    std::uniform_int_distribution<Duration::rep> pick(0, spread.count());
+    return ShortestPause + Duration(pick(m_random));
 }
 
 void StoreFollower::setReachable(bool isReachable, const std::string &detail)
@@ -44,38 +48,50 @@
 
 void StoreFollower::startRead()
 {
-    if (!m_from) {
-        m_http.start(platform::newestCall(m_settings.store, m_settings.topic, m_continueFrom,
-                                          m_settings.timeout),
-                     [this](const platform::CallResult &result) {
-                         const auto page = platform::parseNewest(result);
-                         if (!isOk(page))
-                             return onFailure(errorOf(page));
-                         if (m_continueFrom.empty())
-                             m_newestEnd = valueOf(page).next;
-                         onPage(valueOf(page));
-                         m_continueFrom = valueOf(page).continueFrom;
-                         // Pages are no snapshot: what came meanwhile is read from the first end.
-                         if (m_continueFrom.empty())
-                             m_from = m_newestEnd;
-                         startRead();
-                     });
-        return;
-    }
+    if (m_from)
+        readOn();
+    else
+        readNewest();
+}
+
+void StoreFollower::readNewest()
+{
+    m_http.start(platform::newestCall(m_settings.store, m_settings.topic, m_continueFrom,
+                                      m_settings.stallTimeout),
+                 [this](const platform::CallResult &result) {
+                     const auto page = platform::parseNewest(result);
+                     if (!isOk(page))
+                         return onFailure(errorOf(page));
+                     if (m_continueFrom.empty())
+                         m_newestEnd = valueOf(page).next;
+                     onPage(valueOf(page));
+                     m_continueFrom = valueOf(page).continueFrom;
+                     // Pages are no snapshot: what came meanwhile is read from the first end.
+                     if (m_continueFrom.empty())
+                         m_from = m_newestEnd;
+                     startRead();
+                 });
+}
+
+void StoreFollower::readOn()
+{
     m_http.start(platform::readCall(m_settings.store, m_settings.topic, *m_from, m_settings.wait,
-                                    m_settings.timeout),
+                                    m_settings.stallTimeout),
                  [this](const platform::CallResult &result) {
                      const auto page = platform::parseRead(result, *m_from);
                      if (!isOk(page))
                          return onFailure(errorOf(page));
                      onPage(valueOf(page));
                      m_from = valueOf(page).next;
+                     if (valueOf(page).end > valueOf(page).next)
+                         m_from.reset();
                      startRead();
                  });
 }
 
 void StoreFollower::onPage(const platform::StorePage &page)
 {
+    m_failures = 0;
     setReachable(true, {});
     for (const platform::StoreRecord &it : page.records)
         m_handlers.onRecord(it);
@@ -83,11 +99,19 @@
 
 void StoreFollower::onFailure(const platform::StoreError &error)
 {
-    if (error.kind != platform::StoreFailure::Trimmed)
-        setReachable(false, error.detail);
-    m_from.reset();
-    m_continueFrom.clear();
-    m_readTimer.startIn(error.kind == platform::StoreFailure::Trimmed ? Duration{} : pause());
+    if (error.kind == platform::StoreFailure::Trimmed) {
+        m_from.reset();
+        m_continueFrom.clear();
+        m_readTimer.startIn({});
+        return;
+    }
+    // An answer that cannot be read at this offset never will be.
+    if (error.kind == platform::StoreFailure::Malformed) {
+        m_from.reset();
+        m_continueFrom.clear();
+    }
+    setReachable(false, error.detail);
+    m_readTimer.startIn(pause(m_failures++));
 }
 
 void StoreFollower::publish(std::string key, std::string value)
@@ -101,10 +125,10 @@
 void StoreFollower::startAppend()
 {
     m_http.start(platform::appendCall(m_settings.store, m_settings.topic, m_key, m_value,
-                                      m_settings.timeout),
+                                      m_settings.appendTimeout),
                  [this](const platform::CallResult &result) {
                      if (platform::parseAppend(result))
-                         m_appendTimer.startIn(pause());
+                         m_appendTimer.startIn(pause(0));
                  });
 }
 
--- a/src/storefollower.h
+++ b/src/storefollower.h
@@ -1,5 +1,9 @@
-// Follows the newest records of one keyed topic in the platform's store by long reads, and reads
-// all of it anew after any doubt. Also keeps one record of the process's own there.
+// Follows the newest records of one keyed topic in the platform's store by long reads. Also keeps
+// one record of the process's own there.
+//
+// The link of an instance may carry a large record in seconds. So a read may take long as long as
+// it makes progress, a failed one goes on from what was received, and a reader that is behind skips
+// to the newest record of each key: older ones of that key would only delay it.
 
 #pragma once
 
@@ -22,7 +26,8 @@
     // A long read returns after this without a record. A shorter one finds a silent connection
     // sooner.
     Duration wait = std::chrono::milliseconds(700);
-    Duration timeout = std::chrono::milliseconds(1000);
+    Duration stallTimeout = std::chrono::milliseconds(1000); // of a read, without any progress
+    Duration appendTimeout = std::chrono::milliseconds(1000);
     std::uint64_t seed = 0; // of the jitter
 };
 
@@ -43,11 +48,13 @@
 
 private:
     void startRead();
+    void readNewest();
+    void readOn();
     void startAppend();
     void onPage(const platform::StorePage &page);
     void onFailure(const platform::StoreError &error);
     void setReachable(bool isReachable, const std::string &detail);
-    Duration pause();
+    Duration pause(int failuresBefore);
 
     EventLoop &m_loop;
     HttpClient &m_http;
@@ -56,7 +63,8 @@
     std::minstd_rand m_random;
     Timer m_readTimer;
     Timer m_appendTimer;
-    std::optional<LogOffset> m_from; // none: the newest records are read first
+    int m_failures = 0;              // of reads, since the newest success
+    std::optional<LogOffset> m_from; // none: the newest record of each key is read first
     LogOffset m_newestEnd;           // of the first page of newest records
     std::string m_continueFrom;      // key after which the next page begins
     std::optional<bool> m_isReachable;
