eight entries for each agent, whatever the size of the fleet

Cause: each agent was linked to each entry, each link carried a beat every 100 ms both ways and each change of room went over all of them: 13,200 links and 264,000 beats a second at 55 entries and 240 agents, before the first job. Entries were linked to all entries besides.

An agent now keeps 8 entries, chosen by a hash over its name and their addresses; an entry hears news from 3 others. A message counts as the beat. Entries pass on who has started, once. A process that starts dials one entry until it knows the fleet.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -22,11 +22,13 @@
 // much room, older figures do as well.
 constexpr Duration BusyLoadInterval = 5ms;
 constexpr Duration CalmLoadInterval = 25ms;
-constexpr Duration ShortestRedial = 50ms;
-constexpr Duration LongestRedial = 1s;
+// A dial that is older may be from before the start of its entry, and is then never answered.
+constexpr Duration FreshDial = 50ms;
 // A dialled connection that is not open by then is given up: its packets are lost or the path is
 // cut.
 constexpr Duration DialTimeout = 300ms;
+// An entry that was told that the worker is gone sends nothing more after this.
+constexpr Duration LeaveTime = 500ms;
 // For calls under way and a worker's slow clock, between the last end of a lost job's run and the
 // earliest repeat by its caller.
 constexpr Duration ResubmitMargin = 150ms;
@@ -66,11 +68,10 @@
     // A connection that this agent dials, to an entry that may not be there.
     struct Dial
     {
-        std::unique_ptr<FramedLink> link; // none while waiting to dial again
+        std::unique_ptr<FramedLink> link; // none while it is not dialled
         TimePoint dialledAt{};
         TimePoint heardAt{};
-        TimePoint redialAt{};
-        Duration redialPause = ShortestRedial;
+        TimePoint leavingSince = NeverTime;    // the entry was told that the worker is gone
         std::optional<PeerHello> entry;        // once it has introduced itself
         std::vector<std::string> clearWorkers; // as sent
         std::uint64_t loadVersion = 0;         // sent
@@ -134,6 +135,8 @@
         for (auto &[address, dial] : m_dials) {
             if (!dial.entry || dial.entry->instance != effect.entry)
                 continue;
+            if (isLeaving(dial) && std::holds_alternative<WorkerUpdate>(effect.message))
+                return;
             dial.link->send(std::move(effect.message));
             return;
         }
@@ -163,74 +166,121 @@
 
     // Entries
 
-    void onEntryAddress(const std::string &address) override { dial(address, m_dials[address]); }
+    static bool isLeaving(const Dial &it) { return it.leavingSince != NeverTime; }
 
-    // Another entry has met the one at this address. It is dialled at once: the pause after failed
-    // dials may be long, and a dial from before its start may never be answered.
-    void onEntryAlive(const std::string &address)
+    // Dials what the selection asks for; to be called after each change of it.
+    void connectEntries()
     {
-        if (addEntryAddress(address, "entry"))
-            return;
+        for (const std::string &address : m_selection.plan(bootNow()).dial)
+            dial(address, m_dials[address]);
+    }
+
+    void onEntryAddress(const std::string &) override
+    {
+        if (!std::exchange(m_isConnectDue, true)) // several come at once
+            m_loop.post([this] {
+                m_isConnectDue = false;
+                connectEntries();
+            });
+    }
+
+    void onEntryStarted(const std::string &address)
+    {
+        addEntryAddress(address, "entry");
+        m_selection.heardOf(address, bootNow());
         const auto it = m_dials.find(address);
-        if (it == m_dials.end() || it->second.entry)
-            return;
-        if (bootNow() - it->second.dialledAt > ShortestRedial)
+        if (it != m_dials.end() && it->second.link && !it->second.entry
+            && bootNow() - it->second.dialledAt > FreshDial)
             dial(address, it->second);
+        connectEntries();
     }
 
     void dial(const std::string &address, Dial &it)
     {
         it.entry.reset();
         it.link.reset();
+        it.leavingSince = NeverTime;
         it.dialledAt = it.heardAt = bootNow();
+        m_selection.dialled(address, it.dialledAt);
         auto link = FramedLink::dial(
             m_loop, address,
             {[this, &it] {
                  it.link->send(PeerHello{
                      m_settings.instance, m_self, Role::Agent, m_settings.dataCentre, {}});
              },
-             [this, &it](const std::vector<PeerMessage> &messages) { onMessages(it, messages); },
+             [this, address, &it](const std::vector<PeerMessage> &messages) {
+                 onMessages(address, it, messages);
+             },
              [this, address, &it](std::string_view reason) { onClosed(address, it, reason); }});
         if (isOk(link))
             it.link = std::move(valueOf(link));
         else
-            onClosed(address, it, errorOf(link).reason);
+            m_loop.post([this, address, &it, reason = errorOf(link).reason] {
+                onClosed(address, it, reason);
+            });
     }
 
     void onClosed(const std::string &address, Dial &it, std::string_view reason)
     {
         if (it.entry)
-            log({Severity::Warning,
-                 "entry_lost",
+            log({isLeaving(it) ? Severity::Info : Severity::Warning,
+                 isLeaving(it) ? "entry_released" : "entry_lost",
                  {{"entry", it.entry->name},
                   {"address", address},
                   {"reason", std::string(reason)},
                   {"heard_ms", std::to_string((bootNow() - it.heardAt) / 1ms)}}});
-        // An entry that was there is dialled at once: it may have lost only this connection.
-        const bool wasThere = it.entry.has_value();
-        it.redialPause = wasThere ? ShortestRedial : std::min(it.redialPause * 2, LongestRedial);
-        it.redialAt = bootNow() + (wasThere ? Duration{} : it.redialPause);
         it.entry.reset();
         it.link.reset();
-        if (wasThere)
-            dial(address, it);
+        it.leavingSince = NeverTime;
+        m_selection.closed(address, bootNow());
+        connectEntries();
     }
 
-    void onMessages(Dial &it, const std::vector<PeerMessage> &messages)
+    // An entry that is not needed gets no more room, and is left once its tasks have ended.
+    void releaseEntries(const std::vector<std::string> &surplus)
+    {
+        const TimePoint now = bootNow();
+        for (auto &[address, it] : m_dials) {
+            if (!it.entry)
+                continue;
+            const bool isSurplus
+                = std::find(surplus.begin(), surplus.end(), address) != surplus.end();
+            if (isSurplus != isLeaving(it)) {
+                it.leavingSince = isSurplus ? now : NeverTime;
+                sendWorkers(it);
+            } else if (isSurplus && now - it.leavingSince > LeaveTime
+                       && m_runner.openTasksOf(it.entry->instance) == 0) {
+                onClosed(address, it, "not needed");
+            }
+        }
+    }
+
+    void sendWorkers(Dial &it)
+    {
+        for (WorkerUpdate update : m_runner.workers()) {
+            update.isGone |= isLeaving(it);
+            it.link->send(std::move(update));
+        }
+        if (!isLeaving(it))
+            sendLoadsTo(it, m_runner.loads(bootNow()));
+    }
+
+    void onMessages(const std::string &address, Dial &it, const std::vector<PeerMessage> &messages)
     {
         it.heardAt = bootNow();
         m_decisions.step([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
             if (it.entry)
                 runner.onEntryHeard(it.entry->instance, now, out);
             for (const PeerMessage &message : messages)
-                onMessage(it, message, now, out);
+                onMessage(address, it, message, now, out);
         });
     }
 
-    void onMessage(Dial &it, const PeerMessage &message, TimePoint now, RunnerOutbox &out)
+    void onMessage(const std::string &address, Dial &it, const PeerMessage &message, TimePoint now,
+                   RunnerOutbox &out)
     {
         if (const auto *hello = std::get_if<PeerHello>(&message))
-            return onHello(it, *hello, now, out);
+            return onHello(address, it, *hello, now, out);
         if (!it.entry)
             return;
         if (const auto *assign = std::get_if<AssignTask>(&message))
@@ -238,25 +288,29 @@
         else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
             m_runner.onWithdraw(it.entry->instance, *withdraw, now, out);
         else if (const auto *known = std::get_if<KnownEntries>(&message))
-            for (const std::string &address : known->addresses)
-                m_loop.post([this, address] { onEntryAlive(address); });
+            m_loop.post([this, all = *known] {
+                addEntryAddresses(all);
+                connectEntries();
+            });
+        else if (const auto *started = std::get_if<EntriesStarted>(&message))
+            for (const EntryStart &start : started->starts)
+                m_loop.post([this, other = start.address] { onEntryStarted(other); });
     }
 
-    void onHello(Dial &it, const PeerHello &hello, TimePoint now, RunnerOutbox &out)
+    void onHello(const std::string &address, Dial &it, const PeerHello &hello, TimePoint now,
+                 RunnerOutbox &out)
     {
         if (hello.role != Role::Entry)
             return;
         it.entry = hello;
-        it.redialPause = ShortestRedial;
+        m_selection.opened(address);
         log({Severity::Info,
              "entry_connected",
              {{"entry", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
         m_runner.onEntryHello(hello.instance, hello.name, now, out);
         it.link->send(nextBeat());
         sendInventory(it);
-        for (const WorkerUpdate &update : m_runner.workers())
-            it.link->send(update);
-        sendLoadsTo(it);
+        sendWorkers(it);
     }
 
     void sendInventory(Dial &it)
@@ -266,10 +320,12 @@
         it.link->send(std::move(inventory));
     }
 
-    void sendLoadsTo(Dial &it)
+    void sendLoadsTo(Dial &it, const std::vector<WorkerLoad> &loads)
     {
-        for (WorkerLoad &load : m_runner.loadsFor(it.entry->instance, bootNow()))
+        for (WorkerLoad load : loads) {
+            load.assignments = m_runner.assignmentsOf(it.entry->instance);
             it.link->send(std::move(load));
+        }
         it.loadVersion = m_runner.loadVersion();
     }
 
@@ -279,38 +335,43 @@
         m_loadVersion = m_runner.loadVersion();
         m_loadsSentAt = bootNow();
         const std::vector<std::string> clearWorkers = m_runner.clearWorkers();
+        const std::vector<WorkerLoad> loads = m_runner.loads(m_loadsSentAt);
         for (auto &[address, it] : m_dials) {
-            if (!it.entry || it.loadVersion == m_loadVersion)
+            if (!it.entry || isLeaving(it) || it.loadVersion == m_loadVersion)
                 continue;
             if (it.clearWorkers != clearWorkers)
                 sendInventory(it);
-            sendLoadsTo(it);
+            sendLoadsTo(it, loads);
         }
     }
 
     PeerBeat nextBeat() const
     {
-        const auto heard = std::count_if(m_dials.begin(), m_dials.end(),
-                                         [](const auto &dial) { return dial.second.entry; });
+        const auto heard = std::count_if(m_dials.begin(), m_dials.end(), [](const auto &dial) {
+            return dial.second.entry && !isLeaving(dial.second);
+        });
         return {bootNow(), static_cast<std::uint32_t>(heard)};
     }
 
     void beat()
     {
         m_beatTimer.startIn(BeatInterval);
+        ++m_beats;
         const TimePoint now = bootNow();
         for (auto &[address, it] : m_dials) {
-            const Duration silence = now - it.heardAt;
-            if (it.link && it.entry && silence > LinkSilence) {
+            if (!it.link)
+                continue;
+            if (it.entry && now - it.heardAt > LinkSilence)
                 onClosed(address, it, "silent");
-            } else if (it.link && !it.entry && now - it.dialledAt > DialTimeout) {
+            else if (!it.entry && now - it.dialledAt > DialTimeout)
                 onClosed(address, it, "not open in time");
-            } else if (!it.link && now >= it.redialAt) {
-                dial(address, it);
-            } else if (it.entry) {
+            else if (it.entry && isBeatDue(*it.link))
                 it.link->send(nextBeat());
-            }
         }
+        const EntrySelection::Plan plan = m_selection.plan(now);
+        for (const std::string &address : plan.dial)
+            dial(address, m_dials[address]);
+        releaseEntries(plan.release);
     }
 
     void beginShutdown() override
@@ -338,6 +399,7 @@
     std::uint64_t m_loadVersion = 0;     // sent to all that were connected
     TimePoint m_loadsSentAt{};
     bool m_isLoadDue = false;
+    bool m_isConnectDue = false;
     bool m_isStopDue = false;
 };
 
--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -54,6 +54,18 @@
     a(it.addresses);
 }
 
+template <typename A>
+void fields(A &a, EntryStart &it)
+{
+    a(it.address, it.instance.value);
+}
+
+template <typename A>
+void fields(A &a, EntriesStarted &it)
+{
+    a(it.starts);
+}
+
 template <typename A>
 void fields(A &a, AssignTask &it)
 {
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -30,9 +30,13 @@
 constexpr Duration ServeAfterShutdown = 2500ms;
 constexpr Duration NotReadyRetry = 1s;
 constexpr Duration QuietInterval = 20ms;
-constexpr Duration RedialPause = 500ms;
-// A connection of an agent that says nothing at all is closed after this.
+// News of other entries are joined for this long.
+constexpr Duration NewsInterval = 50ms;
+// A connection that says nothing at all is closed after this.
 constexpr Duration DeadLink = 2s;
+// Nothing rests on connections between entries but news, so they are looked after at a slow pace.
+constexpr Duration EntryBeatInterval = 1s;
+constexpr Duration DeadEntryLink = 3500ms;
 
 class DispatchEntry : public DispatchProcess
 {
@@ -43,6 +47,7 @@
         , m_dispatcher({m_self.value, proofTime(m_settings)}, bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
         , m_beatTimer(m_loop, [this] { beat(); })
+        , m_newsTimer(m_loop, [this] { sendNews(); })
         , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
         , m_quietTimer(m_loop, [this] { awaitQuiet(); })
     {}
@@ -253,12 +258,7 @@
         it.link->send(knownEntries());
     }
 
-    KnownEntries knownEntries() const
-    {
-        KnownEntries known;
-        known.addresses.assign(m_entryAddresses.begin(), m_entryAddresses.end());
-        return known;
-    }
+    KnownEntries knownEntries() const { return {m_selection.addresses()}; }
 
     void onAccepted(int fd)
     {
@@ -271,20 +271,58 @@
 
     void onEntryAddress(const std::string &address) override
     {
-        m_dialAt[address] = bootNow();
-        for (auto &[id, it] : m_links)
-            if (it.peer)
-                it.link->send(knownEntries());
+        m_newAddresses.addresses.push_back(address);
+        planNews();
+    }
+
+    void planNews()
+    {
+        if (!std::exchange(m_isNewsDue, true))
+            m_newsTimer.startIn(NewsInterval);
+    }
+
+    void sendNews()
+    {
+        m_isNewsDue = false;
+        connectEntries();
+        for (auto &[id, it] : m_links) {
+            if (!it.peer)
+                continue;
+            if (!m_newAddresses.addresses.empty())
+                it.link->send(m_newAddresses);
+            if (!m_newStarts.starts.empty())
+                it.link->send(m_newStarts);
+        }
+        m_newAddresses.addresses.clear();
+        m_newStarts.starts.clear();
+    }
+
+    void onEntryStarted(const EntryStart &start)
+    {
+        if (start.instance == m_self || !m_entriesMet.insert(start.instance).second)
+            return;
+        addEntryAddress(start.address, "entry");
+        m_selection.heardOf(start.address, bootNow());
+        m_newStarts.starts.push_back(start);
+        planNews();
+    }
+
+    void connectEntries()
+    {
+        for (const std::string &address : m_selection.plan(bootNow()).dial)
+            dialEntry(address);
     }
 
     void dialEntry(const std::string &address)
     {
+        const TimePoint now = bootNow();
+        m_selection.dialled(address, now);
         const LinkId id = ++m_lastLink;
         auto link = FramedLink::dial(m_loop, address, handlersOf(id));
         if (!isOk(link))
-            return;
+            return m_selection.closed(address, now);
         Link &it = m_links[id];
-        it.heardAt = bootNow();
+        it.heardAt = now;
         it.dialled = address;
         it.link = std::move(valueOf(link));
     }
@@ -297,7 +335,7 @@
         const std::optional<PeerHello> peer = it->second.peer;
         const TimePoint heardAt = it->second.heardAt;
         if (!it->second.dialled.empty())
-            m_dialAt[it->second.dialled] = bootNow() + RedialPause;
+            m_selection.closed(it->second.dialled, bootNow());
         m_links.erase(it);
         if (!peer)
             return;
@@ -325,8 +363,10 @@
                 if (const auto *hello = std::get_if<PeerHello>(&message))
                     onHello(id, it, *hello, now, out);
                 else if (const auto *known = std::get_if<KnownEntries>(&message))
-                    for (const std::string &address : known->addresses)
-                        m_loop.post([this, address] { addEntryAddress(address, "entry"); });
+                    addEntryAddresses(*known);
+                else if (const auto *started = std::get_if<EntriesStarted>(&message))
+                    for (const EntryStart &start : started->starts)
+                        onEntryStarted(start);
                 else if (it.peer && it.peer->role == Role::Agent) {
                     dispatcher.onMessage(it.peer->instance, message, now, out);
                 }
@@ -340,8 +380,11 @@
         log({Severity::Info,
              hello.role == Role::Agent ? "agent_connected" : "entry_connected",
              {{"name", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
-        if (hello.role == Role::Entry)
-            return onEntryHello(hello);
+        if (hello.role == Role::Entry) {
+            if (!it.dialled.empty())
+                m_selection.opened(it.dialled);
+            return onEntryStarted({hello.address, hello.instance});
+        }
         const auto [agent, isNew] = m_agentLinks.try_emplace(hello.instance, id);
         if (!isNew) {
             // The agent reads only its newest connection: what is unsent on the older one is lost.
@@ -352,34 +395,36 @@
         m_dispatcher.onConnected(hello, now, out);
     }
 
-    // Agents that lost the process before this one may wait long before they dial again.
-    void onEntryHello(const PeerHello &hello)
-    {
-        m_loop.post([this, address = hello.address] { addEntryAddress(address, "hello"); });
-        if (!m_entriesMet.insert(hello.instance).second)
-            return;
-        for (const auto &[agent, id] : m_agentLinks)
-            m_links.at(id).link->send(KnownEntries{{hello.address}});
-    }
-
     void beat()
     {
         m_beatTimer.startIn(BeatInterval);
+        ++m_beats;
         const TimePoint now = bootNow();
+        const bool isEntryBeat = m_beats % (EntryBeatInterval / BeatInterval) == 0;
         std::vector<LinkId> silent;
         for (auto &[id, it] : m_links) {
-            if (now - it.heardAt > DeadLink)
+            const bool isEntry = it.peer && it.peer->role == Role::Entry;
+            if (now - it.heardAt > (isEntry ? DeadEntryLink : DeadLink))
                 silent.push_back(id);
-            else if (it.link->isOpen())
+            else if (it.link->isOpen() && (isEntry ? isEntryBeat : isBeatDue(*it.link)))
                 it.link->send(PeerBeat{now, 0});
         }
         for (const LinkId id : silent)
             closeLink(id, "silent");
-        for (auto &[address, at] : m_dialAt)
-            if (now >= at) {
-                at = NeverTime; // until the connection ends
-                m_loop.post([this, to = address] { dialEntry(to); });
-            }
+        const EntrySelection::Plan plan = m_selection.plan(now);
+        for (const std::string &address : plan.dial)
+            dialEntry(address);
+        for (const std::string &address : plan.release)
+            releaseEntry(address);
+    }
+
+    void releaseEntry(const std::string &address)
+    {
+        const auto it = std::find_if(m_links.begin(), m_links.end(), [&](const auto &link) {
+            return link.second.dialled == address;
+        });
+        if (it != m_links.end())
+            closeLink(it->first, "not needed");
     }
 
     // Shutdown
@@ -418,6 +463,7 @@
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_beatTimer;
+    Timer m_newsTimer;
     Timer m_refuseTimer;
     Timer m_quietTimer;
     std::unique_ptr<HttpServer> m_callers;
@@ -426,12 +472,14 @@
     std::unique_ptr<StoreFollower> m_operatorsFollower;
     std::map<LinkId, Link> m_links;
     std::map<Incarnation, LinkId> m_agentLinks; // newest connection of each agent
-    std::set<Incarnation> m_entriesMet;         // other entries that have introduced themselves
-    std::map<std::string, TimePoint> m_dialAt;  // other entries, by address
+    std::set<Incarnation> m_entriesMet;         // processes of other entries that are known
+    KnownEntries m_newAddresses;                // not told yet
+    EntriesStarted m_newStarts;                 // not told yet
     std::map<RequestId, TimePoint> m_arrivals;  // jobs that are not answered
     LinkId m_lastLink = 0;
     std::optional<bool> m_wasReady;
     bool m_refusing = false;
+    bool m_isNewsDue = false;
 };
 
 } // namespace
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -1,5 +1,5 @@
-// Messages between entries and agents for best-effort jobs. An agent connects to every entry that
-// it knows; a message belongs to the connection that it came on.
+// Messages between entries and agents for best-effort jobs. An agent connects to some of the
+// entries (entryselection.h); a message belongs to the connection that it came on.
 
 #pragma once
 
@@ -22,20 +22,35 @@
     std::string address; // where entries accept connections; empty for an agent
 };
 
-// Keeps a connection alive and relates the two clocks. A clock here is the time since the boot of
-// the sender's machine and counts suspension.
+// Keeps a connection alive on which nothing else is sent, and relates the two clocks. A clock here
+// is the time since the boot of the sender's machine and counts suspension.
 struct PeerBeat
 {
     TimePoint sentAt;          // sender's clock
     std::uint32_t entries = 0; // entries that the sender hears, itself included
 };
 
-// Addresses at which entries accept connections, so that an agent that knows one finds the others.
+// Addresses at which entries accept connections, so that a process that knows one finds the others:
+// all of them after the hello, then those that are new.
 struct KnownEntries
 {
     std::vector<std::string> addresses;
 };
 
+// One run of an entry's process.
+struct EntryStart
+{
+    std::string address;
+    Incarnation instance;
+};
+
+// Entry to all that are connected to it, which pass on what is new to them: processes that wait
+// before they dial a lost entry again need not wait any longer.
+struct EntriesStarted
+{
+    std::vector<EntryStart> starts;
+};
+
 // Entry to agent: run this task once there is room.
 struct AssignTask
 {
@@ -130,8 +145,9 @@
     std::vector<std::string> clearWorkers;
 };
 
-using PeerMessage
-    = std::variant<PeerHello, PeerBeat, KnownEntries, AssignTask, WithdrawTask, WorkerUpdate,
-                   WorkerLoad, TaskStarted, TaskLate, TaskEnded, StartRefused, TaskInventory>;
+// New types come last: the position is the type's number on the wire.
+using PeerMessage = std::variant<PeerHello, PeerBeat, KnownEntries, AssignTask, WithdrawTask,
+                                 WorkerUpdate, WorkerLoad, TaskStarted, TaskLate, TaskEnded,
+                                 StartRefused, TaskInventory, EntriesStarted>;
 
 } // namespace cactuscove
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -22,6 +22,11 @@
 namespace {
 
 constexpr int HandledSignals[] = {SIGTERM, SIGINT, SIGHUP};
+// Entries that an agent takes tasks from. Each entry is then linked to A * 8 / E of A agents: with
+// five agents for an entry to some 40, whose workers rarely are all busy while others are not.
+constexpr std::size_t AgentLinks = 8;
+// Other entries that an entry hears news from, beside those that chose it.
+constexpr std::size_t EntryLinks = 3;
 constexpr ExitStatus Success{0};
 constexpr ExitStatus UsageError{2};
 
@@ -129,6 +134,7 @@
     , m_self(newIncarnation())
     , m_log(m_loop, nameOf(role), m_settings.instance, STDOUT_FILENO)
     , m_http(m_loop)
+    , m_selection(m_settings.instance, 1)
 {}
 
 void DispatchProcess::log(const LogEvent &event)
@@ -181,8 +187,7 @@
 
 bool DispatchProcess::addEntryAddress(const std::string &address, std::string_view source)
 {
-    if (address == m_settings.linkAddress || !isAddress(address)
-        || !m_entryAddresses.insert(address).second)
+    if (address == m_settings.linkAddress || !isAddress(address) || !m_selection.add(address))
         return false;
     log({Severity::Info, "entry_known", {{"address", address}, {"source", std::string(source)}}});
     onEntryAddress(address);
@@ -210,6 +215,18 @@
             }});
 }
 
+void DispatchProcess::addEntryAddresses(const KnownEntries &known)
+{
+    for (const std::string &address : known.addresses)
+        addEntryAddress(address, "entry");
+    m_selection.setLinks(m_role == Role::Agent ? AgentLinks : EntryLinks);
+}
+
+bool DispatchProcess::isBeatDue(const FramedLink &link) const
+{
+    return m_beats % ClockBeats == 0 || m_loop.now() - link.sentAt() > RecentlySent;
+}
+
 std::optional<DispatchError> DispatchProcess::serveMetrics()
 {
     auto server = HttpServer::listen(
--- a/src/dispatchprocess.h
+++ b/src/dispatchprocess.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "entryselection.h"
 #include "eventlog.h"
 #include "eventloop.h"
 #include "framedlink.h"
@@ -13,7 +14,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,8 +21,13 @@
 
 namespace cactuscove {
 
-// Each side sends at least this often, so that silence is found soon.
+// Each side of a connection between an entry and an agent sends at least this often, and a part of
+// the interval later at most, so that silence is found soon.
 inline constexpr Duration BeatInterval = std::chrono::milliseconds(100);
+// A message that was sent this short a time ago counts as the beat.
+inline constexpr Duration RecentlySent = std::chrono::milliseconds(40);
+// Beats with the sender's clock, also on a connection that is busy.
+inline constexpr int ClockBeats = 10; // one of as many
 // A connection on which nothing came for this long is replaced.
 inline constexpr Duration LinkSilence = std::chrono::milliseconds(350);
 
@@ -50,9 +55,14 @@
     // Follows the entries' topic; onEntryAddress() gets each address that is not known yet.
     void followEntries();
     bool addEntryAddress(const std::string &address, std::string_view source);
+    // Takes all that another process knows. Until the first such list only one connection is kept,
+    // so that a fleet that starts as a whole does not connect to the few entries of its settings.
+    void addEntryAddresses(const KnownEntries &known);
+    // A beat is due on the connection at this turn of the beat timer.
+    bool isBeatDue(const FramedLink &link) const;
     std::optional<DispatchError> serveMetrics();
 
-    virtual void onEntryAddress(const std::string &address) = 0;
+    virtual void onEntryAddress(const std::string &address) = 0; // already in m_selection
     virtual void beginShutdown() = 0;
     virtual std::string metricsText() = 0;
 
@@ -64,7 +74,8 @@
     EventLog m_log;
     Metrics m_metrics;
     HttpClient m_http;
-    std::set<std::string> m_entryAddresses; // known, the own one not included
+    EntrySelection m_selection; // of the entries that are known, the own one not included
+    int m_beats = 0;            // turns of the beat timer
     std::unique_ptr<StoreFollower> m_entriesFollower;
     bool m_shuttingDown = false;
 
--- a/src/framedlink.cpp
+++ b/src/framedlink.cpp
@@ -74,11 +74,13 @@
         if (!m_queue.empty()) {
             m_unsent += encodeFrame(m_queue);
             m_queue.clear();
+            m_sentAt = m_loop.now();
         }
         write();
     }
 
     bool isOpen() const { return m_isOpen && !m_hasFailed; }
+    TimePoint sentAt() const { return m_sentAt; }
 
 private:
     void watch()
@@ -209,6 +211,7 @@
     std::vector<PeerMessage> m_queue;
     std::string m_unsent;
     std::string m_received;
+    TimePoint m_sentAt{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
@@ -258,6 +261,11 @@
     return m_impl->isOpen();
 }
 
+TimePoint FramedLink::sentAt() const
+{
+    return m_impl->sentAt();
+}
+
 class FramedListener::Impl
 {
 public:
--- a/src/framedlink.h
+++ b/src/framedlink.h
@@ -45,6 +45,7 @@
     void flush();
 
     bool isOpen() const;
+    TimePoint sentAt() const; // steady clock, of the newest message
 
 private:
     class Impl;
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -441,9 +441,22 @@
     return updates;
 }
 
-std::vector<WorkerLoad> TaskRunner::loadsFor(Incarnation entry, TimePoint now) const
+std::uint64_t TaskRunner::assignmentsOf(Incarnation entry) const
 {
     const auto from = m_entries.find(entry);
+    return from == m_entries.end() ? 0 : from->second.assignments;
+}
+
+std::vector<WorkerLoad> TaskRunner::loadsFor(Incarnation entry, TimePoint now) const
+{
+    std::vector<WorkerLoad> all = loads(now);
+    for (WorkerLoad &it : all)
+        it.assignments = assignmentsOf(entry);
+    return all;
+}
+
+std::vector<WorkerLoad> TaskRunner::loads(TimePoint now) const
+{
     std::vector<WorkerLoad> loads;
     for (const auto &[id, worker] : m_workers) {
         WorkerLoad load;
@@ -463,7 +476,6 @@
         load.freeingRate /= std::max(1.0, worker.marks.meanSlowness());
         load.slowness = worker.marks.slowness(now);
         load.failureShare = worker.marks.failureShare(now);
-        load.assignments = from == m_entries.end() ? 0 : from->second.assignments;
         loads.push_back(std::move(load));
     }
     return loads;
@@ -486,4 +498,14 @@
     return n;
 }
 
+std::size_t TaskRunner::openTasksOf(Incarnation entry) const
+{
+    std::size_t n = 0;
+    for (const auto &[id, worker] : m_workers)
+        n += static_cast<std::size_t>(
+            std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                          [&](const auto &it) { return it.second.entry == entry; }));
+    return n;
+}
+
 } // namespace cactuscove
--- a/tests/dispatchcodec_test.cpp
+++ b/tests/dispatchcodec_test.cpp
@@ -44,7 +44,8 @@
             TaskStarted{{"a", 1}, 2},
             TaskLate{{"a", 1}, 2, 40ms},
             StartRefused{{"a", 1}, 2, StartRefusal::Duplicate},
-            inventory};
+            inventory,
+            EntriesStarted{{{"1.2.3.4:5", Incarnation{17}}}}};
 }
 
 } // namespace
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -3,6 +3,7 @@
 #include "dispatchfleet.h"
 
 #include "durations.h"
+#include "entryselection.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,6 +21,9 @@
 constexpr Duration BeatPause = 100ms;
 constexpr Duration HeartbeatPause = 1500ms;
 constexpr Duration StopDelay = 20ms;
+constexpr std::uint64_t LivesPerProcess = 1000; // of the identifiers
+constexpr std::uint64_t FirstAgentId = 1000000;
+constexpr Duration LeaveTime = 500ms;
 constexpr Duration ResubmitPause = 1300ms;
 constexpr double LatePart = 0.2; // of a job's worth, for a late answer
 constexpr TimePoint Start{std::chrono::hours(1)};
@@ -74,6 +78,7 @@
         std::unique_ptr<TaskRunner> runner;
         std::uint64_t sentVersion = 0;
         TimePoint startedAt = Start;
+        std::unique_ptr<EntrySelection> selection;
     };
 
     struct Entry : Process
@@ -86,7 +91,8 @@
         bool isUp = false;
         bool isCut = false;
         std::uint64_t generation = 0;
-        TimePoint agentHeard = Start; // of the entry
+        TimePoint leavingSince = NeverTime; // the agent needs the entry no longer
+        TimePoint agentHeard = Start;       // of the entry
         TimePoint entryHeard = Start;
     };
 
@@ -190,11 +196,11 @@
 
     Incarnation entryId(std::size_t i) const
     {
-        return Incarnation{1000 * (i + 1) + entries[i].life};
+        return Incarnation{LivesPerProcess * (i + 1) + entries[i].life};
     }
     Incarnation agentId(std::size_t i) const
     {
-        return Incarnation{1000000 + 1000 * i + agents[i].life};
+        return Incarnation{FirstAgentId + LivesPerProcess * i + agents[i].life};
     }
 
     void startEntry(std::size_t i)
@@ -253,10 +259,17 @@
         it.isUp = true;
         it.frozenUntil = now;
         it.runner = std::make_unique<TaskRunner>(options.runner, now);
+        it.selection
+            = std::make_unique<EntrySelection>("agent" + std::to_string(i), options.linksPerAgent);
+        for (std::size_t e = 0; e < entries.size(); ++e)
+            it.selection->add(addressOf(e));
         it.sentVersion = 0;
         it.startedAt = now;
     }
 
+    static std::string addressOf(std::size_t entry) { return "entry" + std::to_string(entry); }
+    static std::size_t entryAt(const std::string &address) { return std::stoul(address.substr(5)); }
+
     void stepAgent(std::size_t i, const std::function<void(TaskRunner &, RunnerOutbox &)> &f)
     {
         input(agents[i], [this, i, f] {
@@ -302,7 +315,7 @@
 
     void sendLoads(std::size_t agent, std::size_t entry)
     {
-        if (!links[entry][agent].isUp)
+        if (!links[entry][agent].isUp || links[entry][agent].leavingSince != NeverTime)
             return;
         for (WorkerLoad &load : agents[agent].runner->loadsFor(entryId(entry), now))
             sendToEntry(agent, entryId(entry), std::move(load));
@@ -328,10 +341,9 @@
 
     void sendToAgent(std::size_t entry, Incarnation to, PeerMessage message)
     {
-        for (std::size_t a = 0; a < agents.size(); ++a) {
-            Link &link = links[entry][a];
-            if (agentId(a) != to || !link.isUp || link.isCut)
-                continue;
+        const std::size_t a = (to.value - FirstAgentId) / LivesPerProcess;
+        Link &link = links[entry][a];
+        if (agentId(a) == to && link.isUp && !link.isCut) {
             const std::uint64_t generation = link.generation;
             post(now + LinkDelay, [this, entry, a, generation, message = std::move(message)] {
                 Link &it = links[entry][a];
@@ -350,16 +362,14 @@
                         runner.onWithdraw(from, *withdraw, now, out);
                 });
             });
-            return;
         }
     }
 
     void sendToEntry(std::size_t agent, Incarnation to, PeerMessage message)
     {
-        for (std::size_t e = 0; e < entries.size(); ++e) {
-            Link &link = links[e][agent];
-            if (entryId(e) != to || !link.isUp || link.isCut)
-                continue;
+        const std::size_t e = to.value / LivesPerProcess - 1;
+        Link &link = links[e][agent];
+        if (entryId(e) == to && link.isUp && !link.isCut) {
             const std::uint64_t generation = link.generation;
             const Incarnation from = agentId(agent);
             post(now + LinkDelay, [this, e, agent, generation, from, message = std::move(message)] {
@@ -374,7 +384,6 @@
                     dispatcher.onMessage(from, message, now, out);
                 });
             });
-            return;
         }
     }
 
@@ -382,6 +391,8 @@
     {
         Link &link = links[e][a];
         link.isUp = true;
+        link.leavingSince = NeverTime;
+        agents[a].selection->opened(addressOf(e));
         ++link.generation;
         link.agentHeard = link.entryHeard = now;
         const PeerHello hello{"agent" + std::to_string(a), agentId(a), Role::Agent, "", ""};
@@ -391,7 +402,7 @@
         const Incarnation entry = entryId(e);
         stepAgent(a, [this, e, a, entry](TaskRunner &runner, RunnerOutbox &out) {
             runner.onEntryHello(entry, "entry" + std::to_string(e), now, out);
-            sendToEntry(a, entry, PeerBeat{now, static_cast<std::uint32_t>(entries.size())});
+            sendToEntry(a, entry, PeerBeat{now, linksOf(a)});
             sendToEntry(a, entry, runner.inventoryOf(entry));
             for (const WorkerUpdate &update : runner.workers())
                 sendToEntry(a, entry, update);
@@ -405,6 +416,7 @@
         if (!link.isUp)
             return;
         link.isUp = false;
+        agents[a].selection->closed(addressOf(e), now);
         ++link.generation;
         const Incarnation agent = agentId(a);
         stepEntry(e, [this, agent](JobDispatcher &dispatcher, DispatcherOutbox &out) {
@@ -412,20 +424,60 @@
         });
     }
 
+    std::uint32_t linksOf(std::size_t agent) const
+    {
+        std::uint32_t n = 0;
+        for (const std::vector<Link> &it : links)
+            n += it[agent].isUp && it[agent].leavingSince == NeverTime;
+        return n;
+    }
+
+    // What the agent's shell does with its choice of entries.
+    void selectEntries(std::size_t a)
+    {
+        Agent &agent = agents[a];
+        if (!agent.isUp || agent.frozenUntil > now)
+            return;
+        const EntrySelection::Plan plan = agent.selection->plan(now);
+        for (const std::string &address : plan.dial) {
+            const std::size_t e = entryAt(address);
+            agent.selection->dialled(address, now);
+            if (entries[e].isUp && entries[e].frozenUntil <= now && !links[e][a].isCut)
+                connect(e, a);
+            else
+                agent.selection->closed(address, now);
+        }
+        for (std::size_t e = 0; e < entries.size(); ++e) {
+            Link &link = links[e][a];
+            const bool isSurplus = std::find(plan.release.begin(), plan.release.end(), addressOf(e))
+                                   != plan.release.end();
+            if (!link.isUp)
+                continue;
+            if (isSurplus != (link.leavingSince != NeverTime)) {
+                link.leavingSince = isSurplus ? now : NeverTime;
+                for (WorkerUpdate update : agent.runner->workers()) {
+                    update.isGone |= isSurplus;
+                    sendToEntry(a, entryId(e), std::move(update));
+                }
+                sendLoads(a, e);
+            } else if (isSurplus && now - link.leavingSince > LeaveTime
+                       && agent.runner->openTasksOf(entryId(e)) == 0) {
+                disconnect(e, a);
+            }
+        }
+    }
+
     void planBeats()
     {
+        for (std::size_t a = 0; a < agents.size(); ++a)
+            selectEntries(a);
         for (std::size_t e = 0; e < entries.size(); ++e)
             for (std::size_t a = 0; a < agents.size(); ++a) {
                 Link &link = links[e][a];
-                const bool areUp = entries[e].isUp && agents[a].isUp
-                                   && entries[e].frozenUntil <= now && agents[a].frozenUntil <= now
-                                   && !link.isCut;
                 const bool isSilent
                     = now - link.agentHeard > 350ms || now - link.entryHeard > 350ms;
                 if (link.isUp && isSilent)
                     disconnect(e, a);
-                if (!link.isUp && areUp)
-                    connect(e, a);
                 if (!link.isUp)
                     continue;
                 if (entries[e].isUp && entries[e].frozenUntil <= now)
@@ -433,8 +485,7 @@
                 if (agents[a].isUp && agents[a].frozenUntil <= now) {
                     if (now - agents[a].startedAt < 5s)
                         sendToEntry(a, entryId(e), agents[a].runner->inventoryOf(entryId(e)));
-                    sendToEntry(a, entryId(e),
-                                PeerBeat{now, static_cast<std::uint32_t>(entries.size())});
+                    sendToEntry(a, entryId(e), PeerBeat{now, linksOf(a)});
                 }
             }
         post(now + BeatPause, [this] { planBeats(); });
@@ -796,7 +847,8 @@
     void sendJob(std::size_t number)
     {
         std::vector<std::size_t> up;
-        for (std::size_t i = 0; i < entries.size(); ++i)
+        const double busy = options.busyEntries * static_cast<double>(entries.size());
+        for (std::size_t i = 0; i < entries.size() && static_cast<double>(i) < busy; ++i)
             if (entries[i].isUp)
                 up.push_back(i);
         Job &job = jobs[number];
@@ -963,6 +1015,8 @@
     const auto i = static_cast<std::size_t>(entry);
     Impl &it = *m_impl;
     for (std::size_t a = 0; a < it.agents.size(); ++a) {
+        if (it.links[i][a].isUp)
+            it.agents[a].selection->closed(Impl::addressOf(i), it.now);
         it.links[i][a].isUp = false;
         ++it.links[i][a].generation;
     }
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -35,6 +35,8 @@
 {
     int entries = 3;
     int workers = 11;
+    std::size_t linksPerAgent = 8; // entries that an agent is connected to
+    double busyEntries = 1;        // share of the entries that callers come to
     std::int64_t workerCpuMillis = 32000;
     double largeShare = 0; // of workers with half as much again
     double fastSpeed = 1;  // of every third worker
--- a/tests/dispatchfleet_test.cpp
+++ b/tests/dispatchfleet_test.cpp
@@ -255,4 +255,55 @@
         Bound{"TimeOfProof", 0, [](DispatchFleetOptions &it) { it.proofTime = 0s; }}),
     [](const auto &it) { return it.param.name; });
 
+// The load of the large fleet. Each entry is connected to a part of the agents, each agent to some
+// entries.
+DispatchFleetOptions largeFleet(std::uint64_t seed)
+{
+    DispatchFleetOptions options;
+    options.entries = 55;
+    options.workers = 240;
+    options.kinds = {{"seat-hold", 0, 309, 60, 0.4, 0.15, 8, 7600, 0.00323},
+                     {"tide-check", 2, 56.2, 900, 0.4, 0.15, 4, 7600, 0.0178},
+                     {"guide-ping", 1, 900, 200, 0.4, 0.15, 2, 7600, 0.00111}};
+    options.length = 3s;
+    options.seed = seed;
+    return options;
+}
+
+// Guards against entries that refuse or queue although workers that others know are free.
+TEST(DispatchFleet, ALargeFleetIsServedAlthoughEachEntryKnowsAPartOfIt)
+{
+    DispatchFleet fleet(largeFleet(1));
+    fleet.run();
+    EXPECT_TRUE(fleet.violations().empty()) << fleet.violations().front();
+    EXPECT_GT(fleet.worth(), 0.99) << describe(fleet);
+}
+
+// All callers come to the entries of one data centre out of five: these know four fifths of the
+// workers.
+TEST(DispatchFleet, ALargeFleetServesCallersThatAllComeToOneDataCentre)
+{
+    DispatchFleetOptions options = largeFleet(2);
+    options.busyEntries = 0.2;
+    DispatchFleet fleet(options);
+    fleet.run();
+    EXPECT_TRUE(fleet.violations().empty()) << fleet.violations().front();
+    EXPECT_GT(fleet.worth(), 0.95) << describe(fleet);
+}
+
+// Half of the entries and a third of the agents are killed at one moment; the connections move to
+// the entries that are left and back.
+TEST(DispatchFleet, ALargeFleetKeepsItsPromisesWhileHalfOfItIsReplaced)
+{
+    DispatchFleetOptions options = largeFleet(3);
+    DispatchFleet fleet(options);
+    for (int i = 0; i < options.entries; i += 2)
+        fleet.at(1s, [&fleet, i] { fleet.killEntry(i, 1500ms); });
+    for (int i = 0; i < options.workers; i += 3)
+        fleet.at(1s, [&fleet, i] { fleet.killAgent(i, 1s); });
+    fleet.run();
+    EXPECT_TRUE(fleet.violations().empty()) << fleet.violations().front();
+    EXPECT_GT(fleet.worth(), 0.5) << describe(fleet);
+}
+
 } // namespace cactuscove
