a worker counts as slow when half of its jobs are, not by the sum of what runs

Sound workers counted as slow: what runs at a moment is mostly long tasks, the tasks of a job are long together, and a percentage that is rounded down makes young runs look slow. Ruled out: age of the loads (25 ms) and the share that an entry takes of the fleet.

Each job counts once, half of at least four must run three times as long as expected, fewer only if all hardly move; the rounding is taken out.

--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -396,14 +396,11 @@
 
 void TaskRunner::measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    RunProgress progress;
-    for (const auto &[id, task] : worker.tasks) {
-        if (task.state != State::Running || task.percentAt != now)
-            continue;
-        ++progress.runs;
-        progress.elapsedMs += toMs(now - task.startedAt);
-        progress.workMs += task.percent / 100.0 * toMs(task.assignment.expectedRun);
-    }
+    std::vector<RunProgress> progress;
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state == State::Running && task.percentAt == now)
+            progress.push_back(
+                {id.jobId, now - task.startedAt, task.assignment.expectedRun, task.percent});
     const bool wasSlow = worker.marks.isRunningSlow();
     worker.marks.progressed(progress, now);
     const bool isSlow = worker.marks.isRunningSlow();
--- a/src/workermarks.cpp
+++ b/src/workermarks.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <vector>
 
 namespace cactuscove {
 
@@ -13,9 +15,10 @@
 
 // What runs is judged by its progress once it ran this long in sum.
 constexpr double MinElapsedMs = 40;
-constexpr double SlowWorker = 2.5; // times the expected run time
+constexpr double RoundedOff = 0.5; // of a percentage, in the mean
+constexpr double SlowWorker = 3;   // times the expected run time
 constexpr double StuckWorker = 6;
-constexpr int EnoughRuns = 4;
+constexpr std::size_t EnoughJobs = 4;
 constexpr double MaxSlowness = 20; // a worker at which tasks stand still
 constexpr double MaxRatio = 10;    // one stuck task must not condemn a worker
 // Weights of the newest end in the running means of a worker's speed and failures.
@@ -62,19 +65,39 @@
         m_failureShare += NewestEnd * ((end == TaskEnd::Failed) - m_failureShare);
 }
 
-// Tells a slow worker from a long task: all that runs there is slow.
-void WorkerMarks::progressed(const RunProgress &progress, TimePoint now)
+// Tells a slow worker from long tasks. Long ones make up more of what runs at a moment than of what
+// is started, and the tasks of a job are long together. So each job counts once, and half of the
+// jobs must be slow.
+void WorkerMarks::progressed(std::span<const RunProgress> runs, TimePoint now)
 {
-    const double slowness
-        = std::min(progress.elapsedMs / std::max(progress.workMs, 1.0), MaxSlowness);
-    // Few runs tell a slow worker only if they hardly move: one may just be a long task.
-    const double limit = progress.runs >= EnoughRuns ? SlowWorker : StuckWorker;
-    const bool isSlow = progress.elapsedMs >= MinElapsedMs && slowness >= limit;
-    m_runningSlowness = isSlow ? slowness : 0;
-    if (!isSlow)
+    struct Sum
+    {
+        double elapsedMs = 0;
+        double workMs = 0; // done, by the expected run times
+    };
+    std::map<std::string_view, Sum> jobs;
+    double elapsedMs = 0;
+    for (const RunProgress &it : runs) {
+        Sum &job = jobs[it.jobId];
+        job.elapsedMs += toMs(it.elapsed);
+        job.workMs += (it.percent + RoundedOff) / 100 * toMs(it.expected);
+        elapsedMs += toMs(it.elapsed);
+    }
+    m_runningSlowness = 0;
+    if (elapsedMs < MinElapsedMs)
+        return;
+    std::vector<double> slowness;
+    for (const auto &[id, it] : jobs)
+        slowness.push_back(std::min(it.elapsedMs / std::max(it.workMs, 1.0), MaxSlowness));
+    // Few jobs tell a slow worker only if each of them hardly moves.
+    const bool areEnough = slowness.size() >= EnoughJobs;
+    const auto typical = slowness.begin() + (areEnough ? (slowness.size() - 1) / 2 : 0);
+    std::nth_element(slowness.begin(), typical, slowness.end());
+    if (*typical < (areEnough ? SlowWorker : StuckWorker))
         return;
+    m_runningSlowness = *typical;
     fade(now);
-    m_slowness = std::max(m_slowness, slowness);
+    m_slowness = std::max(m_slowness, *typical);
 }
 
 bool WorkerMarks::isBad() const
--- a/src/workermarks.h
+++ b/src/workermarks.h
@@ -7,16 +7,19 @@
 
 #include "dispatchtypes.h"
 
+#include <span>
 #include <string>
+#include <string_view>
 
 namespace cactuscove {
 
-// Of all tasks that run at a worker.
+// One task that runs at a worker.
 struct RunProgress
 {
-    int runs = 0;
-    double elapsedMs = 0; // in sum
-    double workMs = 0;    // done, by the expected run times
+    std::string_view jobId;
+    Duration elapsed{};
+    Duration expected{}; // run time
+    int percent = 0;     // of its work, rounded down
 };
 
 class WorkerMarks
@@ -25,7 +28,7 @@
     // Commands
     void ended(const TaskId &task, TaskEnd end, Duration runTime, Duration expectedRun,
                TimePoint now);
-    void progressed(const RunProgress &progress, TimePoint now);
+    void progressed(std::span<const RunProgress> runs, TimePoint now); // all that run
     void fade(TimePoint now);
 
     // Queries
