agents that are gone do not count in an entry's view of the fleet

Workers of agents that were replaced stayed in the directory for ever: they took part in the mean by which failing workers are judged, and in each choice. With eight entries an agent, agents come and go as links move. The new test fails on the earlier code by the limit of failures.

--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -209,8 +209,8 @@
     std::map<std::string, JobNumber, std::less<>> m_jobsById;
     std::map<std::string, PastJob, std::less<>> m_pastJobs; // lately; agents may still tell of them
     std::map<CallerId, JobNumber> m_jobsByCaller;
-    std::set<Rank> m_ready; // jobs with waiting tasks that are not being closed
-    std::map<Incarnation, PeerHello> m_agents;
+    std::set<Rank> m_ready;                    // jobs with waiting tasks that are not being closed
+    std::map<Incarnation, PeerHello> m_agents; // connected
     JobNumber m_lastJob = 0;
     std::int64_t m_unproven = 0;        // tasks in that state
     TimePoint m_nextExpiry = NeverTime; // as of the newest settle()
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -41,6 +41,7 @@
 {
     enter(now, out);
     m_directory.agentDisconnected(agent);
+    m_agents.erase(agent);
     m_entriesHeard.erase(agent);
     for (auto &[number, job] : m_jobs) {
         for (Task &task : job.tasks) {
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -39,25 +39,19 @@
 void WorkerDirectory::agentConnected(Incarnation agent, std::string_view name,
                                      std::string_view dataCentre, TimePoint now)
 {
+    agentDisconnected(agent);
     Agent &it = m_agents[agent];
     it.name = name;
     it.dataCentre = dataCentre;
-    it.isConnected = true;
     it.heardAt = now;
-    it.assignments = 0;
-    for (auto &[key, worker] : m_workers) {
-        if (key.agent != agent)
-            continue;
-        worker.sent.clear();
-        worker.hasLoad = false; // the agent reports anew on each connection
-    }
 }
 
+// An agent tells of its workers anew on each connection. One that never comes back must not count
+// in the fleet's means.
 void WorkerDirectory::agentDisconnected(Incarnation agent)
 {
-    const auto it = m_agents.find(agent);
-    if (it != m_agents.end())
-        it->second.isConnected = false;
+    m_agents.erase(agent);
+    std::erase_if(m_workers, [&](const auto &it) { return it.first.agent == agent; });
 }
 
 void WorkerDirectory::agentHeard(Incarnation agent, TimePoint now)
@@ -113,10 +107,9 @@
 bool WorkerDirectory::isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const
 {
     const auto agent = m_agents.find(key.agent);
-    return agent != m_agents.end() && agent->second.isConnected
-           && now - agent->second.heardAt < AgentSilence && agent->second.clock != TimePoint{}
-           && worker.hasLoad && worker.load.isUsable && !worker.info.isDraining
-           && now >= worker.pausedUntil;
+    return agent != m_agents.end() && now - agent->second.heardAt < AgentSilence
+           && agent->second.clock != TimePoint{} && worker.hasLoad && worker.load.isUsable
+           && !worker.info.isDraining && now >= worker.pausedUntil;
 }
 
 Resources WorkerDirectory::freeOf(const Worker &worker, int priority)
@@ -264,10 +257,4 @@
     return it->second.clock + (at - it->second.clockAt);
 }
 
-std::size_t WorkerDirectory::connectedAgents() const
-{
-    return static_cast<std::size_t>(std::count_if(
-        m_agents.begin(), m_agents.end(), [](const auto &it) { return it.second.isConnected; }));
-}
-
 } // namespace cactuscove
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -66,14 +66,13 @@
     Room roomOf(std::string_view upstream, TimePoint now) const;
     // Reads the agent's clock not later than it shows at `at`; none without contact.
     std::optional<TimePoint> agentTime(Incarnation agent, TimePoint at) const;
-    std::size_t connectedAgents() const;
+    std::size_t connectedAgents() const { return m_agents.size(); }
 
 private:
     struct Agent
     {
         std::string name;
         std::string dataCentre;
-        bool isConnected = false;
         TimePoint heardAt{};
         TimePoint clock{}; // the agent's
         TimePoint clockAt{};
@@ -105,8 +104,8 @@
     Limits limitsOf(std::string_view upstream, double slowness) const;
 
     std::mt19937_64 m_random;
-    std::map<Incarnation, Agent> m_agents;
-    std::map<WorkerKey, Worker> m_workers;
+    std::map<Incarnation, Agent> m_agents; // connected
+    std::map<WorkerKey, Worker> m_workers; // of connected agents
 };
 
 } // namespace cactuscove
--- a/tests/workerdirectory_test.cpp
+++ b/tests/workerdirectory_test.cpp
@@ -84,6 +84,31 @@
     }
 }
 
+// Guards against judging the workers that are left by those of agents that are gone for good.
+TEST_F(WorkerDirectoryTest, WorkersOfAGoneAgentDoNotCount)
+{
+    constexpr Incarnation Other{8};
+    m_directory.agentConnected(Other, "other", "dc", Now);
+    m_directory.agentClock(Other, Now, Now);
+    WorkerInfo info;
+    info.id = "d";
+    info.upstream = "u";
+    info.capacity = {10000, 1000, 0};
+    m_directory.update(Other, {info, false});
+    WorkerLoad load;
+    load.workerId = "d";
+    load.free = {10000, 1000, 0};
+    load.isUsable = true;
+    load.failureShare = 0.3; // above the limit as long as the three others count
+    m_directory.load(Other, load);
+    EXPECT_EQ(m_directory.roomOf("u", Now).freeCores, 30);
+    m_directory.agentDisconnected(Agent);
+    EXPECT_EQ(m_directory.connectedAgents(), 1U);
+    EXPECT_EQ(m_directory.roomOf("u", Now).freeCores, 10);
+    WorkerDirectory::Request request{"u", {11000, 10, 0}, 0, {}, {}, {}};
+    EXPECT_FALSE(m_directory.couldEverFit(request));
+}
+
 // A task that failed on a worker goes elsewhere, also if all others are busy now.
 TEST_F(WorkerDirectoryTest, AvoidedWorkersAreUsedOnlyWithoutAlternative)
 {
