--- a/src/workermarks.cpp
+++ b/src/workermarks.cpp
@@ -87,6 +87,7 @@
     if (elapsedMs < MinElapsedMs)
         return;
     std::vector<double> slowness;
+    slowness.reserve(jobs.size());
     for (const auto &[id, it] : jobs)
         slowness.push_back(std::min(it.elapsedMs / std::max(it.workMs, 1.0), MaxSlowness));
     // Few jobs tell a slow worker only if each of them hardly moves.
