--- a/tests/dispatchfleet_test.cpp
+++ b/tests/dispatchfleet_test.cpp
@@ -187,12 +187,14 @@
 
 // Everything at once: guards against two runs of a task at the same time, a worker over its
 // capacity and a refused job that ran. DISPATCH_SEED and DISPATCH_RUNS choose other schedules.
-TEST(DispatchFleet, KeepsItsPromisesUnderRandomFaults)
+void expectPromisesUnderRandomFaults(int entries, std::size_t linksPerAgent)
 {
     const std::uint64_t first = numberOf("DISPATCH_SEED", 1);
     const std::uint64_t runs = numberOf("DISPATCH_RUNS", 25);
     for (std::uint64_t seed = first; seed < first + runs; ++seed) {
-        const DispatchFleetOptions options = smallFleet(seed);
+        DispatchFleetOptions options = smallFleet(seed);
+        options.entries = entries;
+        options.linksPerAgent = linksPerAgent;
         DispatchFleet fleet(options);
         planFaults(fleet, options);
         fleet.run();
@@ -202,6 +204,18 @@
     }
 }
 
+TEST(DispatchFleet, KeepsItsPromisesUnderRandomFaults)
+{
+    expectPromisesUnderRandomFaults(3, 8);
+}
+
+// Each fault makes agents choose other entries and return: connections are dialled and released
+// while tasks run.
+TEST(DispatchFleet, KeepsItsPromisesWhileConnectionsMove)
+{
+    expectPromisesUnderRandomFaults(6, 2);
+}
+
 // One bound that the promise rests on, and a load that needs it.
 struct Bound
 {
