--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -447,14 +447,6 @@
     return from == m_entries.end() ? 0 : from->second.assignments;
 }
 
-std::vector<WorkerLoad> TaskRunner::loadsFor(Incarnation entry, TimePoint now) const
-{
-    std::vector<WorkerLoad> all = loads(now);
-    for (WorkerLoad &it : all)
-        it.assignments = assignmentsOf(entry);
-    return all;
-}
-
 std::vector<WorkerLoad> TaskRunner::loads(TimePoint now) const
 {
     std::vector<WorkerLoad> loads;
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -167,10 +167,9 @@
     // Workers at which nothing runs that an earlier process of this agent started.
     std::vector<std::string> clearWorkers() const;
     std::vector<WorkerUpdate> workers() const;
-    std::vector<WorkerLoad> loads(TimePoint now) const;   // without the number of assignments
-    std::uint64_t assignmentsOf(Incarnation entry) const; // the newest number
-    std::vector<WorkerLoad> loadsFor(Incarnation entry, TimePoint now) const;
-    std::uint64_t loadVersion() const { return m_loadVersion; } // changes with loadsFor()
+    std::vector<WorkerLoad> loads(TimePoint now) const;         // without the number of assignments
+    std::uint64_t assignmentsOf(Incarnation entry) const;       // the newest number
+    std::uint64_t loadVersion() const { return m_loadVersion; } // changes with loads()
     bool isNearlyFull() const;                                  // some worker has little room left
     std::size_t openTasks() const;                              // queued, running or being stopped
     std::size_t openTasksOf(Incarnation entry) const;
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -317,8 +317,11 @@
     {
         if (!links[entry][agent].isUp || links[entry][agent].leavingSince != NeverTime)
             return;
-        for (WorkerLoad &load : agents[agent].runner->loadsFor(entryId(entry), now))
+        const TaskRunner &runner = *agents[agent].runner;
+        for (WorkerLoad &load : runner.loads(now)) {
+            load.assignments = runner.assignmentsOf(entryId(entry));
             sendToEntry(agent, entryId(entry), std::move(load));
+        }
     }
 
     // Prints the events of one job: DISPATCH_TRACE=job17.
