--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -309,8 +309,11 @@
 
     void connectEntries()
     {
-        for (const std::string &address : m_selection.plan(bootNow()).dial)
+        const EntrySelection::Plan plan = m_selection.plan(bootNow());
+        for (const std::string &address : plan.dial)
             dialEntry(address);
+        for (const std::string &address : plan.release)
+            releaseEntry(address);
     }
 
     void dialEntry(const std::string &address)
@@ -411,11 +414,7 @@
         }
         for (const LinkId id : silent)
             closeLink(id, "silent");
-        const EntrySelection::Plan plan = m_selection.plan(now);
-        for (const std::string &address : plan.dial)
-            dialEntry(address);
-        for (const std::string &address : plan.release)
-            releaseEntry(address);
+        connectEntries();
     }
 
     void releaseEntry(const std::string &address)
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -19,15 +19,7 @@
 constexpr Duration WorkerSilence = 6s;     // several heartbeats
 // Entries are told of bad workers at this pace, as their marks fade.
 constexpr Duration BadTellPause = 200ms;
-constexpr double NearlyFull = 0.7; // of the processor
-constexpr int MaxStartCalls = 4;   // then the run is stopped, which leaves a tombstone
-
-// In a steady state a running task ends within a time t with probability t / run time.
-double freeingRate(const AssignTask &task)
-{
-    const double cores = static_cast<double>(task.needs.cpuMillis) / 1000;
-    return cores / std::max(toMs(task.expectedRun), 1.0);
-}
+constexpr int MaxStartCalls = 4; // then the run is stopped, which leaves a tombstone
 
 } // namespace
 
@@ -359,23 +351,6 @@
     m_enteredAt = now;
 }
 
-void TaskRunner::beginShutdown(RunnerOutbox &out)
-{
-    m_shuttingDown = true;
-    for (auto &[workerId, worker] : m_workers) {
-        std::vector<TaskId> waiting;
-        for (const auto &[id, task] : worker.tasks)
-            if (task.state == State::Queued)
-                waiting.push_back(id);
-        for (const TaskId &id : waiting)
-            refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
-        for (const auto &[entry, state] : m_entries)
-            out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
-    }
-}
-
-// Queries
-
 TimePoint TaskRunner::nextTimer() const
 {
     TimePoint next = m_mayStart ? NeverTime : m_mayStartAt;
@@ -407,97 +382,19 @@
     return next;
 }
 
-std::vector<std::string> TaskRunner::clearWorkers() const
-{
-    std::vector<std::string> clear;
-    for (const auto &[id, worker] : m_workers)
-        if (worker.isSynced && worker.orphans.empty())
-            clear.push_back(id);
-    return clear;
-}
-
-TaskInventory TaskRunner::inventoryOf(Incarnation entry) const
-{
-    TaskInventory inventory;
-    inventory.clearWorkers = clearWorkers();
-    for (const auto &[workerId, worker] : m_workers)
-        for (const auto &[id, task] : worker.tasks) {
-            if (task.entry != entry)
-                continue;
-            auto &list = task.ranForSure ? inventory.started : inventory.waiting;
-            list.push_back({id, task.assignment.attempt});
-        }
-    for (const EndedTask &it : m_ended)
-        if (it.entry == entry)
-            inventory.ended.push_back(it.end);
-    return inventory;
-}
-
-std::vector<WorkerUpdate> TaskRunner::workers() const
-{
-    std::vector<WorkerUpdate> updates;
-    for (const auto &[id, worker] : m_workers)
-        updates.push_back({worker.info, m_shuttingDown});
-    return updates;
-}
-
-std::uint64_t TaskRunner::assignmentsOf(Incarnation entry) const
-{
-    const auto from = m_entries.find(entry);
-    return from == m_entries.end() ? 0 : from->second.assignments;
-}
-
-std::vector<WorkerLoad> TaskRunner::loads(TimePoint now) const
+void TaskRunner::beginShutdown(RunnerOutbox &out)
 {
-    std::vector<WorkerLoad> loads;
-    for (const auto &[id, worker] : m_workers) {
-        WorkerLoad load;
-        load.workerId = id;
-        load.free = worker.info.capacity - used(worker);
-        load.isUsable = m_mayStart && worker.isSynced && worker.orphans.empty()
-                        && !worker.info.isDraining && !worker.isUnresponsive && !m_shuttingDown;
-        std::map<int, Resources> queued;
-        for (const auto &[taskId, task] : worker.tasks) {
+    m_shuttingDown = true;
+    for (auto &[workerId, worker] : m_workers) {
+        std::vector<TaskId> waiting;
+        for (const auto &[id, task] : worker.tasks)
             if (task.state == State::Queued)
-                queued[task.assignment.priority] += task.assignment.needs;
-            else
-                load.freeingRate += freeingRate(task.assignment);
-        }
-        for (const auto &[priority, needs] : queued)
-            load.queued.push_back({priority, needs});
-        load.freeingRate /= std::max(1.0, worker.marks.meanSlowness());
-        load.slowness = worker.marks.slowness(now);
-        load.failureShare = worker.marks.failureShare(now);
-        loads.push_back(std::move(load));
+                waiting.push_back(id);
+        for (const TaskId &id : waiting)
+            refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
+        for (const auto &[entry, state] : m_entries)
+            out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
     }
-    return loads;
-}
-
-bool TaskRunner::isNearlyFull() const
-{
-    return std::any_of(m_workers.begin(), m_workers.end(), [this](const auto &it) {
-        const Worker &worker = it.second;
-        return static_cast<double>(used(worker).cpuMillis)
-               > NearlyFull * static_cast<double>(worker.info.capacity.cpuMillis);
-    });
-}
-
-std::size_t TaskRunner::openTasks() const
-{
-    std::size_t n = 0;
-    for (const auto &[id, worker] : m_workers)
-        n += worker.tasks.size();
-    return n;
-}
-
-std::size_t TaskRunner::openTasksOf(Incarnation entry) const
-{
-    std::size_t n = 0;
-    for (const auto &[id, worker] : m_workers)
-        n += static_cast<std::size_t>(
-            std::count_if(worker.tasks.begin(), worker.tasks.end(),
-                          [&](const auto &it) { return it.second.entry == entry; }));
-    return n;
 }
 
 } // namespace cactuscove
--- /dev/null
+++ b/src/taskrunnerqueries.cpp
@@ -0,0 +1,117 @@
+// What entries and the shell ask a task runner: room, inventory, the next timer.
+
+#include "durations.h"
+#include "taskrunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuscove {
+
+namespace {
+
+constexpr double NearlyFull = 0.7; // of the processor
+
+// In a steady state a running task ends within a time t with probability t / run time.
+double freeingRate(const AssignTask &task)
+{
+    const double cores = static_cast<double>(task.needs.cpuMillis) / 1000;
+    return cores / std::max(toMs(task.expectedRun), 1.0);
+}
+
+} // namespace
+
+std::vector<std::string> TaskRunner::clearWorkers() const
+{
+    std::vector<std::string> clear;
+    for (const auto &[id, worker] : m_workers)
+        if (worker.isSynced && worker.orphans.empty())
+            clear.push_back(id);
+    return clear;
+}
+
+TaskInventory TaskRunner::inventoryOf(Incarnation entry) const
+{
+    TaskInventory inventory;
+    inventory.clearWorkers = clearWorkers();
+    for (const auto &[workerId, worker] : m_workers)
+        for (const auto &[id, task] : worker.tasks) {
+            if (task.entry != entry)
+                continue;
+            auto &list = task.ranForSure ? inventory.started : inventory.waiting;
+            list.push_back({id, task.assignment.attempt});
+        }
+    for (const EndedTask &it : m_ended)
+        if (it.entry == entry)
+            inventory.ended.push_back(it.end);
+    return inventory;
+}
+
+std::vector<WorkerUpdate> TaskRunner::workers() const
+{
+    std::vector<WorkerUpdate> updates;
+    for (const auto &[id, worker] : m_workers)
+        updates.push_back({worker.info, m_shuttingDown});
+    return updates;
+}
+
+std::uint64_t TaskRunner::assignmentsOf(Incarnation entry) const
+{
+    const auto from = m_entries.find(entry);
+    return from == m_entries.end() ? 0 : from->second.assignments;
+}
+
+std::vector<WorkerLoad> TaskRunner::loads(TimePoint now) const
+{
+    std::vector<WorkerLoad> loads;
+    for (const auto &[id, worker] : m_workers) {
+        WorkerLoad load;
+        load.workerId = id;
+        load.free = worker.info.capacity - used(worker);
+        load.isUsable = m_mayStart && worker.isSynced && worker.orphans.empty()
+                        && !worker.info.isDraining && !worker.isUnresponsive && !m_shuttingDown;
+        std::map<int, Resources> queued;
+        for (const auto &[taskId, task] : worker.tasks) {
+            if (task.state == State::Queued)
+                queued[task.assignment.priority] += task.assignment.needs;
+            else
+                load.freeingRate += freeingRate(task.assignment);
+        }
+        for (const auto &[priority, needs] : queued)
+            load.queued.push_back({priority, needs});
+        load.freeingRate /= std::max(1.0, worker.marks.meanSlowness());
+        load.slowness = worker.marks.slowness(now);
+        load.failureShare = worker.marks.failureShare(now);
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
+bool TaskRunner::isNearlyFull() const
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [this](const auto &it) {
+        const Worker &worker = it.second;
+        return static_cast<double>(used(worker).cpuMillis)
+               > NearlyFull * static_cast<double>(worker.info.capacity.cpuMillis);
+    });
+}
+
+std::size_t TaskRunner::openTasks() const
+{
+    std::size_t n = 0;
+    for (const auto &[id, worker] : m_workers)
+        n += worker.tasks.size();
+    return n;
+}
+
+std::size_t TaskRunner::openTasksOf(Incarnation entry) const
+{
+    std::size_t n = 0;
+    for (const auto &[id, worker] : m_workers)
+        n += static_cast<std::size_t>(
+            std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                          [&](const auto &it) { return it.second.entry == entry; }));
+    return n;
+}
+
+} // namespace cactuscove
