--- a/src/entryselection.cpp
+++ b/src/entryselection.cpp
@@ -38,11 +38,6 @@
     return it == m_entries.end() ? nullptr : &it->second;
 }
 
-bool EntrySelection::isKnown(std::string_view address) const
-{
-    return m_entries.count(rankOf(address)) > 0;
-}
-
 std::vector<std::string> EntrySelection::addresses() const
 {
     std::vector<std::string> all;
--- a/src/entryselection.h
+++ b/src/entryselection.h
@@ -44,7 +44,6 @@
     Plan plan(TimePoint now);
 
     // Queries
-    bool isKnown(std::string_view address) const;
     std::vector<std::string> addresses() const; // all that are known
 
 private:
--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -99,17 +99,14 @@
 
 void StoreFollower::onFailure(const platform::StoreError &error)
 {
-    if (error.kind == platform::StoreFailure::Trimmed) {
-        m_from.reset();
-        m_continueFrom.clear();
-        m_readTimer.startIn({});
-        return;
-    }
-    // An answer that cannot be read at this offset never will be.
-    if (error.kind == platform::StoreFailure::Malformed) {
+    const bool isTrimmed = error.kind == platform::StoreFailure::Trimmed;
+    // Records that are gone, or that cannot be read at this offset, never will be read there.
+    if (isTrimmed || error.kind == platform::StoreFailure::Malformed) {
         m_from.reset();
         m_continueFrom.clear();
     }
+    if (isTrimmed)
+        return m_readTimer.startIn({});
     setReachable(false, error.detail);
     m_readTimer.startIn(pause(m_failures++));
 }
