Interfaces for scarce capacity, evacuations and handed-over records

Cause: the parts that the two new customers need share messages, settings and flags, and are built side by side.

Nothing uses them yet.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -43,6 +43,7 @@
 public:
     explicit DispatchAgent(LoadedSettings loaded)
         : DispatchProcess(Role::Agent, std::move(loaded.settings), std::move(loaded.path))
+        , m_features(loaded.features)
         , m_runner(runnerSettings(), bootNow())
         , m_decisions(m_loop, m_runner, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
@@ -86,6 +87,7 @@
     TaskRunnerSettings runnerSettings() const
     {
         TaskRunnerSettings settings;
+        settings.hasScarcityControl = m_features.hasScarcityControl;
         const Duration spare
             = m_settings.resubmitDelay - m_settings.maxStopTime - ResubmitSafetyMargin;
         settings.entryTimeout = std::min<Duration>(settings.entryTimeout, spare / 2);
@@ -217,8 +219,12 @@
         auto link = FramedLink::dial(
             m_loop, address,
             {[this, &it] {
-                 it.link->send(PeerHello{
-                     m_settings.instance, m_incarnation, Role::Agent, m_settings.dataCentre, {}});
+                 it.link->send(PeerHello{m_settings.instance,
+                                         m_incarnation,
+                                         Role::Agent,
+                                         m_settings.dataCentre,
+                                         {},
+                                         ProtocolVersion});
              },
              [this, address, &it](const std::vector<PeerMessage> &messages) {
                  onMessages(address, it, messages);
@@ -405,6 +411,7 @@
         return m_metrics.text();
     }
 
+    FeatureFlags m_features;
     TaskRunner m_runner;
     DecisionLoop<TaskRunner, RunnerEffect, DispatchAgent> m_decisions;
     Timer m_heartbeatTimer;
--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t MaxDepth = 8;          // of nested arrays
 
 // Calls `a`, which is a FieldCounter, Writer or Reader, with all fields of `it` in their order on
-// the wire.
+// the wire. Fields that older senders do not send are passed to optional(), after all others.
 template <typename A>
 void fields(A &a, Resources &it)
 {
@@ -42,12 +42,20 @@
 void fields(A &a, PeerHello &it)
 {
     a(it.name, it.instance.value, it.role, it.dataCentre, it.address);
+    a.optional(it.protocol);
+}
+
+template <typename A>
+void fields(A &a, DemandReport &it)
+{
+    a(it.upstream, it.priority, it.utilisation);
 }
 
 template <typename A>
 void fields(A &a, PeerHeartbeat &it)
 {
     a(it.sentAt, it.connectedEntries);
+    a.optional(it.demand);
 }
 
 template <typename A>
@@ -93,11 +101,18 @@
     a(it.priority, it.needs);
 }
 
+template <typename A>
+void fields(A &a, ExpectedRelease &it)
+{
+    a(it.after, it.resources);
+}
+
 template <typename A>
 void fields(A &a, WorkerLoad &it)
 {
     a(it.workerId, it.free, it.queued, it.coreReleaseRate, it.isUsable, it.slowness, it.failureRate,
       it.lastAssignmentNumber);
+    a.optional(it.releases);
 }
 
 template <typename A>
@@ -130,6 +145,42 @@
     a(it.started, it.waiting, it.ended, it.orphanFreeWorkers);
 }
 
+template <typename A>
+void fields(A &a, EvacuationRecord &it)
+{
+    a(it.dataCentre, it.isEvacuated, it.offset.value);
+}
+
+template <typename A>
+void fields(A &a, OperatorSnapshot &it)
+{
+    a(it.configVersion, it.configText, it.evacuations, it.readUpTo.value);
+}
+
+template <typename A>
+void fields(A &a, OperatorOffer &it)
+{
+    a(it.configVersion, it.readUpTo.value);
+}
+
+template <typename A>
+void fields(A &a, OperatorRequest &it)
+{
+    a(it.configVersion);
+}
+
+template <typename A>
+void fields(A &a, OperatorState &it)
+{
+    a(it.snapshot);
+}
+
+template <typename A>
+void fields(A &a, EvacuationUpdate &it)
+{
+    a(it.evacuations, it.readUpTo.value);
+}
+
 // A type that has an overload of fields().
 template <typename T>
 concept HasFields
@@ -143,7 +194,12 @@
     template <typename... T>
     void operator()(T &...)
     {
-        count = sizeof...(T);
+        count += sizeof...(T);
+    }
+    template <typename... T>
+    void optional(T &...values)
+    {
+        (*this)(values...);
     }
     std::uint32_t count = 0;
 };
@@ -162,6 +218,12 @@
         (write(values), ...);
     }
 
+    template <typename... T>
+    void optional(T &...values)
+    {
+        (*this)(values...);
+    }
+
     void array(std::uint32_t n) { m_packer.pack_array(n); }
     void index(std::uint64_t n) { m_packer.pack(n); }
 
@@ -221,6 +283,13 @@
         (read(values, next()), ...);
     }
 
+    // Leaves the fields that the array does not have as they are.
+    template <typename... T>
+    void optional(T &...values)
+    {
+        (readIfPresent(values), ...);
+    }
+
     const msgpack::object &next()
     {
         if (m_next >= m_array.size)
@@ -236,6 +305,13 @@
         return object.via.array;
     }
 
+    template <typename T>
+    void readIfPresent(T &value)
+    {
+        if (m_next < m_array.size)
+            read(value, next());
+    }
+
     static void read(TimePoint &value, const msgpack::object &object)
     {
         value = TimePoint(Duration(object.as<std::int64_t>()));
--- a/src/dispatchcodec.h
+++ b/src/dispatchcodec.h
@@ -4,7 +4,8 @@
 // A frame is a header, which is the length of the body in bytes (4 bytes, big-endian), and a body,
 // which is a MessagePack array of messages. A message is an array: first the index of its type in
 // PeerMessage, then its fields in the order of their declaration. A receiver ignores additional
-// fields at the end, so a newer sender may add some.
+// fields at the end, and fields that were added later keep their defaults if an older sender does
+// not send them.
 
 #pragma once
 
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -48,8 +48,11 @@
 public:
     explicit DispatchEntry(LoadedSettings loaded)
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
+        , m_features(loaded.features)
         , m_linkListen(std::move(loaded.linkListen))
-        , m_dispatcher({m_incarnation.value, lostAgentTimeout(m_settings)}, bootNow())
+        , m_dispatcher(
+              {m_incarnation.value, lostAgentTimeout(m_settings), m_features.hasScarcityControl},
+              bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_entryUpdateTimer(m_loop, [this] { sendEntryUpdates(); })
@@ -265,7 +268,7 @@
     void sendHello(Link &it)
     {
         it.link->send(PeerHello{m_settings.instance, m_incarnation, Role::Entry,
-                                m_settings.dataCentre, m_settings.linkAddress});
+                                m_settings.dataCentre, m_settings.linkAddress, ProtocolVersion});
         it.link->send(knownEntries());
     }
 
@@ -477,6 +480,7 @@
         return m_metrics.text();
     }
 
+    FeatureFlags m_features;
     std::string m_linkListen; // "ip:port" on which links of agents and entries are accepted
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "dispatchtypes.h"
+#include "operatorrecords.h"
 
 #include <cstdint>
 #include <string>
@@ -21,6 +22,23 @@
     Role role = Role::Agent;
     std::string dataCentre;
     std::string address; // where an entry accepts connections, "ip:port"; empty for an agent
+    // Newest protocol that the sender understands. A sender without this field has protocol 1.
+    std::uint32_t protocol = 1;
+};
+
+// Sent by this version. Peers of protocol 1 close the connection on the message types after
+// EntriesStarted, so these are sent only to peers of protocol 2 or later.
+inline constexpr std::uint32_t ProtocolVersion = 2;
+
+// Load that callers ask for, relative to the capacity that can carry it.
+struct DemandReport
+{
+    std::string upstream;
+    int priority = 0; // of the queues; 0 is the most urgent
+    // Cores that new jobs ask for / cores of the usable workers that the entry is connected to.
+    // From an agent: the sum over the entries that are connected to it, which is the utilisation
+    // to expect of its workers if no job is refused.
+    double utilisation = 0;
 };
 
 // Keeps a connection alive on which nothing else is sent, and relates the clocks of both sides. A
@@ -30,6 +48,8 @@
     TimePoint sentAt; // sender's clock
     // Number of entries that an agent has a connection to; 0 from an entry.
     std::uint32_t connectedEntries = 0;
+    // Empty if the sender does not report demand, or knows of none.
+    std::vector<DemandReport> demand;
 };
 
 // Addresses at which entries accept connections, so that a process that knows one entry finds the
@@ -94,6 +114,13 @@
     Resources needs; // sum over these tasks
 };
 
+// Resources that running tasks are expected to release.
+struct ExpectedRelease
+{
+    Duration after{}; // from the time of the report
+    Resources resources;
+};
+
 // Agent to entry: the load of a worker, sent after changes.
 struct WorkerLoad
 {
@@ -106,6 +133,8 @@
     double failureRate = 0;           // share of failed tasks among the newest ends, 0 to 1
     // Newest AssignTask::assignmentNumber of the entry that this load takes into account.
     std::uint64_t lastAssignmentNumber = 0;
+    // Expected ends of running tasks, the earliest first; empty if the agent does not report them.
+    std::vector<ExpectedRelease> releases;
 };
 
 // Agent to entry: the attempt runs.
@@ -153,9 +182,38 @@
     std::vector<std::string> orphanFreeWorkers;
 };
 
+// Between entries, after the hello and when the sender's state has changed: the version of the
+// operators' records that the sender follows. The receiver may ask for them.
+struct OperatorOffer
+{
+    std::uint64_t configVersion = 0;
+    LogOffset readUpTo; // see OperatorSnapshot
+};
+
+// Between entries: send OperatorState.
+struct OperatorRequest
+{
+    std::uint64_t configVersion = 0; // that the sender has in force; 0: none
+};
+
+// Between entries: the answer to OperatorRequest.
+struct OperatorState
+{
+    OperatorSnapshot snapshot;
+};
+
+// Between entries and agents in both directions, after the hello and on changes: the evacuated data
+// centres, as in OperatorSnapshot.
+struct EvacuationUpdate
+{
+    std::vector<EvacuationRecord> evacuations;
+    LogOffset readUpTo;
+};
+
 // New types must be added at the end: the position is the type's number in encoded messages.
-using PeerMessage = std::variant<PeerHello, PeerHeartbeat, KnownEntries, AssignTask, WithdrawTask,
-                                 WorkerUpdate, WorkerLoad, TaskStarted, TaskLate, TaskEnded,
-                                 StartRefused, TaskInventory, EntriesStarted>;
+using PeerMessage
+    = std::variant<PeerHello, PeerHeartbeat, KnownEntries, AssignTask, WithdrawTask, WorkerUpdate,
+                   WorkerLoad, TaskStarted, TaskLate, TaskEnded, StartRefused, TaskInventory,
+                   EntriesStarted, OperatorOffer, OperatorRequest, OperatorState, EvacuationUpdate>;
 
 } // namespace cactuscove
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -52,9 +52,47 @@
     return role == Role::Entry ? "entry" : "agent";
 }
 
+// Values of the flags that are checked once the settings file is known.
+struct FeatureWords
+{
+    std::string scarcity;
+    std::string workerRecords;
+    int operatorCopies = 0;
+};
+
+// Default of a flag: the environment variable, else `byDefault`.
+std::string defaultOf(const char *variable, const char *byDefault)
+{
+    const char *value = std::getenv(variable);
+    return value ? value : byDefault;
+}
+
+// Sets the features, and adds a line for each flag with an unknown value to `errors`.
+FeatureFlags featuresOf(const FeatureWords &words, const platform::PlatformSettings &settings,
+                        std::vector<std::string> &errors)
+{
+    FeatureFlags features;
+    features.hasScarcityControl
+        = words.scarcity == "on"
+          || (words.scarcity == "auto" && settings.toleratedDataCentreLosses > 0);
+    if (words.scarcity != "on" && words.scarcity != "off" && words.scarcity != "auto")
+        errors.push_back("--scarcity=" + words.scarcity + ": not off, on or auto");
+    features.hasWorkerRecords = words.workerRecords == "on";
+    if (words.workerRecords != "on" && words.workerRecords != "off")
+        errors.push_back("--worker-records=" + words.workerRecords + ": not off or on");
+    features.operatorCopies = words.operatorCopies;
+    if (words.operatorCopies < 0
+        || words.operatorCopies > static_cast<int>(settings.storePartitions))
+        errors.push_back("--operator-copies=" + std::to_string(words.operatorCopies) + ": not 0 to "
+                         + std::to_string(settings.storePartitions)
+                         + ", the number of partitions of a topic");
+    return features;
+}
+
 // Parses the flags only: the file and the addresses that they name are not checked.
 std::variant<LoadedSettings, ExitStatus> parseFlags(Role role, const std::string &program,
-                                                    std::span<const std::string> arguments)
+                                                    std::span<const std::string> arguments,
+                                                    FeatureWords &words)
 {
     const char *variable = std::getenv(platform::SettingsPathVariable);
     LoadedSettings loaded;
@@ -66,11 +104,25 @@
         add("link-listen", po::value(&loaded.linkListen),
             "ip:port to listen on for other instances, if it differs from the address by which "
             "they reach this one, for example behind a port forwarding");
+    add("scarcity",
+        po::value(&words.scarcity)->default_value(defaultOf("CACTUSCOVE_SCARCITY", "off")),
+        "control of scarce capacity: off, on, or auto (on if the settings say that the loss of a "
+        "data centre must be carried)");
+    if (role == Role::Entry)
+        add("operator-copies",
+            po::value(&words.operatorCopies)
+                ->default_value(std::atoi(defaultOf("CACTUSCOVE_OPERATOR_COPIES", "0").c_str())),
+            "partitions of the store that hold a copy of the operators' records; 0: none");
+    else
+        add("worker-records",
+            po::value(&words.workerRecords)
+                ->default_value(defaultOf("CACTUSCOVE_WORKER_RECORDS", "off")),
+            "keep the description of the worker in the store: off or on");
     add("help", "print this text");
     po::variables_map values;
     try {
-        const std::vector<std::string> words(arguments.begin(), arguments.end());
-        po::store(po::command_line_parser(words).options(options).positional({}).run(), values);
+        const std::vector<std::string> given(arguments.begin(), arguments.end());
+        po::store(po::command_line_parser(given).options(options).positional({}).run(), values);
         po::notify(values);
     } catch (const po::error &error) {
         std::fprintf(stderr, "%s: %s\n", program.c_str(), error.what());
@@ -83,7 +135,8 @@
 }
 
 // Checks the flags and reads the settings file into `loaded`. Returns all mistakes; empty: none.
-std::vector<std::string> checkAndReadSettings(Role role, LoadedSettings &loaded)
+std::vector<std::string> checkAndReadSettings(Role role, const FeatureWords &words,
+                                              LoadedSettings &loaded)
 {
     std::vector<std::string> errors;
     if (!loaded.linkListen.empty() && !isAddress(loaded.linkListen))
@@ -101,6 +154,7 @@
     loaded.settings = std::move(valueOf(settings));
     if (loaded.linkListen.empty())
         loaded.linkListen = loaded.settings.linkAddress;
+    loaded.features = featuresOf(words, loaded.settings, errors);
     return errors;
 }
 
@@ -115,11 +169,13 @@
 loadPlatformSettings(Role role, std::span<const std::string> arguments)
 {
     const std::string program = "cactuscove dispatch-" + std::string(nameOf(role));
-    auto flags = parseFlags(role, program, arguments);
+    FeatureWords words;
+    words.workerRecords = "off"; // not a flag of entries
+    auto flags = parseFlags(role, program, arguments, words);
     if (!isOk(flags))
         return flags;
     LoadedSettings &loaded = valueOf(flags);
-    const std::vector<std::string> errors = checkAndReadSettings(role, loaded);
+    const std::vector<std::string> errors = checkAndReadSettings(role, words, loaded);
     for (const std::string &it : errors)
         std::fprintf(stderr, "%s: %s\n", program.c_str(), it.c_str());
     if (!errors.empty())
--- a/src/dispatchprocess.h
+++ b/src/dispatchprocess.h
@@ -7,6 +7,7 @@
 #include "entryselection.h"
 #include "eventlog.h"
 #include "eventloop.h"
+#include "featureflags.h"
 #include "framedlink.h"
 #include "httpclient.h"
 #include "httpserver.h"
@@ -116,6 +117,7 @@
     // "ip:port" on which an entry listens for connections of agents and other entries. Differs from
     // settings.linkAddress behind a port forwarding; not used by an agent.
     std::string linkListen;
+    FeatureFlags features;
 };
 
 using ExitStatus = StrongId<struct ExitStatusTag, int>;
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -76,6 +76,7 @@
     // Every run of an agent's tasks has ended this long after the agent's last message. The
     // dispatcher counts from the end of the connection, which is later than that message.
     Duration lostAgentTimeout = std::chrono::milliseconds(1800);
+    bool hasScarcityControl = false; // see FeatureFlags
 };
 
 // The best-effort jobs of one entry process, which calls it from its event loop.
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -158,6 +158,7 @@
     // A worker carries out a start within this time or refuses it. Longer than the repeats of an
     // unanswered start take, and shorter than the pause after which a caller repeats a lost job.
     Duration startWindow = std::chrono::milliseconds(250);
+    bool hasScarcityControl = false; // see FeatureFlags
 };
 
 // The best-effort tasks of one agent process, which calls it from its event loop.
--- a/tests/dispatchcodec_test.cpp
+++ b/tests/dispatchcodec_test.cpp
@@ -32,12 +32,13 @@
     load.queued = {{0, {3100, 64, 0}}, {2, {1, 2, 3}}};
     load.coreReleaseRate = 0.5;
     load.isUsable = true;
+    load.releases = {{40ms, {3100, 64, 0}}};
     TaskInventory inventory;
     inventory.started = {{{"a", 1}, 2}};
     inventory.ended = {{{"b", 0}, 1, TaskEnd::Failed, 5ms}};
     inventory.orphanFreeWorkers = {"w1"};
-    return {PeerHello{"name", Incarnation{9}, Role::Entry, "dc", "1.2.3.4:5"},
-            PeerHeartbeat{TimePoint(2h), 3},
+    return {PeerHello{"name", Incarnation{9}, Role::Entry, "dc", "1.2.3.4:5", 2},
+            PeerHeartbeat{TimePoint(2h), 3, {{"bookings", 1, 0.4}}},
             KnownEntries{{"1.2.3.4:5"}},
             assign,
             WithdrawTask{{"5c0e", 3}, 2},
@@ -46,7 +47,11 @@
             TaskLate{{"a", 1}, 2, 40ms},
             StartRefused{{"a", 1}, 2, StartRefusal::Duplicate},
             inventory,
-            EntriesStarted{{{"1.2.3.4:5", Incarnation{17}}}}};
+            EntriesStarted{{{"1.2.3.4:5", Incarnation{17}}}},
+            OperatorOffer{7, LogOffset{12}},
+            OperatorRequest{6},
+            OperatorState{{7, "{}", {{"north", true, LogOffset{11}}}, LogOffset{12}}},
+            EvacuationUpdate{{{"north", false, LogOffset{13}}}, LogOffset{14}}};
 }
 
 } // namespace
@@ -67,6 +72,19 @@
     EXPECT_EQ(std::get<WorkerLoad>(valueOf(decoded)[5]).free.cpuMillis, -5);
 }
 
+// Guards against refusing the messages of an older process, which lack the fields that were added
+// later.
+TEST(DispatchCodec, MissingOptionalFieldsKeepTheirDefaults)
+{
+    // [[1 (PeerHeartbeat), 5, 3]]
+    const std::string body("\x91\x93\x01\x05\x03", 5);
+    const auto decoded = decodeFrame(std::string("\0\0\0\x05", 4) + body);
+    ASSERT_TRUE(isOk(decoded)) << errorOf(decoded).reason;
+    const auto &heartbeat = std::get<PeerHeartbeat>(valueOf(decoded)[0]);
+    EXPECT_EQ(heartbeat.connectedEntries, 3u);
+    EXPECT_TRUE(heartbeat.demand.empty());
+}
+
 // Guards against refusing the messages of a newer process, which may have additional fields at the
 // end.
 TEST(DispatchCodec, FieldsAfterTheKnownOnesAreIgnored)
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -219,6 +219,7 @@
         it.frozenUntil = now;
         DispatcherSettings settings;
         settings.seed = options.seed * 100 + i;
+        settings.hasScarcityControl = options.hasScarcityControl;
         settings.lostAgentTimeout = options.lostAgentTimeout.value_or(settings.lostAgentTimeout);
         it.dispatcher = std::make_unique<JobDispatcher>(settings, now);
         DispatcherOutbox out;
@@ -267,7 +268,9 @@
         Agent &it = agents[i];
         it.isUp = true;
         it.frozenUntil = now;
-        it.runner = std::make_unique<TaskRunner>(options.runner, now);
+        TaskRunnerSettings settings = options.runner;
+        settings.hasScarcityControl = options.hasScarcityControl;
+        it.runner = std::make_unique<TaskRunner>(settings, now);
         it.selection
             = std::make_unique<EntrySelection>("agent" + std::to_string(i), options.linksPerAgent);
         for (std::size_t e = 0; e < entries.size(); ++e)
@@ -519,6 +522,7 @@
         info.id = it.id();
         info.upstream = "upstream";
         info.address = "worker";
+        info.dataCentre = "dc" + std::to_string(i % static_cast<std::size_t>(options.dataCentres));
         info.capacity = it.capacity;
         info.startedAtUnixMs = static_cast<std::int64_t>(toMs(it.startedAt.time_since_epoch()));
         info.sequence = ++it.sequence;
@@ -865,6 +869,24 @@
         post(at, [this, number] { sendJob(number); });
     }
 
+    std::size_t pickEntry(const std::vector<std::size_t> &up)
+    {
+        if (options.entryDemand.empty())
+            return up[static_cast<std::size_t>(uniform() * static_cast<double>(up.size()))];
+        const auto demandOf
+            = [this](std::size_t e) { return options.entryDemand[e % options.entryDemand.size()]; };
+        double total = 0;
+        for (const std::size_t e : up)
+            total += demandOf(e);
+        double pick = uniform() * total;
+        for (const std::size_t e : up) {
+            pick -= demandOf(e);
+            if (pick < 0)
+                return e;
+        }
+        return up.back();
+    }
+
     void sendJob(std::size_t number)
     {
         std::vector<std::size_t> up;
@@ -877,8 +899,7 @@
             return;
         if (up.empty())
             return post(now + ResubmitPause, [this, number] { sendJob(number); });
-        const std::size_t e
-            = up[static_cast<std::size_t>(uniform() * static_cast<double>(up.size()))];
+        const std::size_t e = pickEntry(up);
         const std::uint64_t caller = ++callerNumber;
         trace("caller" + std::to_string(caller),
               {Severity::Info, "job_sent", {{"job", job.spec.id}, {"entry", std::to_string(e)}}});
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -38,8 +38,12 @@
 {
     int entries = 3;
     int workers = 11;
-    std::size_t linksPerAgent = 8;        // entries that each agent keeps connections to
-    double usedEntryShare = 1;            // share of the entries that callers connect to
+    std::size_t linksPerAgent = 8; // entries that each agent keeps connections to
+    double usedEntryShare = 1;     // share of the entries that callers connect to
+    // Callers of entry i in proportion to element i modulo the size; empty: all the same.
+    std::vector<double> entryDemand;
+    bool hasScarcityControl = false;      // of entries and agents, see FeatureFlags
+    int dataCentres = 1;                  // worker i is in the data centre "dc" + (i modulo this)
     std::int64_t workerCpuMillis = 32000; // capacity of a worker, in thousandths of a core
     double largeShare = 0;                // above 0, every third worker has 1.5 times the capacity
     double fastWorkerSpeed = 1;           // speed of every third worker; the others have 1
