--- a/src/agenthandover.cpp
+++ b/src/agenthandover.cpp
@@ -1,6 +1,6 @@
-// Shutdown of an agent: hands its records of started tasks and jobs to another agent, its heir.
-// Also keeps the records of the processes whose heir this agent is, and answers the Raise messages
-// of new homes from its own records and from these.
+// Shutdown of an agent: hands its records of started tasks and jobs to another agent, its
+// successor. Also keeps the records of the processes whose successor this agent is, and answers the
+// StartEpoch messages of new homes from its own records and from these.
 
 #include "agentnodeimpl.h"
 
@@ -13,7 +13,7 @@
 
 namespace {
 
-// An heir that acknowledges no part for this time is replaced by another one.
+// A successor that acknowledges no part for this time is replaced by another one.
 constexpr Duration AdoptAckTimeout = 2s;
 constexpr Duration PartResendInterval = 500ms;
 // Limits for one part, so that a large envelope does not delay the following ones for long.
@@ -21,18 +21,18 @@
 constexpr std::size_t MaxPartBytes = 256U << 10U; // of result bodies
 constexpr std::size_t MaxPartsInFlight = 8;
 // Time for handing over shards and records after the last task and job have ended. When the whole
-// fleet shuts down at once, no process takes them, and this one leaves without an heir.
+// fleet shuts down at once, no process takes them, and this one leaves without a successor.
 constexpr Duration HandoverTimeout = 10s;
 
 } // namespace
 
-// Answers for itself and for every process whose heir it is, because a new home must learn of every
-// started task (rule R4).
-void AgentNode::Impl::answerRaise(Incarnation from, const Raise &raise, TimePoint now,
-                                  Outbox &out) const
+// Answers for itself and for every process whose successor it is, because a new home must learn of
+// every started task (rule R4).
+void AgentNode::Impl::answerStartEpoch(Incarnation from, const StartEpoch &message, TimePoint now,
+                                       Outbox &out) const
 {
-    Witness own{m_self, raise.claims, {}};
-    for (const ShardClaim &claim : raise.claims) {
+    Witness own{m_self, message.claims, {}};
+    for (const ShardClaim &claim : message.claims) {
         for (auto &&jobs : {m_executor.witnessed(claim.shard, claim.epoch),
                             m_jobs.witnessedJobs(claim.shard, claim.epoch, now)})
             own.jobs.insert(own.jobs.end(), jobs.begin(), jobs.end());
@@ -41,14 +41,14 @@
     for (const auto &[subject, adopted] : m_adopted) {
         if (!answersFor(subject))
             continue;
-        Witness witness{subject, raise.claims, {}};
+        Witness witness{subject, message.claims, {}};
         for (const auto &[part, jobs] : adopted.parts) {
             for (const AdoptedJob &it : jobs) {
                 const ShardId shard = shardOf(it.job.key);
                 const auto isAsked = [&](const ShardClaim &claim) {
                     return claim.shard == shard && it.epoch < claim.epoch;
                 };
-                if (std::ranges::any_of(raise.claims, isAsked))
+                if (std::ranges::any_of(message.claims, isAsked))
                     witness.jobs.push_back(it.job);
             }
         }
@@ -56,15 +56,16 @@
     }
 }
 
-// True if the chain of heirs in the ledger leads from `subject` to this process. The records here
-// are complete only then, because a process leaves after its heir has acknowledged every part.
+// True if the chain of successors in the ledger leads from `subject` to this process. The records
+// here are complete only then, because a process leaves after its successor has acknowledged every
+// part.
 bool AgentNode::Impl::answersFor(Incarnation subject) const
 {
     for (std::size_t steps = 0; steps <= m_ledger.members().size(); ++steps) {
         const MemberState *state = m_ledger.member(subject);
         if (state == nullptr || !state->hasLeft)
             return subject == m_self;
-        subject = state->heir;
+        subject = state->successor;
     }
     return false;
 }
@@ -73,7 +74,7 @@
                                      Outbox &out)
 {
     if (m_stage != Stage::Serving || !isActive())
-        return; // the sender chooses another heir
+        return; // the sender chooses another successor
     AdoptedRecords &adopted = m_adopted[message.subject];
     adopted.parts[message.part] = message.jobs;
     adopted.receivedAt = now;
@@ -84,9 +85,9 @@
 {
     const auto isSame
         = [&](const AdoptWitness &it) { return it.subject == ack.subject && it.part == ack.part; };
-    if (from != m_heir || std::erase_if(m_unacknowledgedParts, isSame) == 0)
+    if (from != m_successor || std::erase_if(m_unacknowledgedParts, isSame) == 0)
         return;
-    m_heirDeadline = now + AdoptAckTimeout;
+    m_successorDeadline = now + AdoptAckTimeout;
     if (m_unacknowledgedParts.size() % MaxPartsInFlight == 0)
         sendParts(now, out);
 }
@@ -104,35 +105,37 @@
         startHandover(now, out);
     } else if (m_stage == Stage::HandingOver && (m_unacknowledgedParts.empty() || isTimedOut)) {
         if (!m_unacknowledgedParts.empty())
-            m_heir = {};
+            m_successor = {};
         m_stage = Stage::Leaving;
-        m_heirDeadline = NeverTime;
+        m_successorDeadline = NeverTime;
         m_nextPartsSend = NeverTime;
-        out.add(
-            Append{Record{"leave-" + std::to_string(m_self.value), LeaveRecord{m_self, m_heir}}});
-    } else if (m_stage == Stage::HandingOver && m_heirDeadline <= now) {
-        m_unresponsiveHeirs.insert(m_heir);
+        out.add(Append{
+            Record{"leave-" + std::to_string(m_self.value), LeaveRecord{m_self, m_successor}}});
+    } else if (m_stage == Stage::HandingOver && m_successorDeadline <= now) {
+        m_unresponsiveSuccessors.insert(m_successor);
         startHandover(now, out);
     } else if (m_stage == Stage::HandingOver && m_nextPartsSend <= now) {
         sendParts(now, out);
     }
 }
 
-// Chooses an heir and starts to send it all records; without another agent there is no heir.
+// Chooses a successor and starts to send it all records; without another agent there is no
+// successor.
 void AgentNode::Impl::startHandover(TimePoint now, Outbox &out)
 {
-    m_heir = {};
+    m_successor = {};
     m_unacknowledgedParts.clear();
-    m_heirDeadline = now + AdoptAckTimeout;
+    m_successorDeadline = now + AdoptAckTimeout;
     std::vector<Incarnation> candidates = m_ledger.upMembers(Role::Agent);
     std::erase(candidates, m_self);
     if (candidates.empty())
         return; // the last agent of the fleet: no new home is left that could ask for its records
-    const auto isUnresponsive = [&](Incarnation it) { return m_unresponsiveHeirs.contains(it); };
+    const auto isUnresponsive
+        = [&](Incarnation it) { return m_unresponsiveSuccessors.contains(it); };
     if (std::ranges::all_of(candidates, isUnresponsive))
-        m_unresponsiveHeirs.clear();
+        m_unresponsiveSuccessors.clear();
     std::erase_if(candidates, isUnresponsive);
-    m_heir = candidates[(m_settings.seed + m_self.value) % candidates.size()];
+    m_successor = candidates[(m_settings.seed + m_self.value) % candidates.size()];
     std::vector<AdoptedJob> own = m_executor.rememberedStarts(now);
     std::ranges::move(m_jobs.rememberedJobs(now), std::back_inserter(own));
     addParts(m_self, std::move(own));
@@ -171,7 +174,7 @@
 {
     const std::size_t n = std::min(MaxPartsInFlight, m_unacknowledgedParts.size());
     for (std::size_t i = 0; i < n; ++i)
-        out.send(m_heir, m_unacknowledgedParts[i]);
+        out.send(m_successor, m_unacknowledgedParts[i]);
     m_nextPartsSend = now + PartResendInterval;
 }
 
@@ -186,7 +189,7 @@
         for (auto &[part, jobs] : adopted.parts)
             std::erase_if(jobs, isOld);
     }
-    // Also removes the parts of a process that chose another heir afterwards.
+    // Also removes the parts of a process that chose another successor afterwards.
     std::erase_if(m_adopted, [&](const auto &it) {
         return it.second.receivedAt + memory <= now && !answersFor(it.first);
     });
--- a/src/agentnode.cpp
+++ b/src/agentnode.cpp
@@ -100,7 +100,7 @@
 TimePoint AgentNode::Impl::nextTimer() const
 {
     return std::min({m_executor.nextTimer(), m_upstreams.nextTimer(), m_shards.nextTimer(),
-                     m_jobs.nextTimer(), m_heirDeadline, m_nextPartsSend,
+                     m_jobs.nextTimer(), m_successorDeadline, m_nextPartsSend,
                      m_stage == Stage::Draining || m_stage == Stage::HandingOver
                          ? m_handoverDeadline
                          : NeverTime});
@@ -127,10 +127,10 @@
         onFeed(from, *feed, now, out);
     } else if (std::holds_alternative<Probe>(message)) {
         out.send(from, ProbeAck{});
-    } else if (const auto *raise = std::get_if<Raise>(&message)) {
+    } else if (const auto *start = std::get_if<StartEpoch>(&message)) {
         m_executor.onMessage(from, message, now, out);
         m_jobs.onMessage(from, message, now, out);
-        answerRaise(from, *raise, now, out);
+        answerStartEpoch(from, *start, now, out);
     } else if (const auto *adopt = std::get_if<AdoptWitness>(&message)) {
         onAdoptWitness(from, *adopt, now, out);
     } else if (const auto *ack = std::get_if<AdoptAck>(&message)) {
--- a/src/agentnodeimpl.h
+++ b/src/agentnodeimpl.h
@@ -58,7 +58,7 @@
     enum class Stage {
         Serving,
         Draining,    // finishes running tasks and transfers its shards
-        HandingOver, // hands its records to the heir
+        HandingOver, // hands its records to the successor
         Leaving,     // waits until the ledger shows its LeaveRecord
         Left
     };
@@ -76,7 +76,8 @@
     bool applySnapshot(const SnapshotRecord &snapshot, LedgerChanges &changes);
     void onLedgerChange(const LedgerChanges &changes, TimePoint now, Outbox &out);
     void importReceivedShards(TimePoint now);
-    void answerRaise(Incarnation from, const Raise &raise, TimePoint now, Outbox &out) const;
+    void answerStartEpoch(Incarnation from, const StartEpoch &message, TimePoint now,
+                          Outbox &out) const;
     void onAdoptAck(Incarnation from, const AdoptAck &ack, TimePoint now, Outbox &out);
     void onAdoptWitness(Incarnation from, const AdoptWitness &message, TimePoint now, Outbox &out);
     void appendRegistration(Outbox &out);
@@ -107,12 +108,13 @@
     std::uint32_t m_registrationCount = 0;
 
     Stage m_stage = Stage::Serving;
-    Incarnation m_heir;                             // 0 if there is none
-    std::set<Incarnation> m_unresponsiveHeirs;      // did not acknowledge in time
-    std::deque<AdoptWitness> m_unacknowledgedParts; // parts that the heir has not acknowledged yet
-    std::uint32_t m_lastPart = 0;          // part numbers are not reused, not even for another heir
-    TimePoint m_heirDeadline = NeverTime;  // when another heir is chosen
-    TimePoint m_nextPartsSend = NeverTime; // when unacknowledged parts are sent again
+    Incarnation m_successor;                        // 0 if there is none
+    std::set<Incarnation> m_unresponsiveSuccessors; // did not acknowledge in time
+    std::deque<AdoptWitness>
+        m_unacknowledgedParts;    // parts that the successor has not acknowledged yet
+    std::uint32_t m_lastPart = 0; // part numbers are not reused, not even for another successor
+    TimePoint m_successorDeadline = NeverTime; // when another successor is chosen
+    TimePoint m_nextPartsSend = NeverTime;     // when unacknowledged parts are sent again
     // When the handover ends even if it is not complete. Set when the last task and job have ended.
     TimePoint m_handoverDeadline = NeverTime;
 };
--- a/src/entrynode.cpp
+++ b/src/entrynode.cpp
@@ -56,7 +56,7 @@
     enum class Stage {
         Serving,
         Draining,    // answers the waiting callers
-        HandingOver, // hands the remembered job keys to the heir
+        HandingOver, // hands the remembered job keys to the successor
         Leaving,     // waits until the ledger shows its LeaveRecord
         Left
     };
@@ -106,7 +106,7 @@
         return;
     }
     // Keys that arrive while this entry hands over its own could be left out of that handover.
-    // Without an acknowledgement the sender chooses another heir.
+    // Without an acknowledgement the sender chooses another successor.
     if (std::holds_alternative<AdoptWitness>(message) && (!isServing() || !isActive()))
         return;
     // Each of the two ignores the messages that it does not handle.
@@ -238,7 +238,7 @@
     if (m_stage == Stage::HandingOver && m_handover.isComplete()) {
         m_stage = Stage::Leaving;
         out.add(Append{Record{"leave-" + std::to_string(m_self.value),
-                              LeaveRecord{m_self, m_handover.heir()}}});
+                              LeaveRecord{m_self, m_handover.successor()}}});
     }
     const MemberState *self = m_ledger.member(m_self);
     if (m_stage == Stage::Leaving && (!self || self->hasLeft))
--- a/src/jobhome.cpp
+++ b/src/jobhome.cpp
@@ -51,10 +51,10 @@
         onCancel(from, *cancel, now, out);
     } else if (const auto *query = std::get_if<QueryJob>(&message)) {
         onQuery(from, *query, now, out);
-    } else if (const auto *raise = std::get_if<Raise>(&message)) {
-        for (const ShardClaim &claim : raise->claims) {
-            Epoch &raised = m_raisedEpochs[claim.shard.value];
-            raised = std::max(raised, claim.epoch);
+    } else if (const auto *start = std::get_if<StartEpoch>(&message)) {
+        for (const ShardClaim &claim : start->claims) {
+            Epoch &fence = m_fenceEpochs[claim.shard.value];
+            fence = std::max(fence, claim.epoch);
         }
     } else {
         onTaskMessage(from, message, now, out);
@@ -179,7 +179,7 @@
 bool JobHome::isHome(ShardId shard, Epoch epoch) const
 {
     const Epoch own = m_deps.shards.epoch(shard);
-    return own.value != 0 && own == epoch && m_raisedEpochs[shard.value] <= own;
+    return own.value != 0 && own == epoch && m_fenceEpochs[shard.value] <= own;
 }
 
 JobHome::Job *JobHome::find(const JobKey &key)
@@ -191,7 +191,7 @@
 void JobHome::refuse(Incarnation to, const JobKey &key, SubmitRefusal reason, Outbox &out) const
 {
     const ShardId shard = shardOf(key);
-    const Epoch epoch = std::max(m_deps.ledger.shard(shard).epoch, m_raisedEpochs[shard.value]);
+    const Epoch epoch = std::max(m_deps.ledger.shard(shard).epoch, m_fenceEpochs[shard.value]);
     out.send(to, SubmitRefused{key, reason, epoch});
 }
 
--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -48,7 +48,8 @@
     ~JobHome() override;
 
     // Commands
-    // Handles SubmitJob, CancelJob, QueryJob, Raise and the messages of executors; ignores others.
+    // Handles SubmitJob, CancelJob, QueryJob, StartEpoch and the messages of executors; ignores
+    // others.
     void onMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out);
     // A message of this home was provably not delivered to `to`.
     void onUndelivered(Incarnation to, const Message &message, TimePoint now, Outbox &out);
@@ -72,7 +73,7 @@
     std::vector<TransferredJob> answeredJobs(ShardId shard, TimePoint now) const override;
     // The jobs of a shard that this home accepted at epochs below `below`, for a Witness message.
     std::vector<WitnessedJob> witnessedJobs(ShardId shard, Epoch below, TimePoint now) const;
-    // Every job that this home knows, for the heir of a process that leaves.
+    // Every job that this home knows, for the successor of a process that leaves.
     std::vector<AdoptedJob> rememberedJobs(TimePoint now) const;
 
 private:
@@ -300,10 +301,10 @@
     TimePoint m_pauseEffectEnd{};
     TimePoint m_nextHousekeeping{};
     TimePoint m_nextPlacement = NeverTime; // when a quota lets the next queued task start
-    // Highest epoch of each shard named in a Raise of another home or in the refusal of an
+    // Highest epoch of each shard named in a StartEpoch of another home or in the refusal of an
     // executor. This home must not accept a job at a lower epoch, because the new home takes its
-    // answer to the Raise for everything that this home knows.
-    std::array<Epoch, ShardCount> m_raisedEpochs{};
+    // answer to the StartEpoch for everything that this home knows.
+    std::array<Epoch, ShardCount> m_fenceEpochs{};
 };
 
 } // namespace cactuscove
--- a/src/jobhomeplacement.cpp
+++ b/src/jobhomeplacement.cpp
@@ -175,7 +175,7 @@
     Job &job = *handle.job;
     Task &task = job.tasks[handle.index];
     if (job.state != JobState::Running || unreservedAttempt(task) != nullptr
-        || m_raisedEpochs[shardOf(job.spec.key).value] > job.epoch)
+        || m_fenceEpochs[shardOf(job.spec.key).value] > job.epoch)
         return false;
     const std::string &upstream = job.spec.upstream;
     const TaskResources &needs = job.spec.tasks[handle.index].needs;
--- a/src/jobhometasks.cpp
+++ b/src/jobhometasks.cpp
@@ -103,8 +103,8 @@
     if (message.reason == TaskRefusal::StaleEpoch) {
         // Another home has claimed the shard. The ledger will show the claim; until then every
         // executor that knows of it refuses this home's epoch.
-        Epoch &raised = m_raisedEpochs[shardOf(job.spec.key).value];
-        raised = std::max(raised, message.fence);
+        Epoch &fence = m_fenceEpochs[shardOf(job.spec.key).value];
+        fence = std::max(fence, message.fence);
         return onAttemptNotStarted(handle, LongestRequeuePause, now, out);
     }
     if (message.reason == TaskRefusal::DeadlinePassed)
--- a/src/jobrouter.cpp
+++ b/src/jobrouter.cpp
@@ -174,9 +174,9 @@
 {
     if (!m_ledger.member(m_self))
         return {};
-    const RaisedFence &raised = m_raised[shard.value];
+    const EpochFence &fence = m_fences[shard.value];
     const ShardState &state = m_ledger.shard(shard);
-    const Incarnation home = raised.epoch > state.epoch ? raised.home : state.home;
+    const Incarnation home = fence.epoch > state.epoch ? fence.home : state.home;
     const MemberState *member = m_ledger.member(home);
     return !member || member->isUp() ? home : Incarnation{};
 }
@@ -191,8 +191,8 @@
         onRefused(from, *refused, now, out);
     else if (const auto *missing = std::get_if<JobNotFound>(&message))
         onNotFound(from, *missing, now, out);
-    else if (const auto *raise = std::get_if<Raise>(&message))
-        onRaise(from, *raise, now, out);
+    else if (const auto *start = std::get_if<StartEpoch>(&message))
+        onStartEpoch(from, *start, now, out);
     else if (const auto *adopt = std::get_if<AdoptWitness>(&message))
         onAdopt(from, *adopt, now, out);
 }
--- a/src/jobrouter.h
+++ b/src/jobrouter.h
@@ -42,7 +42,7 @@
     void cancel(CallerId caller, const JobKey &key, TimePoint waitUntil, TimePoint now,
                 Outbox &out);
     void callerDisconnected(CallerId caller); // the caller's connection is closed; its job goes on
-    // Handles the replies of homes, Raise and AdoptWitness; ignores other messages.
+    // Handles the replies of homes, StartEpoch and AdoptWitness; ignores other messages.
     void onMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out);
     // A message of this router was provably not delivered. At most one call for each message sent.
     void onUndelivered(Incarnation to, const Message &message, TimePoint now, Outbox &out);
@@ -54,9 +54,9 @@
     bool isIdle() const { return m_jobs.empty(); } // no caller waits, nor a job to be accepted
     std::size_t rememberedKeyCount() const { return m_memory.size(); }
     std::size_t memoryBytes() const { return m_memory.bytes(); } // of the remembered keys
-    // The remembered keys of a shard, for the heir of an entry that leaves.
+    // The remembered keys of a shard, for the successor of an entry that leaves.
     std::vector<AdoptedJob> rememberedJobs(ShardId shard, TimePoint now) const;
-    // The highest epoch known from the ledger or from a Raise. Every forward carries it.
+    // The highest epoch known from the ledger or from a StartEpoch. Every forward carries it.
     Epoch fence(ShardId shard) const;
 
 private:
@@ -102,9 +102,9 @@
         std::vector<Waiter> waiters;
     };
 
-    // The highest epoch of a shard named in a Raise, and the sender, which is the home of that
+    // The highest epoch of a shard named in a StartEpoch, and the sender, which is the home of that
     // epoch.
-    struct RaisedFence
+    struct EpochFence
     {
         Epoch epoch;
         Incarnation home;
@@ -117,16 +117,16 @@
     void forward(const JobKey &key, PendingJob &job, TimePoint now, Outbox &out);
     void remember(PendingJob &job, TimePoint now);
     Incarnation homeOf(ShardId shard) const;
-    bool isHeirOf(Incarnation subject) const;
+    bool isSuccessorOf(Incarnation subject) const;
     static TimePoint giveUpAt(const PendingJob &job);
     PendingJob *pendingJobAt(const JobKey &key, Incarnation home, Epoch epoch);
     void onAccepted(Incarnation from, const JobAccepted &message, TimePoint now, Outbox &out);
     void onAnswer(Incarnation from, const JobAnswer &message, TimePoint now, Outbox &out);
     void onRefused(Incarnation from, const SubmitRefused &message, TimePoint now, Outbox &out);
     void onNotFound(Incarnation from, const JobNotFound &message, TimePoint now, Outbox &out);
-    void onRaise(Incarnation from, const Raise &message, TimePoint now, Outbox &out);
+    void onStartEpoch(Incarnation from, const StartEpoch &message, TimePoint now, Outbox &out);
     void onAdopt(Incarnation from, const AdoptWitness &message, TimePoint now, Outbox &out);
-    void sendWitness(Incarnation to, Incarnation subject, const Raise &message, TimePoint now,
+    void sendWitness(Incarnation to, Incarnation subject, const StartEpoch &message, TimePoint now,
                      Outbox &out) const;
     void acceptDueWaiters(const JobKey &key, PendingJob &job, TimePoint now, Outbox &out);
     void answerAll(const JobKey &key, PendingJob &job, const Answer &answer, TimePoint now,
@@ -142,7 +142,7 @@
     Incarnation m_self;
     const Ledger &m_ledger;
     EntryMemory m_memory; // the keys that were forwarded or adopted
-    std::array<RaisedFence, ShardCount> m_raised{};
+    std::array<EpochFence, ShardCount> m_fences{};
     Jobs m_jobs;
     std::unordered_map<CallerId, JobKey> m_callers; // every waiter of every pending job
     // timerAt, serial and key of every pending job.
--- a/src/jobrouterwitness.cpp
+++ b/src/jobrouterwitness.cpp
@@ -1,5 +1,5 @@
 // The entry as a witness: the keys that it has forwarded, the highest epoch of each shard, below
-// which it forwards nothing (rule R2), and the keys of entries that it is the heir of.
+// which it forwards nothing (rule R2), and the keys of entries that it is the successor of.
 
 #include "jobrouter.h"
 
@@ -28,7 +28,7 @@
 
 Epoch JobRouter::fence(ShardId shard) const
 {
-    return std::max(m_ledger.shard(shard).epoch, m_raised[shard.value].epoch);
+    return std::max(m_ledger.shard(shard).epoch, m_fences[shard.value].epoch);
 }
 
 // An entry remembers the key of a job before it forwards the job (rule R3), so this is called
@@ -67,43 +67,44 @@
     m_memory.setLowestEpoch(job.hash, job.forwards.front().epoch);
 }
 
-void JobRouter::onRaise(Incarnation from, const Raise &message, TimePoint now, Outbox &out)
+void JobRouter::onStartEpoch(Incarnation from, const StartEpoch &message, TimePoint now,
+                             Outbox &out)
 {
     std::vector<ShardId> shards;
     for (const ShardClaim &claim : message.claims) {
         shards.push_back(claim.shard);
-        RaisedFence &raised = m_raised[claim.shard.value];
-        if (claim.epoch > raised.epoch)
-            raised = {claim.epoch, from};
+        EpochFence &fence = m_fences[claim.shard.value];
+        if (claim.epoch > fence.epoch)
+            fence = {claim.epoch, from};
     }
     sendWitness(from, m_self, message, now, out);
     for (const auto &[incarnation, state] : m_ledger.members())
-        if (state.hasLeft && state.member.role == Role::Entry && isHeirOf(incarnation))
+        if (state.hasLeft && state.member.role == Role::Entry && isSuccessorOf(incarnation))
             sendWitness(from, incarnation, message, now, out);
     forwardToNewHomes(shards, false, now, out);
 }
 
-// Whether this entry is `subject` or its heir, directly or through a chain of heirs that have left
-// themselves.
-bool JobRouter::isHeirOf(Incarnation subject) const
+// Whether this entry is `subject` or its successor, directly or through a chain of successors that
+// have left themselves.
+bool JobRouter::isSuccessorOf(Incarnation subject) const
 {
-    // Each step moves to another member, so more steps than members mean a cycle of heirs.
+    // Each step moves to another member, so more steps than members mean a cycle of successors.
     for (std::size_t steps = 0; steps <= m_ledger.members().size(); ++steps) {
         if (subject == m_self)
             return true;
         const MemberState *state = m_ledger.member(subject);
         if (!state || !state->hasLeft)
             return false;
-        subject = state->heir;
+        subject = state->successor;
     }
     return false;
 }
 
 // Sends the keys remembered at lower epochs in the name of one subject, this entry or one that it
-// is the heir of. Adopted keys are stored together with the entry's own, so the reply for each
+// is the successor of. Adopted keys are stored together with the entry's own, so the reply for each
 // subject lists all of them. If only one reply listed them and that one were lost, the home would
 // take the others for complete.
-void JobRouter::sendWitness(Incarnation to, Incarnation subject, const Raise &message,
+void JobRouter::sendWitness(Incarnation to, Incarnation subject, const StartEpoch &message,
                             TimePoint now, Outbox &out) const
 {
     Witness witness{subject, {}, {}};
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -59,8 +59,8 @@
     if (isNew) {
         state.registeredAt = offset;
     } else if (state.hasLeft || state.member.role != body.member.role) {
-        // The heir of a member that has left answers for it, so a late copy of its registration
-        // must not bring it back.
+        // The successor of a member that has left answers for it, so a late copy of its
+        // registration must not bring it back.
         return;
     }
     state.member = body.member;
@@ -97,7 +97,7 @@
     if (it == m_members.end() || it->second.hasLeft)
         return;
     it->second.hasLeft = true;
-    it->second.heir = body.heir;
+    it->second.successor = body.successor;
     it->second.suspectedBy.clear();
     changes.members = true;
     dropVotesOf(body.incarnation);
@@ -239,18 +239,18 @@
     return result;
 }
 
-// Follows the heirs of members that have left. A member that is down answers again only after a new
-// registration; until then nobody can answer for it.
+// Follows the successors of members that have left. A member that is down answers again only after
+// a new registration; until then nobody can answer for it.
 Incarnation Ledger::answererFor(Incarnation subject) const
 {
-    // Each step moves to another member, so more steps than members mean a cycle of heirs.
+    // Each step moves to another member, so more steps than members mean a cycle of successors.
     for (std::size_t steps = 0; steps <= m_members.size(); ++steps) {
         const MemberState *state = member(subject);
         if (!state || (!state->hasLeft && state->isDown))
             return {};
         if (!state->hasLeft)
             return subject;
-        subject = state->heir;
+        subject = state->successor;
     }
     return {};
 }
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -3,8 +3,8 @@
 //
 // A witness of a shard is a member that may know of jobs of the shard. In a witness round a new
 // home asks the witnesses which jobs they know, so that it does not take one of these jobs as new.
-// A member that leaves hands its knowledge of jobs to another process of its role, its heir, which
-// answers in its place.
+// A member that leaves hands its knowledge of jobs to another process of its role, its successor,
+// which answers in its place.
 
 #pragma once
 
@@ -36,9 +36,9 @@
     // Entries that are up and vote for declaring it down. It is down when at least half of the
     // other entries that are up vote so.
     std::set<Incarnation> suspectedBy;
-    bool isDown = false;  // declared down by votes; a new registration ends this
-    bool hasLeft = false; // shut down in good order
-    Incarnation heir;     // answers witness rounds for it once it has left; 0 if none
+    bool isDown = false;   // declared down by votes; a new registration ends this
+    bool hasLeft = false;  // shut down in good order
+    Incarnation successor; // answers witness rounds for it once it has left; 0 if none
 
     bool isUp() const { return !isDown && !hasLeft; }
 };
@@ -80,7 +80,7 @@
 {
     Incarnation subject;
     Role role = Role::Agent; // of the subject
-    Incarnation answeredBy;  // the subject or its heir; 0 if nobody can answer for it
+    Incarnation answeredBy;  // the subject or its successor; 0 if nobody can answer for it
 };
 
 // What a record changed, for the owner of the ledger to react to. Owners also merge the changes of
--- a/src/ledgersnapshot.cpp
+++ b/src/ledgersnapshot.cpp
@@ -20,7 +20,7 @@
     json["registered_at"] = uint(state.registeredAt.value);
     json["down"] = state.isDown;
     json["left"] = state.hasLeft;
-    json["heir"] = uint(state.heir.value);
+    json["heir"] = uint(state.successor.value);
     Json::Value &votes = json["suspected_by"] = Json::Value(Json::arrayValue);
     for (const Incarnation voter : state.suspectedBy)
         votes.append(uint(voter.value));
@@ -37,7 +37,7 @@
     state.registeredAt = LogOffset{number(json, "registered_at")};
     state.isDown = boolean(json, "down");
     state.hasLeft = boolean(json, "left");
-    state.heir = Incarnation{number(json, "heir")};
+    state.successor = Incarnation{number(json, "heir")};
     for (const Json::Value &voter : array(json, "suspected_by"))
         state.suspectedBy.insert(Incarnation{voter.asUInt64()});
     return state;
--- a/src/messagefields.h
+++ b/src/messagefields.h
@@ -42,7 +42,8 @@
     return {name, member, Presence::Optional};
 }
 
-// Names of the message types in JSON, in the order of the alternatives of Message.
+// Names of the message types in JSON, in the order of the alternatives of Message. StartEpoch keeps
+// the name that processes of earlier versions know.
 inline constexpr std::array MessageNames{
     "Feed",           "FeedAck",       "Probe",         "ProbeAck", "SubmitJob",   "JobAccepted",
     "JobAnswer",      "SubmitRefused", "CancelJob",     "QueryJob", "JobNotFound", "StartTask",
@@ -261,9 +262,9 @@
                       required("epoch", &CancelTask::epoch)};
 }
 
-constexpr auto fieldsOf(Tag<Raise>)
+constexpr auto fieldsOf(Tag<StartEpoch>)
 {
-    return std::tuple{required("claims", &Raise::claims)};
+    return std::tuple{required("claims", &StartEpoch::claims)};
 }
 
 constexpr auto fieldsOf(Tag<WitnessedTask>)
--- a/src/messages.h
+++ b/src/messages.h
@@ -226,7 +226,7 @@
 
 // New home -> every registered incarnation: from now on the receiver must refuse requests of lower
 // epochs for these shards. Answered with Witness.
-struct Raise
+struct StartEpoch
 {
     std::vector<ShardClaim> claims; // the shards with the epochs of the new home
 };
@@ -248,13 +248,13 @@
     std::vector<WitnessedTask> tasks; // empty if the witness is an entry
 };
 
-// Answers Raise: all jobs of the claimed shards that `subject` has seen at lower epochs. `subject`
-// is the sender itself, or a process that has left and made the sender its heir by handing over its
-// records.
+// Answers StartEpoch: all jobs of the claimed shards that `subject` has seen at lower epochs.
+// `subject` is the sender itself, or a process that has left and made the sender its successor by
+// handing over its records.
 struct Witness
 {
     Incarnation subject;
-    std::vector<ShardClaim> claims; // those of the Raise that this message answers
+    std::vector<ShardClaim> claims; // those of the StartEpoch that this message answers
     std::vector<WitnessedJob> jobs;
 };
 
@@ -281,7 +281,7 @@
     ShardClaim claim;
 };
 
-// A job that a leaving process has seen. Its heir answers later Raise messages with it.
+// A job that a leaving process has seen. Its successor answers later StartEpoch messages with it.
 struct AdoptedJob
 {
     WitnessedJob job;
@@ -290,8 +290,9 @@
     Duration age{};
 };
 
-// Leaving process -> heir: one part of the jobs that `subject` has seen. `subject` is the sender,
-// or a process whose heir the sender is. The sender leaves only after every part is acknowledged.
+// Leaving process -> successor: one part of the jobs that `subject` has seen. `subject` is the
+// sender, or a process whose successor the sender is. The sender leaves only after every part is
+// acknowledged.
 struct AdoptWitness
 {
     Incarnation subject;
@@ -299,7 +300,7 @@
     std::uint32_t part = 0; // never reused, so that a late AdoptAck cannot match another part
 };
 
-// Heir -> leaving process: the part is stored.
+// Successor -> leaving process: the part is stored.
 struct AdoptAck
 {
     Incarnation subject;
@@ -310,7 +311,7 @@
     = std::variant<Feed, FeedAck, Probe, ProbeAck, SubmitJob, JobAccepted, JobAnswer, SubmitRefused,
                    CancelJob, QueryJob, JobNotFound, StartTask, TaskAccepted, TaskBusy, TaskRefused,
                    TaskDone, TaskDoneAck, CancelTask, TaskNotStarted, SlotOffer, OfferDeclined,
-                   Raise, Witness, TransferShard, TransferAck, AdoptWitness, AdoptAck>;
+                   StartEpoch, Witness, TransferShard, TransferAck, AdoptWitness, AdoptAck>;
 
 // The unit of transmission: all messages that one process sends to another in one turn of its event
 // loop, with the load reports that the sender knows, or, if there are more than MaxLoadsPerEnvelope
--- a/src/recordcodec.cpp
+++ b/src/recordcodec.cpp
@@ -114,7 +114,8 @@
     {
         json["type"] = "leave";
         json["incarnation"] = uint(it.incarnation.value);
-        json["heir"] = uint(it.heir.value);
+        // Keeps the name that processes of earlier versions know.
+        json["heir"] = uint(it.successor.value);
     }
 
     void operator()(const RetireRecord &it) const
--- a/src/records.h
+++ b/src/records.h
@@ -32,12 +32,12 @@
     Incarnation incarnation; // the member that it suspected
 };
 
-// A process has shut down in good order. Before that it handed its knowledge of jobs to its heir, a
-// process of the same role, which answers witness rounds in its place.
+// A process has shut down in good order. Before that it handed its knowledge of jobs to its
+// successor, a process of the same role, which answers witness rounds in its place.
 struct LeaveRecord
 {
     Incarnation incarnation;
-    Incarnation heir; // 0 if no process took the knowledge over
+    Incarnation successor; // 0 if no process took the knowledge over
 };
 
 // Removes a member that is down or has left, once no job that it knew of can still matter.
--- a/src/shardownership.cpp
+++ b/src/shardownership.cpp
@@ -19,10 +19,10 @@
 constexpr Duration ClaimDelay = 1s;
 
 constexpr Duration WitnessRoundTime = 2s;
-constexpr Duration RaiseInterval = 400ms;
+constexpr Duration StartEpochInterval = 400ms;
 // A witness that is missing at the end of the round may come back at any time, so the home goes on
 // asking, at a low rate.
-constexpr Duration LateRaiseInterval = 5s;
+constexpr Duration LateStartEpochInterval = 5s;
 
 constexpr Duration PlanInterval = 1s;
 constexpr std::size_t TransfersPerInterval = 64;
@@ -112,7 +112,7 @@
     }
     if (changes.members || !changes.shards.empty())
         claimShards(now, out);
-    sendRaises(now, out);
+    sendStartEpochs(now, out);
 }
 
 void ShardOwnership::onTimer(TimePoint now, Outbox &out)
@@ -121,7 +121,7 @@
         if (owned.roundEnd <= now)
             updateKnowledge(shard, owned, now);
     }
-    sendRaises(now, out);
+    sendStartEpochs(now, out);
     if (m_nextPlan <= now) {
         m_nextPlan = now + PlanInterval;
         claimShards(now, out);
@@ -150,7 +150,7 @@
 {
     TimePoint next = m_nextPlan;
     for (const auto &[shard, owned] : m_owned) {
-        next = std::min({next, owned.roundEnd, owned.nextRaise});
+        next = std::min({next, owned.roundEnd, owned.nextStartEpoch});
         if (!owned.transfer)
             continue;
         switch (owned.transfer->stage) {
@@ -320,7 +320,7 @@
         return;
     }
     owned.roundEnd = now + WitnessRoundTime;
-    owned.nextRaise = now;
+    owned.nextStartEpoch = now;
     updateKnowledge(shard, owned, now);
 }
 
@@ -338,7 +338,7 @@
 // all agents among the witnesses have answered (rule R5).
 void ShardOwnership::updateKnowledge(ShardId shard, OwnedShard &owned, TimePoint now)
 {
-    if (owned.nextRaise == NeverTime)
+    if (owned.nextStartEpoch == NeverTime)
         return; // there was nothing to ask, or no answer is needed any more
     bool entriesAnswered = true;
     bool agentsAnswered = true;
@@ -359,7 +359,7 @@
     else if (owned.isRoundOver)
         owned.knowledge = ShardKnowledge::Incomplete;
     if (owned.knowledge == ShardKnowledge::Complete && owned.isRoundOver) {
-        owned.nextRaise = NeverTime;
+        owned.nextStartEpoch = NeverTime;
         owned.roundEnd = NeverTime;
     }
 }
@@ -394,16 +394,16 @@
     out.add(Append{Record{appendId, std::move(record)}});
 }
 
-// Asks the witnesses whose answers are missing. One Raise to each process names all of the shards
-// that it has yet to answer for.
-void ShardOwnership::sendRaises(TimePoint now, Outbox &out)
+// Asks the witnesses whose answers are missing. One StartEpoch to each process names all of the
+// shards that it has yet to answer for.
+void ShardOwnership::sendStartEpochs(TimePoint now, Outbox &out)
 {
     std::map<Incarnation, std::vector<ShardClaim>> targets;
     for (auto &[shard, owned] : m_owned) {
-        if (now < owned.nextRaise)
+        if (now < owned.nextStartEpoch)
             continue;
         const bool isLate = owned.roundEnd == NeverTime;
-        owned.nextRaise = now + (isLate ? LateRaiseInterval : RaiseInterval);
+        owned.nextStartEpoch = now + (isLate ? LateStartEpochInterval : StartEpochInterval);
         std::set<Incarnation> asked;
         for (const WitnessAssignment &witness : m_ledger.witnessesOf(shard)) {
             const Incarnation to = witness.answeredBy;
@@ -414,7 +414,7 @@
         }
     }
     for (auto &[to, claims] : targets)
-        out.send(to, Raise{std::move(claims)});
+        out.send(to, StartEpoch{std::move(claims)});
 }
 
 // Of the agents with the fewest shards by `load`, the one with the highest weight for this shard;
--- a/src/shardownership.h
+++ b/src/shardownership.h
@@ -105,7 +105,7 @@
         Epoch epoch;
         ShardKnowledge knowledge = ShardKnowledge::Asking; // never NotHome or Transferring
         TimePoint roundEnd = NeverTime;                    // time limit of the witness round
-        TimePoint nextRaise = NeverTime; // NeverTime if no answer is needed any more
+        TimePoint nextStartEpoch = NeverTime; // NeverTime if no answer is needed any more
         bool isRoundOver = false;
         std::set<Incarnation> answered; // subjects whose Witness has arrived
         std::optional<Transfer> transfer;
@@ -136,7 +136,7 @@
     void importTransfer(ShardId shard, IncomingTransfer incoming, TimePoint now);
     void updateKnowledge(ShardId shard, OwnedShard &owned, TimePoint now);
     void claimShards(TimePoint now, Outbox &out);
-    void sendRaises(TimePoint now, Outbox &out);
+    void sendStartEpochs(TimePoint now, Outbox &out);
     void planTransfers(TimePoint now);
     void advanceTransfers(TimePoint now, Outbox &out);
     void sendTransfer(ShardId shard, OwnedShard &owned, TimePoint now, Outbox &out) const;
--- a/src/taskexecutor.cpp
+++ b/src/taskexecutor.cpp
@@ -65,8 +65,8 @@
         onTaskDoneAck(*ack);
     else if (const auto *declined = std::get_if<OfferDeclined>(&message))
         onOfferDeclined(*declined, now, out);
-    else if (const auto *raise = std::get_if<Raise>(&message))
-        onRaise(*raise, now, out);
+    else if (const auto *start = std::get_if<StartEpoch>(&message))
+        onStartEpoch(*start, now, out);
     if (wasUnresponsive)
         offerSlots(now, out);
 }
@@ -169,7 +169,7 @@
 
 Epoch TaskExecutor::fence(ShardId shard) const
 {
-    return std::max(m_ledger.shard(shard).epoch, m_raisedEpochs[shard.value]);
+    return std::max(m_ledger.shard(shard).epoch, m_fenceEpochs[shard.value]);
 }
 
 void TaskExecutor::onStartTask(Incarnation from, const StartTask &msg, TimePoint now, Outbox &out)
@@ -387,11 +387,11 @@
     offerSlots(now, out);
 }
 
-void TaskExecutor::onRaise(const Raise &msg, TimePoint now, Outbox &out)
+void TaskExecutor::onStartEpoch(const StartEpoch &msg, TimePoint now, Outbox &out)
 {
     for (const ShardClaim &it : msg.claims) {
-        Epoch &raised = m_raisedEpochs[it.shard.value];
-        raised = std::max(raised, it.epoch);
+        Epoch &fence = m_fenceEpochs[it.shard.value];
+        fence = std::max(fence, it.epoch);
     }
     removeStaleReservations(now);
     offerSlots(now, out);
--- a/src/taskexecutor.h
+++ b/src/taskexecutor.h
@@ -37,8 +37,9 @@
     TaskExecutor(Incarnation self, const Ledger &ledger, UpstreamRegistry &upstreams);
 
     // Commands
-    // Handles StartTask, CancelTask, TaskDoneAck, OfferDeclined and Raise; ignores other messages.
-    // A Raise only raises the fence here; the agent node answers it with witnessed().
+    // Handles StartTask, CancelTask, TaskDoneAck, OfferDeclined and StartEpoch; ignores other
+    // messages. A StartEpoch only raises the fence here; the agent node answers it with
+    // witnessed().
     void onMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out);
     // The result of a StartOnUpstream effect. Only the first one of each attempt counts.
     void onUpstreamResult(const TaskRef &ref, std::uint32_t attempt, TaskResult result,
@@ -62,8 +63,8 @@
     std::vector<WitnessedJob> witnessed(ShardId shard, Epoch below) const;
     // All jobs of which a task has started here, for the handover at shutdown.
     std::vector<AdoptedJob> rememberedStarts(TimePoint now) const;
-    // The highest epoch of the shard known from the ledger or from a Raise. Requests with a lower
-    // epoch are refused.
+    // The highest epoch of the shard known from the ledger or from a StartEpoch. Requests with a
+    // lower epoch are refused.
     Epoch fence(ShardId shard) const;
 
 private:
@@ -86,7 +87,7 @@
     void onCancelTask(Incarnation from, const CancelTask &msg, TimePoint now, Outbox &out);
     void onTaskDoneAck(const TaskDoneAck &msg);
     void onOfferDeclined(const OfferDeclined &msg, TimePoint now, Outbox &out);
-    void onRaise(const Raise &msg, TimePoint now, Outbox &out);
+    void onStartEpoch(const StartEpoch &msg, TimePoint now, Outbox &out);
 
     bool replyIfStarted(Incarnation from, const StartTask &msg, Outbox &out);
     std::optional<TaskRefusal> startRefusal(const StartTask &msg) const;
@@ -118,7 +119,7 @@
     UpstreamRegistry &m_upstreams;
     bool m_isDraining = false;
     double m_failureRate = 0; // of the upstream's results, exponentially weighted, in [0, 1]
-    std::array<Epoch, ShardCount> m_raisedEpochs{}; // highest epoch of a Raise, by shard
+    std::array<Epoch, ShardCount> m_fenceEpochs{}; // highest epoch of a StartEpoch, by shard
     StartMemory m_memory;
     std::map<RunKey, std::string> m_running; // the value is the incarnation of the upstream
     // Unacknowledged results by the time of their next repeat.
--- a/tests/jobrouter_test.cpp
+++ b/tests/jobrouter_test.cpp
@@ -60,7 +60,7 @@
     // Number of keys that the entry reports to the home of `epoch`.
     std::size_t witnessed(std::uint64_t epoch, ShardId shard = Shard)
     {
-        const auto sent = sentOf<Witness>(receive(Second, Raise{{{shard, {epoch}}}}));
+        const auto sent = sentOf<Witness>(receive(Second, StartEpoch{{{shard, {epoch}}}}));
         EXPECT_EQ(sent.at(0).second.claims.at(0).epoch, Epoch{epoch});
         return sent[0].second.jobs.size();
     }
@@ -187,13 +187,13 @@
 
 // Guards against a forward at an epoch below one that a new home has announced: its job would be
 // missing from the witness round of that home (rule R2).
-TEST_F(JobRouterTest, RaiseFencesTheOldHome)
+TEST_F(JobRouterTest, StartEpochFencesTheOldHome)
 {
-    receive(Second, Raise{{{Shard, {2}}}});
+    receive(Second, StartEpoch{{{Shard, {2}}}});
     EXPECT_EQ(m_router.fence(Shard), Epoch{2});
     const auto sent = sentOf<SubmitJob>(submit(1));
     ASSERT_EQ(sent.size(), 1u);
-    EXPECT_EQ(sent[0].first, Second) << "the sender of the raise is the home of its epoch";
+    EXPECT_EQ(sent[0].first, Second) << "the sender of StartEpoch is the home of its epoch";
     EXPECT_EQ(sent[0].second.epoch, Epoch{2});
 }
 
@@ -267,7 +267,7 @@
 }
 
 // Guards against a caller that waits until its deadline for a silent home.
-TEST_F(JobRouterTest, SilentHomeIsReportedAfterThePatience)
+TEST_F(JobRouterTest, SilentHomeIsReportedAfterTheTimeout)
 {
     submit(1);
     EXPECT_EQ(sentOf<SubmitJob>(advance(4999ms)).size(), 4u) << "repeated each second";
@@ -281,7 +281,7 @@
 }
 
 // Guards against a caller that is answered only after its deadline.
-TEST_F(JobRouterTest, ShortDeadlineEndsBeforeThePatience)
+TEST_F(JobRouterTest, ShortDeadlineEndsBeforeTheTimeout)
 {
     JobSpec spec = job("j");
     spec.deadline = 1500ms;
@@ -291,7 +291,7 @@
 }
 
 // Guards against giving up a new home because of the silence of the old one.
-TEST_F(JobRouterTest, TakeoverRestartsThePatience)
+TEST_F(JobRouterTest, TakeoverRestartsTheTimeout)
 {
     submit(1);
     advance(4s);
@@ -337,19 +337,19 @@
     EXPECT_EQ(m_router.rememberedKeyCount(), 0u) << "neither can start a job";
 }
 
-// Guards against keys that look new because the entry that knew them has left: its heir must report
-// them in its name.
-TEST_F(JobRouterTest, HeirAnswersForTheProcessThatLeft)
+// Guards against keys that look new because the entry that knew them has left: its successor must
+// report them in its name.
+TEST_F(JobRouterTest, SuccessorAnswersForTheProcessThatLeft)
 {
     append(RegisterRecord{member(8, Role::Entry)});
     const auto acks = sentOf<AdoptAck>(
         receive(Incarnation{8}, AdoptWitness{{8}, {{{hashOf(Key), 0, 0, {}}, {1}, 100s}}, 3}));
     ASSERT_EQ(acks.size(), 1u);
     EXPECT_EQ(acks[0].second.part, 3u);
-    const auto before = sentOf<Witness>(receive(Second, Raise{{{Shard, {2}}}}));
+    const auto before = sentOf<Witness>(receive(Second, StartEpoch{{{Shard, {2}}}}));
     EXPECT_EQ(before.size(), 1u) << "the other process still answers for itself";
     append(LeaveRecord{{8}, Self});
-    const auto after = sentOf<Witness>(receive(Second, Raise{{{Shard, {2}}}}));
+    const auto after = sentOf<Witness>(receive(Second, StartEpoch{{{Shard, {2}}}}));
     ASSERT_EQ(after.size(), 2u);
     EXPECT_EQ(after[1].second.subject, Incarnation{8});
     for (const auto &[to, witness] : after)
@@ -465,15 +465,15 @@
     {
         const Incarnation self{100 + ++m_lastEpoch};
         Home home{{m_lastEpoch}, {}, {}};
-        Raise raise;
+        StartEpoch message;
         ClaimRecord record{self, {}, false};
         for (std::uint16_t n = 0; n < ShardCount; ++n)
             record.claims.push_back({{n}, home.epoch});
-        raise.claims = record.claims;
+        message.claims = record.claims;
         append(RegisterRecord{member(self.value, Role::Agent)});
         append(record);
         for (auto &entry : m_entries) {
-            entry.router.onMessage(self, raise, m_now, m_out);
+            entry.router.onMessage(self, message, m_now, m_out);
             for (const Effect &effect : m_out.take()) {
                 if (const auto *send = std::get_if<Send>(&effect)) {
                     if (const auto *witness = std::get_if<Witness>(&send->message))
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -162,7 +162,7 @@
 }
 
 // Guards against a late copy of the registration of a process that has left. The process would then
-// be asked as a witness in place of its heir.
+// be asked as a witness in place of its successor.
 TEST(Ledger, RegistrationAfterLeaveIsIgnored)
 {
     Log log;
@@ -192,8 +192,8 @@
 }
 
 // Guards against losing what replaced processes know of jobs: it must stay reachable through a
-// chain of heirs. If no heir can answer, that must show.
-TEST(Ledger, HeirsAnswerForThoseWhoLeft)
+// chain of successors. If no successor can answer, that must show.
+TEST(Ledger, SuccessorsAnswerForThoseWhoLeft)
 {
     Log log;
     log.add(Role::Entry, {Entry1});
@@ -204,7 +204,8 @@
     EXPECT_EQ(log.answererOf(ShardId{7}, Agent1), Agent3);
     log.append(SuspectRecord{Entry1, Agent3});
     EXPECT_EQ(log.answererOf(ShardId{7}, Agent1), Incarnation{});
-    log.append(LeaveRecord{Agent3, Agent1}); // makes a cycle of heirs, none of which can answer
+    log.append(
+        LeaveRecord{Agent3, Agent1}); // makes a cycle of successors, none of which can answer
     EXPECT_EQ(log.answererOf(ShardId{7}, Agent1), Incarnation{});
 }
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -252,7 +252,7 @@
     std::size_t witnessedBy(Incarnation entry, Incarnation subject, const JobKey &key)
     {
         Outbox out;
-        m_fleet.entry(entry).onEnvelope({{101}, entry, {}, {Raise{{{shardOf(key), {2}}}}}},
+        m_fleet.entry(entry).onEnvelope({{101}, entry, {}, {StartEpoch{{{shardOf(key), {2}}}}}},
                                         m_fleet.m_now, out);
         for (const auto &[to, witness] : sentOf<Witness>(out.take()))
             if (witness.subject == subject)
@@ -284,11 +284,11 @@
     EXPECT_TRUE(m_fleet.entry({1}).isShutdownComplete());
     const auto left = m_fleet.recordsOf<LeaveRecord>();
     ASSERT_EQ(left.size(), 1u);
-    EXPECT_EQ(witnessedBy(left[0].heir, {1}, key), 1u);
+    EXPECT_EQ(witnessedBy(left[0].successor, {1}, key), 1u);
 }
 
-// Guards against a leave record before the last acknowledgement: the heir would then report only a
-// part of the keys.
+// Guards against a leave record before the last acknowledgement: the successor would then report
+// only a part of the keys.
 TEST_F(ShutdownTest, LeavesOnlyAfterEveryPartIsAcknowledged)
 {
     for (const char *id : {"a", "b"}) {
@@ -310,8 +310,8 @@
     EXPECT_EQ(appendsOf<LeaveRecord>(out.take()).size(), 1u);
 }
 
-// Guards against a leave record that names an heir that does not have the keys.
-TEST_F(ShutdownTest, SilentHeirIsReplacedBeforeTheLeaveRecord)
+// Guards against a leave record that names a successor that does not have the keys.
+TEST_F(ShutdownTest, SilentSuccessorIsReplacedBeforeTheLeaveRecord)
 {
     for (int i = 0; i < 20; ++i) { // more parts than are sent at a time
         submit({1}, "j" + std::to_string(i));
@@ -325,20 +325,20 @@
     m_fleet.run(10s);
     const auto left = m_fleet.recordsOf<LeaveRecord>();
     ASSERT_EQ(left.size(), 1u);
-    EXPECT_EQ(left[0].heir, Incarnation{2});
+    EXPECT_EQ(left[0].successor, Incarnation{2});
     for (int i = 0; i < 20; ++i)
         EXPECT_EQ(witnessedBy({2}, {1}, {"team/j" + std::to_string(i)}), 1u);
 }
 
-// Guards against a last entry that waits for an heir for ever.
-TEST_F(ShutdownTest, LastEntryLeavesWithoutAnHeir)
+// Guards against a last entry that waits for a successor for ever.
+TEST_F(ShutdownTest, LastEntryLeavesWithoutASuccessor)
 {
     EntryFleet fleet(1);
     Outbox out;
     fleet.entry({1}).beginShutdown(fleet.m_now, out);
     const auto left = appendsOf<LeaveRecord>(out.take());
     ASSERT_EQ(left.size(), 1u);
-    EXPECT_EQ(left[0].heir, Incarnation{});
+    EXPECT_EQ(left[0].successor, Incarnation{});
 }
 
 } // namespace
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -263,18 +263,18 @@
             self.connection.close()
         self.connection = None
 
-    def submit_once(self, job, deadline_ms=4000, patience_s=None):
+    def submit_once(self, job, deadline_ms=4000, response_timeout_s=None):
         """Sends the job once and returns its Answer, or None without one.
 
         Goes to the entry of the current connection, or else to an entry chosen at random. The caller
-        closes the connection if the answer takes longer than patience_s (default: the deadline).
+        closes the connection if the answer takes longer than response_timeout_s (default: the deadline).
         """
-        patience_s = patience_s or deadline_ms / 1000
+        response_timeout_s = response_timeout_s or deadline_ms / 1000
         if not self.connection:
             self.connect(self.random.choice(self.fleet.entries))
-        self.connection.timeout = patience_s
+        self.connection.timeout = response_timeout_s
         if self.connection.sock:
-            self.connection.sock.settimeout(patience_s)
+            self.connection.sock.settimeout(response_timeout_s)
         sent = time.monotonic()
         answer = None
         try:
@@ -292,14 +292,14 @@
         job.submissions.append(Submission(self.entry.name, sent, time.monotonic(), answer))
         return answer
 
-    def submit(self, job, attempts=4, patience_s=None):
+    def submit(self, job, attempts=4, response_timeout_s=None):
         """Sends the job until there is an answer other than 502 and 504, as the platform's callers do.
 
-        Returns that Answer, or None after the given number of attempts. `patience_s` applies to the
+        Returns that Answer, or None after the given number of attempts. `response_timeout_s` applies to the
         first attempt only.
         """
         for n in range(attempts):
-            answer = self.submit_once(job, patience_s=patience_s if n == 0 else None)
+            answer = self.submit_once(job, response_timeout_s=response_timeout_s if n == 0 else None)
             if answer and answer.status not in (502, 504):
                 return answer
             time.sleep(RESUBMIT_S)
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -222,7 +222,7 @@
                 run_ms=caller.random.choice([10, 50, 200, 2500]),
                 cpu=caller.random.choice([250, 500]), queue=caller.random.choice(["urgent", "bulk"]))
             self.jobs.append(job)
-            answer = caller.submit(job, patience_s=caller.random.choice([0.6, None]))
+            answer = caller.submit(job, response_timeout_s=caller.random.choice([0.6, None]))
             if answer is None or answer.status != 200:
                 time.sleep(0.05)
         caller.close()
--- a/tests/taskexecutor_test.cpp
+++ b/tests/taskexecutor_test.cpp
@@ -213,7 +213,7 @@
     Executor it;
     it.announce(4);
     it.send(it.startOf(Task1));
-    it.send(Raise{{{shardOf(Task1.key), Epoch{2}}, {shardOf(Task2.key), Epoch{2}}}}, Home2);
+    it.send(StartEpoch{{{shardOf(Task1.key), Epoch{2}}, {shardOf(Task2.key), Epoch{2}}}}, Home2);
     EXPECT_EQ(refusal(it.send(it.startOf(Task2))), TaskRefusal::StaleEpoch);
     EXPECT_EQ(starts(it.send(it.startOf(Task2, 1, 2), Home2)), 1U);
     const auto staleCancel = it.send(CancelTask{Task1, 1, Epoch{1}});
@@ -226,12 +226,12 @@
 
 // Guards against two runs of one task: the new home counts a waiting task as not started, so the
 // reservation must end without a start (R4).
-TEST(TaskExecutor, RaiseRemovesReservationsOfLowerEpochs)
+TEST(TaskExecutor, StartEpochRemovesReservationsOfLowerEpochs)
 {
     Executor it;
     it.send(it.startOf(Task1));
     EXPECT_EQ(sent<TaskBusy>(it.send(it.startOf(Task2))).size(), 1U);
-    it.send(Raise{{{shardOf(Task2.key), Epoch{2}}}}, Home2);
+    it.send(StartEpoch{{{shardOf(Task2.key), Epoch{2}}}}, Home2);
     EXPECT_TRUE(it.executor.witnessed(shardOf(Task2.key), Epoch{2}).empty());
     EXPECT_EQ(sent<SlotOffer>(it.finish(Task1)).size(), 0U);
     StartTask binding = it.startOf(Task2, 2);
@@ -535,7 +535,7 @@
             model.check(it.send(OfferDeclined{ref, attempt}));
             break;
         case 6:
-            model.check(it.send(Raise{{{shardOf(ref.key), Epoch{epoch}}}}));
+            model.check(it.send(StartEpoch{{{shardOf(ref.key), Epoch{epoch}}}}));
             break;
         case 7:
             it.announce(2, "u" + std::to_string(*rc::gen::inRange(1, 4)));
