Store calls with a partition and a conditional append

Cause: copies of the operators' records are kept in several partitions, and two writers must not replace each other's copy unseen.

Change: makeNewestCall and makeAppendCall take a partition, makeAppendCall also the offset at which the partition must end (at=). Status 412 is a StoreFailure of its own, Conflict.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -238,6 +238,19 @@
     EXPECT_EQ(errorOf(parseRead(reply(200, "short"), {})).kind, StoreFailure::Malformed);
     EXPECT_EQ(errorOf(parseNewest(reply(200, "[]"))).kind, StoreFailure::Malformed);
     EXPECT_EQ(errorOf(parseNewest(HttpCallError{})).kind, StoreFailure::Unreachable);
+    EXPECT_EQ(parseAppend(reply(412, ""))->kind, StoreFailure::Conflict);
+}
+
+// Guards against an append that goes to another partition, or that replaces a record which was
+// written since the partition was read.
+TEST(PlatformStore, AnAppendNamesItsPartitionAndTheEndThatItExpects)
+{
+    EXPECT_EQ(makeAppendCall("1.1.1.1:1", "t", "k", "v", 1s, 2, LogOffset{5}).url,
+              "http://1.1.1.1:1/-/log-append?topic=t&part=2&at=5");
+    EXPECT_EQ(makeAppendCall("1.1.1.1:1", "t", "k", "v", 1s).url,
+              "http://1.1.1.1:1/-/log-append?topic=t&part=0");
+    EXPECT_EQ(makeNewestCall("1.1.1.1:1", "t", "", 1s, 2).url,
+              "http://1.1.1.1:1/-/log-newest?topic=t&part=2");
 }
 
 // Guards against an invalid record that makes the other ones of its page unreadable.
