Entry keeps the operators' records in OperatorRecords

Cause: evacuations and the handover between entries both need the newest operators' records with the text of the configuration, and the entry kept only the parsed configuration.

Change: DispatchEntry owns an OperatorRecords object, m_records. An operator's configuration goes through it, so its text is kept and versions only rise.

--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -7,6 +7,7 @@
 #include "decisionloop.h"
 #include "dispatchprocess.h"
 #include "jobdispatcher.h"
+#include "operatorrecords.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -247,7 +248,7 @@
                         "config_unreadable",
                         {{"offset", std::to_string(record.offset.value)},
                          {"reason", errorOf(config).reason}}});
-        if (valueOf(config).version <= m_dispatcher.config().version)
+        if (!m_records.updateConfig(valueOf(config).version, record.value))
             return;
         m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
             dispatcher.configure(std::move(valueOf(config)), out);
@@ -481,7 +482,8 @@
     }
 
     FeatureFlags m_features;
-    std::string m_linkListen; // "ip:port" on which links of agents and entries are accepted
+    std::string m_linkListen;  // "ip:port" on which links of agents and entries are accepted
+    OperatorRecords m_records; // the configuration that m_dispatcher uses is the same
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_heartbeatTimer;
