HTTP server for callers moves out of dispatchentry.cpp

Change: DispatchCallers decodes submissions, keeps their arrival times and returns answers. DispatchEntry passes the jobs on to JobDispatcher. Behaviour is not changed.

--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -5,6 +5,7 @@
 #include "dispatchentry.h"
 
 #include "decisionloop.h"
+#include "dispatchcallers.h"
 #include "dispatchprocess.h"
 #include "jobdispatcher.h"
 #include "operatorrecords.h"
@@ -21,18 +22,9 @@
 
 using namespace std::chrono_literals;
 
-// For a caller that does not say how long it waits, on a queue without a timeout.
-constexpr Duration DefaultCallerTimeout = 30s;
-
-Duration defaultCallerTimeout(const QueueSettings &queue)
-{
-    return queue.timeout > Duration{} ? queue.timeout : DefaultCallerTimeout;
-}
-
 // Jobs are accepted for this long after the shutdown signal. The load balancer checks readiness
 // every second and stops sending new connections only after two failed checks.
 constexpr Duration AcceptAfterShutdownSignal = 2500ms;
-constexpr Duration NotReadyRetryDelay = 1s; // sent as Retry-After
 // How often a process that shuts down checks whether all jobs are answered.
 constexpr Duration DrainCheckInterval = 20ms;
 // New addresses and starts of entries are collected for this long and sent in one message.
@@ -59,19 +51,13 @@
         , m_entryUpdateTimer(m_loop, [this] { sendEntryUpdates(); })
         , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
         , m_drainTimer(m_loop, [this] { stopWhenDrained(); })
+        , m_callers(m_loop, m_metrics, m_dispatcher, callerHandlers())
     {}
 
     std::optional<StartupError> start()
     {
-        HttpServerLimits limits;
-        limits.detectClientClose = true;
-        auto callers = HttpServer::listen(
-            m_loop, m_settings.callerAddress, limits,
-            [this](RequestId id, const HttpRequest &request) { onCallerRequest(id, request); },
-            [this](RequestId id) { onCallerClosed(id); });
-        if (!isOk(callers))
-            return StartupError{errorOf(callers).reason};
-        m_callerServer = std::move(valueOf(callers));
+        if (const auto error = m_callers.listen(m_settings.callerAddress))
+            return StartupError{error->reason};
         auto readiness = HttpServer::listen(
             m_loop, m_settings.readinessAddress, {},
             [this](RequestId id, const HttpRequest &request) { onReadinessRequest(id, request); });
@@ -116,21 +102,7 @@
         return settings.maxLeaseTime + settings.maxLeaseTime / 50 + settings.maxStopTime + 700ms;
     }
 
-    void perform(AnswerJob &effect)
-    {
-        const RequestId id{effect.caller.value};
-        const auto arrived = m_arrivalTimes.extract(id);
-        if (arrived.empty())
-            return;
-        const DispatchAnswer &answer = effect.answer;
-        m_metrics.add(
-            "cactuscove_jobs_answered_total",
-            {{"outcome", std::string(nameOf(answer.outcome))}, {"reason", answer.reason}});
-        m_metrics.observeSeconds(
-            "cactuscove_job_seconds", {{"outcome", std::string(nameOf(answer.outcome))}},
-            std::chrono::duration<double>(bootNow() - arrived.mapped()).count());
-        respond(id, platform::formatAnswer(answer));
-    }
+    void perform(AnswerJob &effect) { m_callers.answer(effect.caller, effect.answer); }
 
     void perform(SendToAgent &effect)
     {
@@ -145,58 +117,21 @@
 
     // Callers
 
-    void respond(RequestId id, HttpResponse response)
+    DispatchCallers::Handlers callerHandlers()
     {
-        // The caller opens a new connection, which the load balancer sends to another entry.
-        if (m_isShuttingDown)
-            response.headers["Connection"] = "close";
-        m_callerServer->respond(id, std::move(response));
-    }
-
-    void onCallerRequest(RequestId id, const HttpRequest &request)
-    {
-        if (m_dispatcher.config().version == 0 || m_isRefusingJobs)
-            return respond(id, platform::formatNotReady(NotReadyRetryDelay));
-        const auto host = request.headers.find("host");
-        const QueueMatch match = matchQueue(
-            m_dispatcher.config(), host == request.headers.end() ? "" : host->second, request.path);
-        if (!match.queue)
-            return respond(id, platform::formatNoQueue());
-        if (request.method == "GET" && match.pathSuffix.empty())
-            return respond(id,
-                           platform::formatQueueState(m_dispatcher.waitingJobs(match.queue->name)));
-        if (!platform::isJobId(match.pathSuffix))
-            return respond(id, platform::formatError({"id", "not a job's id"}));
-        if (request.method != "POST")
-            return respond(id, platform::formatUnknownJob());
-        auto job = platform::parseJob(match.pathSuffix, request.body);
-        if (!isOk(job)) {
-            log({Severity::Info,
-                 "job_invalid",
-                 {{"job", std::string(match.pathSuffix)},
-                  {"queue", match.queue->name},
-                  {"field", errorOf(job).field},
-                  {"reason", errorOf(job).reason}}});
-            return respond(id, platform::formatError(errorOf(job)));
-        }
-        valueOf(job).queue = match.queue->name;
-        m_arrivalTimes[id] = bootNow();
-        const Duration timeout
-            = platform::callerTimeout(request).value_or(defaultCallerTimeout(*match.queue));
-        m_decisions.handleInput(
-            [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
-                dispatcher.submit(CallerId{id.value}, std::move(valueOf(job)), timeout, now, out);
-            });
-    }
-
-    void onCallerClosed(RequestId id)
-    {
-        if (m_arrivalTimes.erase(id) == 0)
-            return; // answered
-        m_decisions.handleInput(
-            [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
-                dispatcher.callerDisconnected(CallerId{id.value}, now, out);
-            });
+        return {[this](CallerId caller, BestEffortJob job, Duration timeout) {
+                    m_decisions.handleInput(
+                        [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+                            dispatcher.submit(caller, std::move(job), timeout, now, out);
+                        });
+                },
+                [this](CallerId caller) {
+                    m_decisions.handleInput(
+                        [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+                            dispatcher.callerDisconnected(caller, now, out);
+                        });
+                },
+                [this](const LogEvent &event) { log(event); }};
     }
 
     void onReadinessRequest(RequestId id, const HttpRequest &request)
@@ -451,13 +386,14 @@
 
     void beginShutdown() override
     {
+        m_callers.closeConnections();
         m_refuseTimer.startIn(
             std::min(AcceptAfterShutdownSignal, m_settings.shutdownGracePeriod / 2));
     }
 
     void refuseNewJobs()
     {
-        m_isRefusingJobs = true;
+        m_callers.refuseJobs();
         m_dispatcher.beginShutdown();
         stopWhenDrained();
     }
@@ -465,7 +401,7 @@
     // Ends the process once every job is answered and every response is sent.
     void stopWhenDrained()
     {
-        if (m_dispatcher.openJobs() == 0 && m_callerServer->openRequests() == 0)
+        if (m_dispatcher.openJobs() == 0 && m_callers.openRequests() == 0)
             m_loop.stop();
         else
             m_drainTimer.startIn(DrainCheckInterval);
@@ -477,7 +413,7 @@
         m_metrics.set("cactuscove_up_members", {{"role", "agent"}},
                       static_cast<double>(m_dispatcher.workers().connectedAgents()));
         m_metrics.set("cactuscove_open_requests", {},
-                      static_cast<double>(m_callerServer->openRequests()));
+                      static_cast<double>(m_callers.openRequests()));
         return m_metrics.text();
     }
 
@@ -490,19 +426,17 @@
     Timer m_entryUpdateTimer;
     Timer m_refuseTimer;
     Timer m_drainTimer;
-    std::unique_ptr<HttpServer> m_callerServer;
+    DispatchCallers m_callers;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<FramedListener> m_listener;
     std::unique_ptr<StoreFollower> m_operatorFollower;
     std::map<LinkId, Link> m_links;
-    std::map<Incarnation, LinkId> m_agentLinks;    // newest connection of each agent
-    std::set<Incarnation> m_seenEntryProcesses;    // processes of other entries seen so far
-    KnownEntries m_newAddresses;                   // not yet sent to the connected peers
-    EntriesStarted m_newStarts;                    // not yet sent to the connected peers
-    std::map<RequestId, TimePoint> m_arrivalTimes; // of jobs that are not answered
+    std::map<Incarnation, LinkId> m_agentLinks; // newest connection of each agent
+    std::set<Incarnation> m_seenEntryProcesses; // processes of other entries seen so far
+    KnownEntries m_newAddresses;                // not yet sent to the connected peers
+    EntriesStarted m_newStarts;                 // not yet sent to the connected peers
     LinkId m_lastLink = 0;
     std::optional<bool> m_lastReadiness;   // as answered last; none before the first check
-    bool m_isRefusingJobs = false;         // the process shuts down and takes no new jobs
     bool m_isEntryUpdateScheduled = false; // m_entryUpdateTimer is running
 };
 
--- a/src/dispatchtypes.h
+++ b/src/dispatchtypes.h
@@ -38,7 +38,7 @@
     double slackFactor = 1;
     Duration targetLatency{};
     // How long a caller waits for the answer, from the arrival of its job, if its request does not
-    // say so. 0: 30 s (DefaultCallerTimeout in dispatchentry.cpp).
+    // say so. 0: 30 s (DefaultCallerTimeout in dispatchcallers.cpp).
     Duration timeout{};
 
     bool operator==(const QueueSettings &) const = default;
