Decisions of the handover of operators' records between entries

Cause: an entry that cannot read the operators' topic can get the records from another entry, but a large configuration must not be sent twice over a slow link.

The offer has a new optional field, the hash of the state that the sender knows to be copied; other entries need not write it then.

--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -161,6 +161,7 @@
 void fields(A &a, OperatorOffer &it)
 {
     a(it.configVersion, it.readUpTo.value);
+    a.optional(it.copiedHash);
 }
 
 template <typename A>
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -187,7 +187,11 @@
 struct OperatorOffer
 {
     std::uint64_t configVersion = 0;
-    LogOffset readUpTo; // see OperatorSnapshot
+    // All evacuations before this offset are known; at least OperatorSnapshot::readUpTo.
+    LogOffset readUpTo;
+    // Hash (operatorcopy.h) of the state that the sender knows to be in the copies in the store; 0
+    // if it knows of none. Other entries then need not write it.
+    std::uint64_t copiedHash = 0;
 };
 
 // Between entries: send OperatorState.
@@ -196,7 +200,8 @@
     std::uint64_t configVersion = 0; // that the sender has in force; 0: none
 };
 
-// Between entries: the answer to OperatorRequest.
+// Between entries: the answer to OperatorRequest. Without the configuration (version 0) if the
+// request names the version that the sender has.
 struct OperatorState
 {
     OperatorSnapshot snapshot;
--- a/tests/dispatchcodec_test.cpp
+++ b/tests/dispatchcodec_test.cpp
@@ -48,7 +48,7 @@
             StartRefused{{"a", 1}, 2, StartRefusal::Duplicate},
             inventory,
             EntriesStarted{{{"1.2.3.4:5", Incarnation{17}}}},
-            OperatorOffer{7, LogOffset{12}},
+            OperatorOffer{7, LogOffset{12}, 99},
             OperatorRequest{6},
             OperatorState{{7, "{}", {{"north", true, LogOffset{11}}}, LogOffset{12}}},
             EvacuationUpdate{{{"north", false, LogOffset{13}}}, LogOffset{14}}};
