Entries keep copies of the operators' records and hand them over

Cause: after the loss of all processes every job was refused for as long as the partition of the operators' topic did not respond, because the configuration was kept nowhere else.

Metrics name the source of the configuration and count the calls for copies. The Python stand-in of the store has partitions, at= and silent partitions.

--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -1,14 +1,14 @@
 // I/O of the dispatch-entry process. Passes the requests of callers, the messages of agents and the
-// operators' configuration from the store to JobDispatcher and performs the effects it asks for.
+// operators' configuration to JobDispatcher and performs the effects it asks for.
 // Also exchanges addresses with other entries and answers the load balancer's readiness checks.
 
 #include "dispatchentry.h"
 
 #include "decisionloop.h"
 #include "dispatchcallers.h"
+#include "dispatchoperators.h"
 #include "dispatchprocess.h"
 #include "jobdispatcher.h"
-#include "operatorrecords.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -52,6 +52,7 @@
         , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
         , m_drainTimer(m_loop, [this] { stopWhenDrained(); })
         , m_callers(m_loop, m_metrics, m_dispatcher, callerHandlers())
+        , m_operators(m_loop, m_http, m_metrics, operatorHandlers())
     {}
 
     std::optional<StartupError> start()
@@ -73,7 +74,7 @@
             return error;
         followEntryAddresses();
         m_entryFollower->publish(m_settings.instance, m_settings.linkAddress);
-        followOperatorTopic();
+        m_operators.start(m_settings, m_features, m_incarnation.value);
         m_heartbeatTimer.startIn(LinkHeartbeatInterval);
         return std::nullopt;
     }
@@ -150,46 +151,18 @@
         m_readinessServer->respond(id, {isReady ? 200 : 503, "{}"});
     }
 
-    // Operators
-
-    void followOperatorTopic()
-    {
-        StoreFollowerSettings settings;
-        settings.store = m_settings.storeAddress;
-        settings.topic = platform::operatorTopic();
-        settings.seed = m_incarnation.value;
-        m_operatorFollower = std::make_unique<StoreFollower>(
-            m_loop, m_http, std::move(settings),
-            StoreFollower::Handlers{
-                [this](const platform::StoreRecord &record) { onOperatorRecord(record); },
-                [this](bool isReachable, const std::string &detail) {
-                    log({isReachable ? Severity::Info : Severity::Warning,
-                         isReachable ? "store_regained" : "store_lost",
-                         {{"topic", "operators"},
-                          {"detail", detail},
-                          {"config", std::to_string(m_dispatcher.config().version)}}});
-                }});
-    }
-
-    // Applies a configuration. Ignores a version that is not newer than the one in force: the store
-    // may deliver records again.
-    void onOperatorRecord(const platform::StoreRecord &record)
+    DispatchOperators::Handlers operatorHandlers()
     {
-        if (record.key != platform::ConfigKey)
-            return;
-        auto config = platform::parseConfig(record.value);
-        if (!isOk(config))
-            return log({Severity::Error,
-                        "config_unreadable",
-                        {{"offset", std::to_string(record.offset.value)},
-                         {"reason", errorOf(config).reason}}});
-        if (!m_records.updateConfig(valueOf(config).version, record.value))
-            return;
-        m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
-            dispatcher.configure(std::move(valueOf(config)), out);
-        });
-        m_metrics.set("cactuscove_config_revision", {},
-                      static_cast<double>(m_dispatcher.config().version));
+        return {[this](DispatchConfig config) {
+                    m_decisions.handleInput(
+                        [&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
+                            dispatcher.configure(std::move(config), out);
+                        });
+                },
+                [this](OperatorPeer peer, PeerMessage message) {
+                    m_links.at(peer.value).link->send(std::move(message));
+                },
+                [this](const LogEvent &event) { log(event); }};
     }
 
     // Agents and other entries
@@ -221,6 +194,7 @@
 
     void onEntryAddressAdded(const std::string &address) override
     {
+        m_operators.entryKnown(address);
         m_newAddresses.addresses.push_back(address);
         scheduleEntryUpdates();
     }
@@ -293,6 +267,7 @@
         m_links.erase(it);
         if (!peer)
             return;
+        m_operators.peerDisconnected(OperatorPeer{id});
         log({Severity::Warning,
              peer->role == Role::Agent ? "agent_lost" : "entry_lost",
              {{"name", peer->name},
@@ -323,9 +298,10 @@
                     else if (const auto *started = std::get_if<EntriesStarted>(&message))
                         for (const EntryStart &start : started->starts)
                             onEntryStarted(start);
-                    else if (it.peer && it.peer->role == Role::Agent) {
+                    else if (it.peer && it.peer->role == Role::Agent)
                         dispatcher.onAgentMessage(it.peer->instance, message, now, out);
-                    }
+                    else if (it.peer)
+                        m_operators.onPeerMessage(OperatorPeer{id}, message);
                 }
             });
     }
@@ -339,6 +315,7 @@
         if (hello.role == Role::Entry) {
             if (!it.dialled.empty())
                 m_selection.onOpened(it.dialled);
+            m_operators.peerConnected(OperatorPeer{id}, hello);
             return onEntryStarted({hello.address, hello.instance});
         }
         const auto [agent, isNew] = m_agentLinks.try_emplace(hello.instance, id);
@@ -418,8 +395,7 @@
     }
 
     FeatureFlags m_features;
-    std::string m_linkListen;  // "ip:port" on which links of agents and entries are accepted
-    OperatorRecords m_records; // the configuration that m_dispatcher uses is the same
+    std::string m_linkListen; // "ip:port" on which links of agents and entries are accepted
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_heartbeatTimer;
@@ -429,7 +405,7 @@
     DispatchCallers m_callers;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<FramedListener> m_listener;
-    std::unique_ptr<StoreFollower> m_operatorFollower;
+    DispatchOperators m_operators;
     std::map<LinkId, Link> m_links;
     std::map<Incarnation, LinkId> m_agentLinks; // newest connection of each agent
     std::set<Incarnation> m_seenEntryProcesses; // processes of other entries seen so far
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -32,6 +32,9 @@
     {"cactuscove_upstream_starts_total", "Tasks started on the upstream, by result."},
     {"cactuscove_worker_calls_total", "Calls to workers, by kind (start, stop, hold)."},
     {"cactuscove_log_appends_total", "Appends to the log, by result."},
+    {"cactuscove_operator_copies_total",
+     "Calls for the copies of the operators' records, by result (read, written, conflict, failed), "
+     "and copies that are unreadable."},
 };
 
 constexpr MetricDescription Gauges[] = {
@@ -39,6 +42,8 @@
     {"cactuscove_down_members", "Members that are declared down and not yet retired, by role."},
     {"cactuscove_shards_owned", "Shards that this process is the home of."},
     {"cactuscove_config_revision", "Revision of the configuration in force here."},
+    {"cactuscove_config_source",
+     "1 for the source of the configuration in force (store, entry, copy), 0 for the others."},
     {"cactuscove_ledger_offset", "First log offset that is not yet applied here."},
     {"cactuscove_log_reachable", "1 if the last call to the log succeeded."},
     {"cactuscove_upstream_slots", "Slots that the upstream beside this agent announced."},
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -45,6 +45,7 @@
 config_apply_ms = 2000
 [platform]
 address = "{store}"
+parts = 4
 """
 
 
@@ -80,10 +81,12 @@
     """A store, entries, agents with one worker each, and the proxies between them.
 
     `seed` selects the clock rates of the workers, `cpu` is the capacity of each worker in thousandths
-    of a core. The constructor starts all processes without waiting for them; see wait_ready().
+    of a core, entry_flags are added to the command of each entry. The constructor starts all processes
+    without waiting for them; see wait_ready().
     """
 
-    def __init__(self, entries=2, agents=3, seed=0, cpu=4000):
+    def __init__(self, entries=2, agents=3, seed=0, cpu=4000, entry_flags=()):
+        self.entry_flags = entry_flags
         self.random = random.Random(seed)
         self.network = 10 + os.getpid() % 240  # second byte of all addresses; differs between runs
         self.directory = tempfile.mkdtemp(prefix="cactuscove-dispatch-")  # settings and output
@@ -147,7 +150,7 @@
         command = [os.path.join(BIN, "cactuscove"), f"dispatch-{instance.role}",
                    f"--settings={instance.settings}"]
         if instance.role == "entry":
-            command.append(f"--link-listen={instance.own}:{LINK_PORT}")
+            command += [f"--link-listen={instance.own}:{LINK_PORT}", *self.entry_flags]
         with open(os.path.join(self.directory, instance.name + ".log"), "ab") as out:
             instance.process = subprocess.Popen(command, stdout=out, stderr=subprocess.STDOUT)
         self.children.append(instance.process)
--- a/tests/system/platformstandin.py
+++ b/tests/system/platformstandin.py
@@ -81,50 +81,67 @@
 
 
 class Store:
-    """The metadata store: one log of records for each topic.
+    """The metadata store: one log of records for each partition of a topic.
 
     A record is one byte with the length of its key, the key, and the value. `mode` is the fault in
     force: None, "down" (answers 503), "busy" (answers 429) or "silent" (no answer until the mode
-    changes, then the connection closes).
+    changes, then the connection closes). `silent_parts` holds the (topic, partition) pairs that are
+    silent in this way while the others answer. `calls` counts the calls by (path, topic, partition).
     """
 
     def __init__(self, address):
         self.mode = None
+        self.silent_parts = set()
         self.is_closing = False
-        self.topics = collections.defaultdict(list)  # records from offset 0, by topic
-        self.changed = threading.Condition()  # guards `topics`, signalled after each append
+        self.parts = collections.defaultdict(list)  # records from offset 0, by (topic, partition)
+        self.calls = collections.Counter()
+        self.changed = threading.Condition()  # guards these two, signalled after each append
         self.server = Server(address, self.handle)
         self.address = self.server.address
 
-    def write(self, topic, key, value):
-        """Appends a record, as an operator does."""
+    def write(self, topic, key, value, part=0):
+        """Appends a record, as an operator does; `value` is a str or bytes."""
+        value = value if isinstance(value, bytes) else value.encode()
         with self.changed:
-            self.topics[topic].append(bytes([len(key)]) + key.encode() + value.encode())
+            self.parts[topic, part].append(bytes([len(key)]) + key.encode() + value)
             self.changed.notify_all()
 
+    def is_silent(self, part):
+        """Whether calls to the (topic, partition) get no answer."""
+        return self.mode == "silent" or part in self.silent_parts
+
     def handle(self, method, path, query, _, body):
         """Answers one request; called by Server."""
         if self.mode == "down":
             return answer_json(503)
         if self.mode == "busy":
             return answer_json(429)
-        if self.mode == "silent":
-            while self.mode == "silent" and not self.is_closing:
+        part = (query["topic"], int(query["part"]))
+        if self.is_silent(part):
+            while self.is_silent(part) and not self.is_closing:
                 time.sleep(0.05)
             return None
-        records = self.topics[query["topic"]]
+        with self.changed:
+            self.calls[path, *part] += 1
+            records = self.parts[part]
         if method == "POST" and path == "/-/log-append":
-            return self.append(records, body)
+            return self.append(records, body, query.get("at"))
         if path == "/-/log-read":
-            return self.read(records, int(query["from"]), int(query.get("wait_ms", 0)) / 1000)
+            answer = self.read(records, int(query["from"]), int(query.get("wait_ms", 0)) / 1000)
+            return None if self.is_silent(part) else answer
         if path == "/-/log-newest":
             return self.newest(records, query.get("depends_on", ""))
         return answer_json(404)
 
-    def append(self, records, body):
-        """Appends the records of the body, each after its size as a 32-bit big-endian number."""
+    def append(self, records, body, at):
+        """Appends the records of the body, each after its size as a 32-bit big-endian number.
+
+        With `at`, only if the partition ends at that offset.
+        """
         with self.changed:
             first = len(records)
+            if at is not None and int(at) != first:
+                return answer_json(412, end_offset=first)
             while body:
                 size = struct.unpack(">I", body[:4])[0]
                 records.append(body[4:4 + size])
