Writers of a copy stop when another one has finished

Cause: with a store that answers in 900 ms and one silent partition, 8 entries repeated their reads of that partition: 80 reads for one version in 10 s, at 13 and at 300 entries.

Change: an entry that hears from another one that the state is copied stops. The one that found it out by itself goes on with the partitions that are left.

--- a/src/operatorcopies.cpp
+++ b/src/operatorcopies.cpp
@@ -85,9 +85,13 @@
         m_use = Use::Reading;
 }
 
+// The entry that found it out by itself goes on with the partitions that are left; one is enough.
 void OperatorCopies::reportedCopied(std::uint64_t hash)
 {
-    m_isCopied |= hash != 0 && hash == m_hash;
+    if (hash == 0 || hash != m_hash || m_isCopied)
+        return;
+    m_isCopied = true;
+    m_isWriter = false;
 }
 
 void OperatorCopies::processPending(TimePoint now, CopiesOutbox &out)
--- a/tests/operatorcopies_test.cpp
+++ b/tests/operatorcopies_test.cpp
@@ -148,14 +148,12 @@
     {
         Store::Partition &it = m_store.partitions[effect.partition];
         ++it.reads;
-        const bool isAnswered = !it.isSilent;
-        at(isAnswered ? m_store.delay : Duration(1s), [this, number, effect, isAnswered, &it] {
-            std::optional<CopyPage> page;
-            if (isAnswered)
-                page
-                    = CopyPage{LogOffset{it.records.size()},
-                               it.records.empty() ? std::nullopt : std::optional(it.records.back()),
-                               LogOffset{it.records.size() - 1}};
+        std::optional<CopyPage> page;
+        if (!it.isSilent)
+            page = CopyPage{LogOffset{it.records.size()},
+                            it.records.empty() ? std::nullopt : std::optional(it.records.back()),
+                            LogOffset{it.records.size() - 1}};
+        at(page ? m_store.delay : Duration(1s), [this, number, effect, page] {
             CopiesOutbox out;
             entry(number).copies->onRead(effect.partition, page, now, out);
             perform(number, out);
@@ -301,8 +299,11 @@
         store.partitions[2].isSilent = false;
         fleet.run(3s);
         EXPECT_EQ(store.versionIn(2), 7u);
-        for (const Store::Partition &it : store.partitions)
+        for (const Store::Partition &it : store.partitions) {
             EXPECT_EQ(it.records.size(), 1u);
+            EXPECT_LE(it.reads, 16);
+            EXPECT_LE(it.appends, 8);
+        }
     }
 }
 
