Decode evacuations, and report which keys a complete read contained

Cause: the operators' requests to evacuate a data centre were not read. A request whose withdrawal was deleted could not be recognised, as nothing told which keys of a topic are left.

Change: platform::parseEvacuation() decodes the records with the keys evacuate/NAME. StoreFollower reports all keys after the last page of the newest records, including keys whose record cannot be decoded, so that these do not count as deleted.

Result: the tests of PlatformStore and StoreFollower pass, with three new ones.

--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -4,6 +4,7 @@
 #include "storefollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cactuscove {
 
@@ -69,15 +70,27 @@
                      if (m_continueAfterKey.empty())
                          m_firstPageEnd = valueOf(page).next;
                      onPage(valueOf(page));
+                     for (const platform::StoreRecord &it : valueOf(page).records)
+                         m_newestKeys.insert(it.key);
+                     for (const std::string &it : valueOf(page).unreadableKeys)
+                         m_newestKeys.insert(it);
                      m_continueAfterKey = valueOf(page).continueAfterKey;
-                     // The pages are not a snapshot. Records that were appended while the pages
-                     // were read come after the end that the first page reported.
                      if (m_continueAfterKey.empty())
-                         m_nextOffset = m_firstPageEnd;
+                         onNewestRead();
                      startRead();
                  });
 }
 
+// The pages are not a snapshot. Records that were appended while the pages were read come after the
+// end that the first page reported.
+void StoreFollower::onNewestRead()
+{
+    m_nextOffset = m_firstPageEnd;
+    const std::set<std::string> keys = std::exchange(m_newestKeys, {});
+    if (m_handlers.onCompleteRead)
+        m_handlers.onCompleteRead(keys, m_firstPageEnd);
+}
+
 void StoreFollower::readNext()
 {
     m_http.start(platform::makeReadCall(m_settings.store, m_settings.topic, *m_nextOffset,
@@ -110,6 +123,7 @@
     if (isTrimmed || error.kind == platform::StoreFailure::Malformed) {
         m_nextOffset.reset();
         m_continueAfterKey.clear();
+        m_newestKeys.clear();
     }
     if (isTrimmed)
         return m_readTimer.startIn({});
--- a/src/storefollower.h
+++ b/src/storefollower.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace cactuscove {
@@ -46,6 +47,9 @@
         // `detail` is the error of the failed read; empty if the store is reachable. The handler
         // may be empty.
         std::function<void(bool isReachable, const std::string &detail)> onReachabilityChanged;
+        // The newest record of each key was read and reported. `keys` are all keys that had one; a
+        // key that is missing had none before `readUpTo`. The handler may be empty.
+        std::function<void(const std::set<std::string> &keys, LogOffset readUpTo)> onCompleteRead;
     };
 
     // Begins to read in the next iteration of `loop`. Failed reads are retried without limit.
@@ -62,6 +66,7 @@
     void startRead();
     void readNewest();
     void readNext();
+    void onNewestRead(); // the last page of newest records was read
     void startAppend();
     void onPage(const platform::StorePage &page);
     void onFailure(const platform::StoreError &error);
@@ -79,11 +84,12 @@
     int m_readFailures = 0; // in a row; 0 after a successful read
     // Next offset to read. None: the newest record of each key is read first, in pages.
     std::optional<LogOffset> m_nextOffset;
-    LogOffset m_firstPageEnd;          // end of the topic when the first page was read
-    std::string m_continueAfterKey;    // key after which the next page begins; empty: first page
-    std::optional<bool> m_isReachable; // none before the first read has ended
-    std::string m_publishedKey;        // of the published record
-    std::string m_publishedValue;      // of the published record
+    LogOffset m_firstPageEnd;           // end of the topic when the first page was read
+    std::string m_continueAfterKey;     // key after which the next page begins; empty: first page
+    std::set<std::string> m_newestKeys; // of the pages that were read so far
+    std::optional<bool> m_isReachable;  // none before the first read has ended
+    std::string m_publishedKey;         // of the published record
+    std::string m_publishedValue;       // of the published record
 };
 
 } // namespace cactuscove
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -253,6 +253,35 @@
     EXPECT_EQ(valueOf(page).continueAfterKey, "config");
 }
 
+// Guards against a key whose record cannot be decoded and then counts as deleted, and against a
+// page of such records that ends the read.
+TEST(PlatformStore, KeysOfInvalidRecordsAreListed)
+{
+    const auto page = parseNewest(
+        reply(200, R"({"items":[{"key":"evacuate/n","value":"!","offset":5}],"has_more":true,)"
+                   R"("end_offset":6})"));
+    ASSERT_TRUE(isOk(page));
+    EXPECT_EQ(valueOf(page).unreadableKeys, std::vector<std::string>{"evacuate/n"});
+    EXPECT_EQ(valueOf(page).continueAfterKey, "evacuate/n");
+}
+
+// Guards against an evacuation of the wrong data centre, and against a record that cannot be read
+// but counts as a request or a withdrawal.
+TEST(PlatformStore, EvacuationsAreDecoded)
+{
+    const auto request = parseEvacuation({"evacuate/mba-port", "{}", LogOffset{3}});
+    ASSERT_TRUE(isOk(request));
+    EXPECT_EQ(valueOf(request), (EvacuationRecord{"mba-port", true, LogOffset{3}}));
+    const auto withdrawal = parseEvacuation({"evacuate/mba-port", "", LogOffset{4}});
+    ASSERT_TRUE(isOk(withdrawal));
+    EXPECT_FALSE(valueOf(withdrawal).isEvacuated);
+    for (const char *key : {"evacuate/", "evacuate/a b", "evacuate/a/b", "evacuate/\n"})
+        EXPECT_FALSE(isOk(parseEvacuation({key, "{}", {}}))) << key;
+    for (const char *value : {"{", "null", "[]", "1"})
+        EXPECT_FALSE(isOk(parseEvacuation({"evacuate/a", value, {}}))) << value;
+    EXPECT_FALSE(isEvacuationKey("config"));
+}
+
 // Guards against a limit that is read from the wrong field and against an incomplete configuration
 // that is accepted.
 TEST(PlatformConfig, QueuesAreDecoded)
--- a/tests/slowstore.cpp
+++ b/tests/slowstore.cpp
@@ -151,7 +151,10 @@
 {
     std::map<std::string, std::size_t> newest;
     for (std::size_t i = 0; i < m_records.size(); ++i)
-        newest[m_records[i].key] = i;
+        if (m_records[i].value.empty()) // the key was deleted
+            newest.erase(m_records[i].key);
+        else
+            newest[m_records[i].key] = i;
     std::string items;
     for (const auto &[key, offset] : newest)
         items += std::string(items.empty() ? "" : ",") + R"({"key":")" + key + R"(","value":")"
--- a/tests/storefollower_test.cpp
+++ b/tests/storefollower_test.cpp
@@ -31,6 +31,10 @@
             StoreFollower::Handlers{[this](const platform::StoreRecord &it) { onRecord(it); },
                                     [this](bool isReachable, const std::string &) {
                                         reachabilityLosses += !isReachable;
+                                    },
+                                    [this](const std::set<std::string> &keys, LogOffset readUpTo) {
+                                        completeKeys = keys;
+                                        completeUpTo = readUpTo;
                                     }});
     }
 
@@ -65,6 +69,8 @@
     std::string expectedValue;
     int recordCount = 0;
     int reachabilityLosses = 0;
+    std::set<std::string> completeKeys; // of the last complete read
+    LogOffset completeUpTo;             // the same
 };
 
 } // namespace
@@ -116,6 +122,20 @@
     EXPECT_EQ(reachabilityLosses, 0);
 }
 
+// Guards against a request that stays in force because its withdrawal was deleted before it was
+// read.
+TEST_F(StoreFollowerTest, ACompleteReadReportsWhichKeysAreLeft)
+{
+    store.append("evacuate/north", "{}");
+    store.append("evacuate/south", "{}");
+    store.append("evacuate/north", "");
+    store.append("last", "1");
+    follow();
+    ASSERT_LT(waitFor("1", 10s), MaxApplyTime);
+    EXPECT_EQ(completeKeys, (std::set<std::string>{"evacuate/south", "last"}));
+    EXPECT_EQ(completeUpTo, LogOffset{4});
+}
+
 // Guards against waiting endlessly on a connection that breaks without a close in the middle of an
 // answer.
 TEST_F(StoreFollowerTest, AnAnswerThatStopsHalfWayIsAskedForAgain)
