Entries and agents follow evacuations of data centres

Change: an entry places nothing on workers of evacuated data centres and counts no capacity there. It refuses jobs that only these could run, also waiting ones of which nothing has started. An agent refuses queued and new tasks there and lets runs continue, including starts that are not confirmed. Both send EvacuationUpdate after the hello and on changes, so that a process that starts without the store knows the state.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -6,11 +6,13 @@
 
 #include "decisionloop.h"
 #include "dispatchprocess.h"
+#include "evacuationchanges.h"
 #include "taskrunner.h"
 
 #include <algorithm>
 #include <cstdio>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace cactuscove {
@@ -88,6 +90,7 @@
     {
         TaskRunnerSettings settings;
         settings.hasScarcityControl = m_features.hasScarcityControl;
+        settings.dataCentre = m_settings.dataCentre;
         const Duration spare
             = m_settings.resubmitDelay - m_settings.maxStopTime - ResubmitSafetyMargin;
         settings.entryTimeout = std::min<Duration>(settings.entryTimeout, spare / 2);
@@ -308,6 +311,8 @@
             m_runner.onAssign(it.entry->instance, *assign, now, out);
         else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
             m_runner.onWithdraw(it.entry->instance, *withdraw, now, out);
+        else if (const auto *update = std::get_if<EvacuationUpdate>(&message))
+            onEvacuationUpdate(it.entry->name, *update);
         else if (const auto *known = std::get_if<KnownEntries>(&message))
             m_loop.post([this, all = *known] {
                 addEntryAddresses(all);
@@ -330,10 +335,41 @@
              {{"entry", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
         m_runner.onEntryHello(hello.instance, hello.name, now, out);
         it.link->send(makeHeartbeat());
+        sendEvacuations(it); // before the workers, so that a new entry places nothing on them
         sendInventory(it);
         sendWorkers(it);
     }
 
+    // Evacuations: the entry that was connected last may know less than others, so each change is
+    // passed on to all entries.
+
+    void onEvacuationUpdate(std::string_view sender, const EvacuationUpdate &update)
+    {
+        if (!m_settings.hasEvacuations)
+            return;
+        m_records.mergeEvacuations(update.evacuations, update.readUpTo);
+        const EvacuationChanges::Change change
+            = m_evacuationChanges.take(m_records, sender, [this](std::string_view dataCentre) {
+                  return m_runner.workersIn(dataCentre);
+              });
+        for (const LogEvent &it : change.events)
+            log(it);
+        if (!change.isNews)
+            return;
+        const std::set<std::string> dataCentres = m_records.evacuatedDataCentres();
+        m_metrics.set("cactuscove_evacuated_data_centres", {},
+                      static_cast<double>(dataCentres.size()));
+        m_runner.setEvacuated(dataCentres);
+        for (auto &[address, it] : m_connections)
+            sendEvacuations(it);
+    }
+
+    void sendEvacuations(EntryConnection &it)
+    {
+        if (m_settings.hasEvacuations && it.entry && it.entry->protocol >= 2)
+            it.link->send(EvacuationUpdate{m_records.evacuations(), m_records.readUpTo()});
+    }
+
     void sendInventory(EntryConnection &it)
     {
         TaskInventory inventory = m_runner.inventoryOf(it.entry->instance);
@@ -412,6 +448,8 @@
     }
 
     FeatureFlags m_features;
+    OperatorRecords m_records; // only the evacuations, as the entries report them
+    EvacuationChanges m_evacuationChanges;
     TaskRunner m_runner;
     DecisionLoop<TaskRunner, RunnerEffect, DispatchAgent> m_decisions;
     Timer m_heartbeatTimer;
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -6,6 +6,7 @@
 
 #include "decisionloop.h"
 #include "dispatchprocess.h"
+#include "evacuationchanges.h"
 #include "jobdispatcher.h"
 #include "operatorrecords.h"
 
@@ -233,6 +234,9 @@
                          {{"topic", "operators"},
                           {"detail", detail},
                           {"config", std::to_string(m_dispatcher.config().version)}}});
+                },
+                [this](const std::set<std::string> &keys, LogOffset readUpTo) {
+                    onOperatorTopicRead(keys, readUpTo);
                 }});
     }
 
@@ -240,6 +244,8 @@
     // may deliver records again.
     void onOperatorRecord(const platform::StoreRecord &record)
     {
+        if (platform::isEvacuationKey(record.key))
+            return onEvacuationRecord(record);
         if (record.key != platform::ConfigKey)
             return;
         auto config = platform::parseConfig(record.value);
@@ -257,6 +263,62 @@
                       static_cast<double>(m_dispatcher.config().version));
     }
 
+    void onEvacuationRecord(const platform::StoreRecord &record)
+    {
+        if (!m_settings.hasEvacuations)
+            return;
+        const auto evacuation = platform::parseEvacuation(record);
+        std::optional<LogEvent> event;
+        if (!isOk(evacuation))
+            event = m_evacuationChanges.unreadable(record.key, record.offset,
+                                                   errorOf(evacuation).reason);
+        else if (!m_records.updateEvacuation(valueOf(evacuation)))
+            event = m_evacuationChanges.withoutEffect(valueOf(evacuation), m_records);
+        if (event)
+            log(*event);
+        applyEvacuations("store");
+    }
+
+    // A request that was withdrawn may have been deleted since, with its withdrawal.
+    void onOperatorTopicRead(const std::set<std::string> &keys, LogOffset readUpTo)
+    {
+        if (!m_settings.hasEvacuations)
+            return;
+        std::set<std::string> evacuated;
+        for (const std::string &it : keys)
+            evacuated.insert(platform::evacuatedDataCentre(it));
+        m_records.completeRead(evacuated, readUpTo);
+        applyEvacuations("store");
+    }
+
+    // Puts the evacuations of m_records in force and sends them to all processes that are
+    // connected, if they have changed. To be called after each change of m_records.
+    void applyEvacuations(std::string_view source)
+    {
+        const EvacuationChanges::Change change
+            = m_evacuationChanges.take(m_records, source, [this](std::string_view dataCentre) {
+                  return m_dispatcher.workers().workersIn(dataCentre);
+              });
+        for (const LogEvent &it : change.events)
+            log(it);
+        if (!change.isNews)
+            return;
+        const std::set<std::string> dataCentres = m_records.evacuatedDataCentres();
+        m_metrics.set("cactuscove_evacuated_data_centres", {},
+                      static_cast<double>(dataCentres.size()));
+        m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &) {
+            dispatcher.setEvacuated(dataCentres, now);
+        });
+        for (auto &[id, it] : m_links)
+            sendEvacuations(it);
+    }
+
+    void sendEvacuations(Link &it)
+    {
+        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= 2)
+            it.link->send(EvacuationUpdate{m_records.evacuations(), m_records.readUpTo()});
+    }
+
     // Agents and other entries
 
     FramedLink::Handlers makeHandlers(LinkId id)
@@ -388,6 +450,8 @@
                     else if (const auto *started = std::get_if<EntriesStarted>(&message))
                         for (const EntryStart &start : started->starts)
                             onEntryStarted(start);
+                    else if (const auto *update = std::get_if<EvacuationUpdate>(&message))
+                        onEvacuationUpdate(it, *update);
                     else if (it.peer && it.peer->role == Role::Agent) {
                         dispatcher.onAgentMessage(it.peer->instance, message, now, out);
                     }
@@ -395,12 +459,21 @@
             });
     }
 
+    void onEvacuationUpdate(const Link &it, const EvacuationUpdate &update)
+    {
+        if (!m_settings.hasEvacuations || !it.peer)
+            return;
+        m_records.mergeEvacuations(update.evacuations, update.readUpTo);
+        applyEvacuations(it.peer->name);
+    }
+
     void onHello(LinkId id, Link &it, const PeerHello &hello, TimePoint now, DispatcherOutbox &out)
     {
         it.peer = hello;
         log({Severity::Info,
              hello.role == Role::Agent ? "agent_connected" : "entry_connected",
              {{"name", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
+        sendEvacuations(it);
         if (hello.role == Role::Entry) {
             if (!it.dialled.empty())
                 m_selection.onOpened(it.dialled);
@@ -484,6 +557,7 @@
     FeatureFlags m_features;
     std::string m_linkListen;  // "ip:port" on which links of agents and entries are accepted
     OperatorRecords m_records; // the configuration that m_dispatcher uses is the same
+    EvacuationChanges m_evacuationChanges;
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_heartbeatTimer;
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -174,10 +174,10 @@
     if (!m_directory.fitsSomeWorker(
             {queue->upstream, spec.needs, 0, {}, spec.requiredLabel, spec.preferredLabel}))
         return refuse(caller, spec, "cannot_run", {}, out);
+    if (isEvacuated(queue->upstream, spec, now))
+        return refuse(caller, spec, "evacuated", NoWorkerRetryAfter, out);
     const WorkerDirectory::UsableCapacity usable = m_directory.usableCapacity(queue->upstream, now);
-    // When a whole fleet starts, agents connect within moments; jobs may wait for them.
-    const bool isStarting = now - m_startedAt < StartupPeriod;
-    if (!spec.needs.fitsIn(usable.total) && !isStarting)
+    if (!spec.needs.fitsIn(usable.total) && !isStarting(now))
         return refuse(caller, spec, "no_upstream", NoWorkerRetryAfter, out);
 
     Job job;
@@ -195,12 +195,18 @@
     job.latestStart = job.objectiveAt - makespan + PriorityDelay * job.priority;
 
     const AvailableCores available{usable.freeCores, shareOfCores(usable.total)};
-    const bool mayWait = isStarting && available.shareCores == 0;
+    const bool mayWait = isStarting(now) && available.shareCores == 0;
     if (!mayWait && refuseIfOverloaded(caller, job, available, now, out))
         return;
     accept(caller, std::move(job));
 }
 
+// When a whole fleet starts, agents connect within moments; jobs may wait for them.
+bool JobDispatcher::isStarting(TimePoint now) const
+{
+    return now - m_startedAt < StartupPeriod;
+}
+
 double JobDispatcher::shareOfCores(const Resources &capacity) const
 {
     std::uint32_t entries = 1;
@@ -467,6 +473,8 @@
     m_lastInputAt = now;
     if (now >= m_nextExpiry)
         expireJobs(now, out);
+    if (m_directory.hasEvacuations())
+        refuseEvacuatedJobs(now, out);
     placeWaitingTasks(now, out);
     m_nextExpiry = earliestExpiry();
 }
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -108,6 +108,10 @@
     // Any message of a connected agent but the hello.
     void onAgentMessage(Incarnation agent, const PeerMessage &message, TimePoint now,
                         DispatcherOutbox &out);
+    // The workers of these data centres get no tasks from now on; running tasks continue. Replaces
+    // the earlier set. Jobs of which nothing has started are refused if all workers that could run
+    // them are in these data centres.
+    void setEvacuated(std::set<std::string> dataCentres, TimePoint now);
     // Ends jobs whose time has run out, requeues tasks whose attempt at a lost agent has ended by
     // now, and assigns waiting tasks to workers. To be called after inputs, once for several of
     // them, and at nextTimer().
@@ -234,6 +238,12 @@
     bool refuseIfOverloaded(CallerId caller, const Job &job, const AvailableCores &available,
                             TimePoint now, DispatcherOutbox &out) const;
     void accept(CallerId caller, Job job);
+    bool isStarting(TimePoint now) const; // the process has just started
+    // All workers that could run the job are in evacuated data centres. False for a short time
+    // after the start of the process, when other agents may still connect.
+    bool isEvacuated(std::string_view upstream, const BestEffortJob &job, TimePoint now) const;
+    // Refuses the waiting jobs for which isEvacuated() and of which nothing has started.
+    void refuseEvacuatedJobs(TimePoint now, DispatcherOutbox &out);
     // Answers the caller of a job that is not accepted.
     void refuse(CallerId caller, const BestEffortJob &job, std::string reason, Duration retryAfter,
                 DispatcherOutbox &out);
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -1,4 +1,5 @@
 // Inputs of the dispatcher from agents: connections, loads, starts and ends of tasks, inventories.
+// Evacuations of data centres.
 
 #include "durations.h"
 #include "jobdispatcher.h"
@@ -26,6 +27,8 @@
 constexpr Duration InventoryRetention = 3s;
 // Raises the attempt number of a task above those that other entries have used.
 constexpr std::uint32_t AttemptStep = 16;
+// An evacuation lasts for an unknown time, so callers are told to come back after a moment.
+constexpr Duration EvacuatedRetryAfter = 1s;
 
 } // namespace
 
@@ -221,6 +224,12 @@
     Task &task = job->tasks[message.task.index];
     if (message.reason == StartRefusal::OldAttempt)
         task.attempt += AttemptStep;
+    // The refusal says nothing about the worker, which takes tasks again as soon as the evacuation
+    // is withdrawn.
+    const bool isEvacuated
+        = message.reason == StartRefusal::Draining && m_directory.isEvacuated(task.worker);
+    if (isEvacuated)
+        return requeueTask(number, *job, message.task.index, now, out);
     const bool isWorkerUnavailable = message.reason == StartRefusal::Unhealthy
                                      || message.reason == StartRefusal::NoWorker
                                      || message.reason == StartRefusal::Draining;
@@ -290,4 +299,34 @@
     }
 }
 
+// Evacuations
+
+void JobDispatcher::setEvacuated(std::set<std::string> dataCentres, TimePoint now)
+{
+    const double coresBefore = m_directory.usableCores(now);
+    m_directory.setEvacuated(std::move(dataCentres));
+    const double cores = m_directory.usableCores(now);
+    if (cores < coresBefore)
+        m_loadControl.scaleStartRates(cores / coresBefore);
+}
+
+bool JobDispatcher::isEvacuated(std::string_view upstream, const BestEffortJob &job,
+                                TimePoint now) const
+{
+    return !isStarting(now)
+           && m_directory.fitsOnlyEvacuated(
+               {upstream, job.needs, 0, {}, job.requiredLabel, job.preferredLabel});
+}
+
+void JobDispatcher::refuseEvacuatedJobs(TimePoint now, DispatcherOutbox &out)
+{
+    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
+    for (const Rank &rank : ranks) {
+        const Job &job = m_jobs.at(rank.number);
+        const bool isUnassigned = job.waitingCount == job.tasks.size() && !job.mayHaveStarted;
+        if (isUnassigned && isEvacuated(job.upstream, job.spec, now))
+            finish(rank.number, {JobOutcome::Refused, "evacuated", EvacuatedRetryAfter}, now, out);
+    }
+}
+
 } // namespace cactuscove
--- a/src/loadcontrol.cpp
+++ b/src/loadcontrol.cpp
@@ -53,6 +53,12 @@
     level.rateUpdatedAt = now;
 }
 
+void LoadControl::scaleStartRates(double fraction)
+{
+    for (auto &[priority, it] : m_priorities)
+        it.startRate *= fraction;
+}
+
 void LoadControl::recordAnswer(bool isLate)
 {
     m_lateFraction += AnswerWeight * (isLate - m_lateFraction);
--- a/src/loadcontrol.h
+++ b/src/loadcontrol.h
@@ -42,6 +42,9 @@
     void removeWaiting(int priority, const Work &work);
     // A task was sent to a worker.
     void recordStart(int priority, const Work &work, TimePoint now);
+    // The usable capacity of the fleet has dropped at once to this fraction. Starts before that do
+    // not show what the rest can carry.
+    void scaleStartRates(double fraction);
     // A job was completed; `isLate` if that was after its objective. Late answers show that waits
     // are underestimated: the fleet may have less capacity than its workers report, for example
     // while some of them fail the tasks that they start.
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -47,6 +47,7 @@
     {"cactuscove_remembered_keys", "Job keys that this entry remembers."},
     {"cactuscove_open_jobs", "Best-effort jobs that this entry coordinates."},
     {"cactuscove_open_tasks", "Best-effort tasks queued or running beside this agent."},
+    {"cactuscove_evacuated_data_centres", "Data centres in which no task starts."},
     {"cactuscove_open_requests", "HTTP requests that are not yet answered."},
 };
 
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -30,8 +30,8 @@
 } // namespace
 
 TaskRunner::TaskRunner(TaskRunnerSettings settings, TimePoint startedAt)
-    : m_settings(settings)
-    , m_startsAllowedAt(startedAt + settings.startWindow + StartMargin)
+    : m_settings(std::move(settings))
+    , m_startsAllowedAt(startedAt + m_settings.startWindow + StartMargin)
 {}
 
 TaskRunner::Worker *TaskRunner::findWorker(std::string_view id)
@@ -46,6 +46,16 @@
     return it == m_entries.end() || now - it->second.heardAt > m_settings.entryTimeout;
 }
 
+const std::string &TaskRunner::dataCentreOf(const Worker &worker) const
+{
+    return worker.info.dataCentre.empty() ? m_settings.dataCentre : worker.info.dataCentre;
+}
+
+bool TaskRunner::isDraining(const Worker &worker) const
+{
+    return worker.info.isDraining || m_evacuated.count(dataCentreOf(worker)) > 0;
+}
+
 Resources TaskRunner::usedResources(const Worker &worker) const
 {
     Resources sum;
@@ -230,7 +240,7 @@
         return refuse(entry, assignment, StartRefusal::Expired, assignment.workerId, out);
     if (!worker || m_shuttingDown)
         return refuse(entry, assignment, StartRefusal::NoWorker, assignment.workerId, out);
-    if (worker->info.isDraining)
+    if (isDraining(*worker))
         return refuse(entry, assignment, StartRefusal::Draining, assignment.workerId, out);
     for (auto &[workerId, other] : m_workers) {
         const auto same = other.tasks.find(assignment.task);
@@ -270,6 +280,12 @@
     }
 }
 
+void TaskRunner::setEvacuated(std::set<std::string> dataCentres)
+{
+    if (std::exchange(m_evacuated, std::move(dataCentres)) != m_evacuated)
+        ++m_loadVersion;
+}
+
 // Timeouts
 
 void TaskRunner::processPending(TimePoint now, RunnerOutbox &out)
@@ -331,7 +347,7 @@
                 refused.emplace_back(id, StartRefusal::Withdrawn);
             else if (now > task.assignment.startDeadline)
                 refused.emplace_back(id, StartRefusal::Expired);
-            else if (worker.info.isDraining)
+            else if (isDraining(worker))
                 refused.emplace_back(id, StartRefusal::Draining);
             else if (worker.isUnresponsive)
                 refused.emplace_back(id, StartRefusal::Unhealthy);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -21,6 +21,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -159,6 +160,8 @@
     // unanswered start take, and shorter than the pause after which a caller repeats a lost job.
     Duration startWindow = std::chrono::milliseconds(250);
     bool hasScarcityControl = false; // see FeatureFlags
+    // Of the machine; counts for workers that name none.
+    std::string dataCentre;
 };
 
 // The best-effort tasks of one agent process, which calls it from its event loop.
@@ -195,6 +198,10 @@
     void onWithdraw(Incarnation entry, const WithdrawTask &request, TimePoint now,
                     RunnerOutbox &out);
 
+    // The workers in these data centres start no tasks from now on. Their queued and new tasks are
+    // refused; tasks whose start was sent continue. Replaces the earlier set.
+    void setEvacuated(std::set<std::string> dataCentres);
+
     // Stops and refuses tasks whose time has run out, starts queued tasks that have capacity, and
     // polls the workers. To be called after inputs, once for several of them, and at nextTimer().
     void processPending(TimePoint now, RunnerOutbox &out);
@@ -223,6 +230,7 @@
     // Tasks that are queued, being started, running or being stopped.
     std::size_t openTasks() const;
     std::size_t openTasksOf(Incarnation entry) const; // the same, of one entry
+    std::size_t workersIn(std::string_view dataCentre) const;
 
 private:
     // State of a task. Starting: a start was sent and not accepted yet. Stopping: a stop was sent,
@@ -358,6 +366,9 @@
     void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
     // To be called with the clock in each reply of the worker.
     void updateClock(Worker &worker, WorkerClock clock, TimePoint now);
+    const std::string &dataCentreOf(const Worker &worker) const;
+    // The worker starts no tasks: it is leaving, or its data centre is evacuated.
+    bool isDraining(const Worker &worker) const;
     bool isEntrySilent(Incarnation entry, TimePoint now) const;
     // Needs of all tasks that are not queued.
     Resources usedResources(const Worker &worker) const;
@@ -385,6 +396,7 @@
     std::map<std::string, Worker, std::less<>> m_workers;
     std::map<Incarnation, Entry> m_entries;
     std::map<WorkerCallId, PendingCall> m_calls;
+    std::set<std::string> m_evacuated;  // data centres
     std::deque<EndedTask> m_endedTasks; // oldest first
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastArrival = 0;
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -180,7 +180,7 @@
 
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    if (!worker.isSynced || worker.info.isDraining || !worker.orphans.empty() || !m_startsAllowed
+    if (!worker.isSynced || isDraining(worker) || !worker.orphans.empty() || !m_startsAllowed
         || now < worker.unhealthyUntil || worker.isUnresponsive)
         return;
     Resources freeResources = worker.info.capacity - usedResources(worker);
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -70,7 +70,7 @@
         load.workerId = id;
         load.free = worker.info.capacity - usedResources(worker);
         load.isUsable = m_startsAllowed && worker.isSynced && worker.orphans.empty()
-                        && !worker.info.isDraining && !worker.isUnresponsive && !m_shuttingDown;
+                        && !isDraining(worker) && !worker.isUnresponsive && !m_shuttingDown;
         std::map<int, Resources> queued;
         for (const auto &[taskId, task] : worker.tasks) {
             if (task.state == State::Queued)
@@ -115,4 +115,11 @@
     return n;
 }
 
+std::size_t TaskRunner::workersIn(std::string_view dataCentre) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(),
+                      [&](const auto &it) { return dataCentreOf(it.second) == dataCentre; }));
+}
+
 } // namespace cactuscove
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -77,10 +77,13 @@
 void WorkerDirectory::updateWorker(Incarnation agent, const WorkerUpdate &update)
 {
     const WorkerKey key{agent, update.worker.id};
-    if (update.isGone)
+    if (update.isGone) {
         m_workers.erase(key);
-    else
-        m_workers[key].info = update.worker;
+    } else {
+        Worker &worker = m_workers[key];
+        worker.info = update.worker;
+        worker.isEvacuated = m_evacuated.count(dataCentreOf(key, worker)) > 0;
+    }
 }
 
 void WorkerDirectory::updateLoad(Incarnation agent, const WorkerLoad &load)
@@ -109,12 +112,26 @@
         it->second.pausedUntil = std::max(it->second.pausedUntil, until);
 }
 
+void WorkerDirectory::setEvacuated(std::set<std::string> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+    for (auto &[key, worker] : m_workers)
+        worker.isEvacuated = m_evacuated.count(dataCentreOf(key, worker)) > 0;
+}
+
+const std::string &WorkerDirectory::dataCentreOf(const WorkerKey &key, const Worker &worker) const
+{
+    const auto agent = m_agents.find(key.agent);
+    const bool isNamed = !worker.info.dataCentre.empty() || agent == m_agents.end();
+    return isNamed ? worker.info.dataCentre : agent->second.dataCentre;
+}
+
 bool WorkerDirectory::isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const
 {
     const auto agent = m_agents.find(key.agent);
     return agent != m_agents.end() && now - agent->second.heardAt < AgentTimeout
            && agent->second.clock != TimePoint{} && worker.hasLoad && worker.load.isUsable
-           && !worker.info.isDraining && now >= worker.pausedUntil;
+           && !worker.info.isDraining && !worker.isEvacuated && now >= worker.pausedUntil;
 }
 
 Resources WorkerDirectory::freeResources(const Worker &worker, int priority)
@@ -238,6 +255,43 @@
     return !isAnyKnown;
 }
 
+bool WorkerDirectory::fitsOnlyEvacuated(const Request &request) const
+{
+    bool isAnyEvacuated = false;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker.info.upstream != request.upstream || !request.needs.fitsIn(worker.info.capacity)
+            || (!request.requiredLabel.empty() && !hasLabel(worker.info, request.requiredLabel)))
+            continue;
+        if (!worker.isEvacuated)
+            return false;
+        isAnyEvacuated = true;
+    }
+    return isAnyEvacuated;
+}
+
+bool WorkerDirectory::isEvacuated(const WorkerKey &key) const
+{
+    const auto it = m_workers.find(key);
+    return it != m_workers.end() && it->second.isEvacuated;
+}
+
+std::size_t WorkerDirectory::workersIn(std::string_view dataCentre) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(), [&](const auto &it) {
+            return dataCentreOf(it.first, it.second) == dataCentre;
+        }));
+}
+
+double WorkerDirectory::usableCores(TimePoint now) const
+{
+    std::int64_t millis = 0;
+    for (const auto &[key, worker] : m_workers)
+        if (isUsable(key, worker, now))
+            millis += worker.info.capacity.cpuMillis;
+    return static_cast<double>(millis) / 1000;
+}
+
 // Capacity of a worker that fails its tasks or is slow cannot be relied on.
 WorkerDirectory::UsableCapacity WorkerDirectory::usableCapacity(std::string_view upstream,
                                                                 TimePoint now) const
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -55,6 +56,9 @@
     std::uint64_t reserve(const WorkerKey &key, int priority, const Resources &needs);
     // Sends the worker no task before `until`; to be called when it has refused one.
     void pauseWorker(const WorkerKey &key, TimePoint until);
+    // The workers of these data centres get no tasks and do not count as usable capacity. Replaces
+    // the earlier set.
+    void setEvacuated(std::set<std::string> dataCentres);
 
     // Queries
 
@@ -80,6 +84,9 @@
     // The task fits on some worker of the upstream, busy or not. True while no worker of the
     // upstream is known.
     bool fitsSomeWorker(const Request &request) const;
+    // The task fits on known workers of the upstream, but all of these are in evacuated data
+    // centres.
+    bool fitsOnlyEvacuated(const Request &request) const;
     // Capacity of the usable workers of an upstream that are not slow and do not fail their tasks.
     struct UsableCapacity
     {
@@ -91,6 +98,12 @@
     // heartbeat. A little less because the heartbeat was under way for some time.
     std::optional<TimePoint> agentClockAt(Incarnation agent, TimePoint at) const;
     std::size_t connectedAgents() const { return m_agents.size(); }
+    // The worker is known and in an evacuated data centre.
+    bool isEvacuated(const WorkerKey &key) const;
+    bool hasEvacuations() const { return !m_evacuated.empty(); }
+    std::size_t workersIn(std::string_view dataCentre) const;
+    // Cores of the usable workers of all upstreams, with slow and failing ones.
+    double usableCores(TimePoint now) const;
 
 private:
     struct Agent
@@ -110,10 +123,14 @@
         bool hasLoad = false;
         // Assignments that `load` does not include yet, by number.
         std::map<std::uint64_t, QueuedDemand> unreported;
-        TimePoint pausedUntil{}; // chosen for no task before this time
+        bool isEvacuated = false; // its data centre is in m_evacuated
+        TimePoint pausedUntil{};  // chosen for no task before this time
     };
 
-    // The worker takes tasks and its agent is in contact with this entry.
+    // The one that the worker names, else that of its agent.
+    const std::string &dataCentreOf(const WorkerKey &key, const Worker &worker) const;
+    // The worker takes tasks, is not in an evacuated data centre, and its agent is in contact with
+    // this entry.
     bool isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const;
     // Free capacity for a task of this priority, less the needs of waiting and unreported tasks
     // that are at least as urgent; may be negative.
@@ -134,6 +151,7 @@
     std::mt19937_64 m_random;
     std::map<Incarnation, Agent> m_agents; // connected agents
     std::map<WorkerKey, Worker> m_workers; // workers of connected agents
+    std::set<std::string> m_evacuated;     // data centres
 };
 
 } // namespace cactuscove
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -4,6 +4,7 @@
 
 #include "durations.h"
 #include "entryselection.h"
+#include "operatorrecords.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,6 +22,7 @@
 constexpr Duration HeartbeatInterval = 100ms;
 constexpr Duration WorkerHeartbeatInterval = 1500ms;
 constexpr Duration StopDelay = 20ms;
+constexpr Duration StoreDelay = 40ms; // until an entry has read a new record
 // Incarnations of entries and agents: the index is multiplied by IdsPerProcess.
 constexpr std::uint64_t IdsPerProcess = 1000; // successive processes of one entry or agent
 constexpr std::uint64_t FirstAgentId = 1000000;
@@ -82,6 +84,7 @@
 
     struct Agent : Process
     {
+        OperatorRecords records; // of evacuations
         std::unique_ptr<TaskRunner> runner;
         std::uint64_t sentLoadVersion = 0;
         TimePoint startedAt = Start;
@@ -90,6 +93,7 @@
 
     struct Entry : Process
     {
+        OperatorRecords records; // of evacuations
         std::unique_ptr<JobDispatcher> dispatcher;
     };
 
@@ -225,6 +229,52 @@
         DispatcherOutbox out;
         it.dispatcher->configure(config, out);
         perform(i, out);
+        it.records = {};
+        readStore(i);
+    }
+
+    // Evacuations: as in dispatchentry.cpp and dispatchagent.cpp, each process sends its state to
+    // all that are connected after each change, and on each new connection.
+
+    void readStore(std::size_t entry)
+    {
+        if (isStoreAway)
+            return;
+        const OperatorSnapshot state = store.snapshot();
+        post(now + StoreDelay, [this, entry, state] {
+            stepEntry(entry, [this, entry, state](JobDispatcher &, DispatcherOutbox &) {
+                mergeAtEntry(entry, {state.evacuations, state.readUpTo});
+            });
+        });
+    }
+
+    void mergeAtEntry(std::size_t e, const EvacuationUpdate &update)
+    {
+        Entry &it = entries[e];
+        const OperatorSnapshot before = it.records.snapshot();
+        it.records.mergeEvacuations(update.evacuations, update.readUpTo);
+        if (before == it.records.snapshot())
+            return;
+        it.dispatcher->setEvacuated(it.records.evacuatedDataCentres(), now);
+        for (std::size_t a = 0; a < agents.size(); ++a)
+            sendToAgent(e, agentId(a), stateOf(it.records));
+    }
+
+    void mergeAtAgent(std::size_t a, const EvacuationUpdate &update)
+    {
+        Agent &it = agents[a];
+        const OperatorSnapshot before = it.records.snapshot();
+        it.records.mergeEvacuations(update.evacuations, update.readUpTo);
+        if (before == it.records.snapshot())
+            return;
+        it.runner->setEvacuated(it.records.evacuatedDataCentres());
+        for (std::size_t e = 0; e < entries.size(); ++e)
+            sendToEntry(a, entryId(e), stateOf(it.records));
+    }
+
+    static EvacuationUpdate stateOf(const OperatorRecords &it)
+    {
+        return {it.evacuations(), it.readUpTo()};
     }
 
     void stepEntry(std::size_t i, const std::function<void(JobDispatcher &, DispatcherOutbox &)> &f)
@@ -277,6 +327,7 @@
             it.selection->add(addressOf(e));
         it.sentLoadVersion = 0;
         it.startedAt = now;
+        it.records = {};
     }
 
     static std::string addressOf(std::size_t entry) { return "entry" + std::to_string(entry); }
@@ -376,6 +427,8 @@
                         runner.onAssign(from, *assign, now, out);
                     else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
                         runner.onWithdraw(from, *withdraw, now, out);
+                    else if (const auto *update = std::get_if<EvacuationUpdate>(&message))
+                        mergeAtAgent(a, *update);
                 });
             });
         }
@@ -397,7 +450,10 @@
                     if (links[e][agent].generation != generation)
                         return;
                     links[e][agent].entryHeardAt = now;
-                    dispatcher.onAgentMessage(from, message, now, out);
+                    if (const auto *update = std::get_if<EvacuationUpdate>(&message))
+                        mergeAtEntry(e, *update);
+                    else
+                        dispatcher.onAgentMessage(from, message, now, out);
                 });
             });
         }
@@ -412,13 +468,15 @@
         ++link.generation;
         link.agentHeardAt = link.entryHeardAt = now;
         const PeerHello hello{"agent" + std::to_string(a), agentId(a), Role::Agent, "", ""};
-        stepEntry(e, [this, hello](JobDispatcher &dispatcher, DispatcherOutbox &out) {
+        stepEntry(e, [this, e, hello](JobDispatcher &dispatcher, DispatcherOutbox &out) {
             dispatcher.onAgentConnected(hello, now, out);
+            sendToAgent(e, hello.instance, stateOf(entries[e].records));
         });
         const Incarnation entry = entryId(e);
         stepAgent(a, [this, e, a, entry](TaskRunner &runner, RunnerOutbox &out) {
             runner.onEntryHello(entry, "entry" + std::to_string(e), now, out);
             sendToEntry(a, entry, PeerHeartbeat{now, connectedEntriesOf(a)});
+            sendToEntry(a, entry, stateOf(agents[a].records));
             sendToEntry(a, entry, runner.inventoryOf(entry));
             for (const WorkerUpdate &update : runner.workers())
                 sendToEntry(a, entry, update);
@@ -670,7 +728,7 @@
         const auto found = jobsById.find(order.task.jobId);
         Job &job = jobs[found->second];
         job.hasRun = true;
-        ++startCount;
+        starts.emplace_back(now, it.index);
         trace("worker" + std::to_string(it.index), {Severity::Info,
                                                     "run_started",
                                                     {{"job", order.task.jobId},
@@ -1015,7 +1073,10 @@
     std::uint64_t eventNumber = 0;
     std::uint64_t callerNumber = 0;
     std::uint64_t runNumber = 0;
-    std::size_t startCount = 0;
+    std::vector<std::pair<TimePoint, int>> starts; // time and worker of each run
+    OperatorRecords store;                         // evacuations in the operators' topic
+    std::uint64_t storeEnd = 0;                    // offset of its next record
+    bool isStoreAway = false;
     std::vector<Worker> workers;
     std::vector<Agent> agents;
     std::vector<Entry> entries;
@@ -1127,6 +1188,21 @@
     m_impl->workers[static_cast<std::size_t>(worker)].isFailing = isFailing;
 }
 
+void DispatchFleet::evacuate(int dataCentre, bool isEvacuated)
+{
+    const LogOffset offset{m_impl->storeEnd++};
+    m_impl->store.updateEvacuation({"dc" + std::to_string(dataCentre), isEvacuated, offset});
+    for (std::size_t e = 0; e < m_impl->entries.size(); ++e)
+        m_impl->readStore(e);
+}
+
+void DispatchFleet::setStoreAway(bool isAway)
+{
+    m_impl->isStoreAway = isAway;
+    for (std::size_t e = 0; e < m_impl->entries.size(); ++e)
+        m_impl->readStore(e);
+}
+
 void DispatchFleet::run()
 {
     m_impl->runAll();
@@ -1169,7 +1245,16 @@
 
 std::size_t DispatchFleet::startCount() const
 {
-    return m_impl->startCount;
+    return m_impl->starts.size();
+}
+
+std::size_t DispatchFleet::startsIn(int dataCentre, Duration from, Duration to) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_impl->starts.begin(), m_impl->starts.end(), [&](const auto &it) {
+            const Duration at = it.first - Start - 3s;
+            return it.second % m_impl->options.dataCentres == dataCentre && at >= from && at < to;
+        }));
 }
 
 } // namespace cactuscove
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -97,6 +97,10 @@
     void setSpeed(int worker, double speed); // 0: tasks make no progress
     // While this is set, every run on the worker fails after a fifth of its work.
     void setFailing(int worker, bool isFailing);
+    // Requests the evacuation of the data centre in the operators' topic, or withdraws it.
+    void evacuate(int dataCentre, bool isEvacuated);
+    // While this is set, no entry can read the operators' topic.
+    void setStoreAway(bool isAway);
 
     void run();
 
@@ -107,6 +111,8 @@
     // capacity, or a job that was refused although a task of it ran.
     const std::vector<std::string> &violations() const;
     std::size_t startCount() const; // runs that workers have started
+    // The same in a data centre, between two times after the start of the load.
+    std::size_t startsIn(int dataCentre, Duration from, Duration to) const;
     Duration slowestAnswer() const; // longest time from the objective of a job to its answer
 
 private:
