Workers count as slower while they are cold

Cause: a worker that has started recently runs tasks more slowly for a time that it reports in its heartbeats (cold_left_ms), and got as many tasks as others.

Change: the agent reports a slowness of at least bounds.cold_overage until that time has passed, if the settings contain bounds.evacuate_ms. An invalid field counts as not cold, as the rest of the heartbeat is still needed.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -91,6 +91,8 @@
         TaskRunnerSettings settings;
         settings.hasScarcityControl = m_features.hasScarcityControl;
         settings.dataCentre = m_settings.dataCentre;
+        if (m_settings.hasEvacuations)
+            settings.coldSlowness = m_settings.coldSlowness;
         const Duration spare
             = m_settings.resubmitDelay - m_settings.maxStopTime - ResubmitSafetyMargin;
         settings.entryTimeout = std::min<Duration>(settings.entryTimeout, spare / 2);
@@ -173,10 +175,10 @@
         }
         const platform::WorkerReport &it = valueOf(report);
         m_decisions.handleInput([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
-            if (it.info)
-                runner.onWorkerInfo(*it.info, now, out);
-            else
-                runner.onWorkerLeft(it.workerId, now, out);
+            if (!it.info)
+                return runner.onWorkerLeft(it.workerId, now, out);
+            runner.onWorkerInfo(*it.info, now, out);
+            runner.onWorkerCold(it.workerId, it.coldLeft, now);
         });
         m_server->respond(id, {200, "{}"});
     }
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -118,6 +118,17 @@
     }
 }
 
+void TaskRunner::onWorkerCold(std::string_view workerId, Duration remaining, TimePoint now)
+{
+    Worker *worker = findWorker(workerId);
+    if (!worker || m_settings.coldSlowness <= 1)
+        return;
+    const bool wasCold = worker->coldUntil != TimePoint{};
+    worker->coldUntil = remaining > Duration{} ? now + remaining : TimePoint{};
+    if (wasCold != (worker->coldUntil != TimePoint{}))
+        ++m_loadVersion;
+}
+
 void TaskRunner::onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out)
 {
     const auto it = m_workers.find(workerId);
@@ -304,6 +315,10 @@
             return onWorkerLeft(std::string(worker.info.id), now, out);
         stopOrphans(worker, now, out);
         startQueued(worker, now, out);
+        if (worker.coldUntil != TimePoint{} && now >= worker.coldUntil) {
+            worker.coldUntil = {};
+            ++m_loadVersion;
+        }
         if (worker.performance.isPoor() && now - worker.poorReportedAt > PoorPerformanceInterval) {
             worker.performance.decay(now);
             worker.poorReportedAt = now;
@@ -383,6 +398,8 @@
     TimePoint next = m_startsAllowed ? NeverTime : m_startsAllowedAt;
     for (const auto &[workerId, worker] : m_workers) {
         next = std::min(next, worker.nextPollAt);
+        if (worker.coldUntil != TimePoint{})
+            next = std::min(next, worker.coldUntil);
         for (const Orphan &it : worker.orphans)
             if (!it.stopAcknowledged)
                 next = std::min(next, it.retryAt);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -162,6 +162,8 @@
     bool hasScarcityControl = false; // see FeatureFlags
     // Of the machine; counts for workers that name none.
     std::string dataCentre;
+    // Run times of a cold worker, as a multiple of its usual ones.
+    double coldSlowness = 1;
 };
 
 // The best-effort tasks of one agent process, which calls it from its event loop.
@@ -176,6 +178,9 @@
 
     // A heartbeat of a worker. The first one makes the worker known.
     void onWorkerInfo(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    // The worker runs tasks more slowly for this long, because it has started recently. Ignored for
+    // an unknown worker.
+    void onWorkerCold(std::string_view workerId, Duration remaining, TimePoint now);
     // The worker has said that it leaves. Its runs are reported as lost, its queued tasks are
     // refused.
     void onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out);
@@ -295,6 +300,7 @@
         bool isUnresponsive = false; // no reply to polls for too long
         // No starts are sent before this time, as one was refused or could not be delivered.
         TimePoint unhealthyUntil{};
+        TimePoint coldUntil{};        // slower before this time; TimePoint{}: not cold
         std::map<TaskId, Task> tasks; // not ended
         std::vector<Orphan> orphans;
         WorkerPerformance performance;
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -82,6 +82,8 @@
             load.queued.push_back({priority, needs});
         load.coreReleaseRate /= std::max(1.0, worker.performance.meanSlowness());
         load.slowness = worker.performance.slowness(now);
+        if (now < worker.coldUntil)
+            load.slowness = std::max(load.slowness, m_settings.coldSlowness);
         load.failureRate = worker.performance.failureRate(now);
         loads.push_back(std::move(load));
     }
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -180,6 +180,25 @@
     EXPECT_TRUE(runner.loads(Now + 1ms).at(0).isUsable);
 }
 
+// Guards against a worker that is slow after its start and gets as many tasks as the others, and
+// against one that counts as slow for longer.
+TEST(EvacuationAgent, AColdWorkerCountsAsSlower)
+{
+    TaskRunnerSettings settings;
+    settings.coldSlowness = 1.5;
+    TaskRunner runner(settings, Now - 1s);
+    RunnerOutbox out;
+    runner.onWorkerInfo(workerIn("north"), Now, out);
+    runner.onWorkerCold("w", 900ms, Now);
+    runner.processPending(Now, out);
+    EXPECT_EQ(runner.loads(Now).at(0).slowness, 1.5);
+    const std::uint64_t version = runner.loadVersion();
+    EXPECT_LE(runner.nextTimer(), Now + 900ms);
+    runner.processPending(Now + 900ms, out);
+    EXPECT_EQ(runner.loads(Now + 900ms).at(0).slowness, 1);
+    EXPECT_GT(runner.loadVersion(), version) << "the entries are told";
+}
+
 // A dispatcher with one worker in data centre "north", past the start of its process.
 class EvacuationEntryTest : public testing::Test
 {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -282,6 +282,25 @@
     EXPECT_FALSE(isEvacuationKey("config"));
 }
 
+// Guards against a heartbeat that is refused because of an invalid field that it can do without.
+TEST(PlatformWorkers, ColdTimeIsOptional)
+{
+    const auto coldLeft = [](const std::string &field) {
+        HttpRequest request;
+        request.method = "PUT";
+        request.path = "/-/instances/i-1";
+        request.body = R"({"service":"s","address":"127.0.0.1:80","zone":"z","state":"ready",)"
+                       R"("capacity":{"cpu":1000},"seq_num":1)"
+                       + field + "}";
+        const auto report = parseWorkerReport(request);
+        return isOk(report) ? std::optional(valueOf(report).coldLeft) : std::nullopt;
+    };
+    EXPECT_EQ(coldLeft(R"(,"cold_left_ms":900)"), Duration(900ms));
+    EXPECT_EQ(coldLeft(""), Duration{});
+    EXPECT_EQ(coldLeft(R"(,"cold_left_ms":-5)"), Duration{});
+    EXPECT_EQ(coldLeft(R"(,"cold_left_ms":"soon")"), Duration{});
+}
+
 // Guards against a limit that is read from the wrong field and against an incomplete configuration
 // that is accepted.
 TEST(PlatformConfig, QueuesAreDecoded)
