System test of evacuations with real processes

Change: the system tests' fleet can have several data centres. One test evacuates one of three while the store goes down and an entry and the agent there restart, after two bad records; one evacuates all.

--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -6,17 +6,20 @@
 import os
 import signal
 import threading
+import time
 import unittest
 
 from dispatchfleet import GRACE_S, Caller, DispatchFleet, in_threads, overlapping_runs, untrue_answers
 from fleet import http, metric, wait_until
 
 
-class DispatchTest(unittest.TestCase):
+class DispatchCase(unittest.TestCase):
     """A fleet for each test. After each test, the runs are checked against the answers of all jobs."""
 
+    ZONES = 1
+
     def setUp(self):
-        self.fleet = DispatchFleet()
+        self.fleet = DispatchFleet(zones=self.ZONES)
         self.addCleanup(self.fleet.stop)
         self.fleet.wait_ready()
         self.jobs = []
@@ -59,6 +62,10 @@
         before = answered()
         wait_until("answers", lambda: answered() >= before + count)
 
+
+class DispatchTest(DispatchCase):
+    """One data centre."""
+
     # Guards against tasks that run twice or not at all without any fault: 20 jobs of 4 tasks at each
     # of the 2 entries give 160 runs.
     def test_the_whole_path(self):
@@ -185,5 +192,66 @@
         self.assertIn("cannot be read", self.fleet.log_of(entry))
 
 
+class EvacuationTest(DispatchCase):
+    """Three data centres, each with one worker."""
+
+    ZONES = 3
+
+    def wait_evacuated(self, count):
+        """Waits until all instances report this number of evacuated data centres."""
+        for it in self.fleet.entries + self.fleet.agents:
+            wait_until(f"{count} evacuated at {it.name}", lambda it=it: metric(
+                it.metrics, "cactuscove_evacuated_data_centres") == count, limit=2)
+
+    # Guards against tasks that start in an evacuated data centre, also while the store is down and after
+    # restarts of an entry and of the agent there, and against bad records that change the state.
+    def test_evacuation(self):
+        stop = threading.Event()
+        threads = self.keep_submitting(6, stop, tasks=2, run_ms=30)
+        self.wait_answers()
+        for key in ("evacuate/", "evacuate/nowhere", "evacuate/z0"):
+            self.fleet.store.write("keyed.op", key, "{}")
+        self.wait_evacuated(2)
+        begin = time.monotonic()
+        self.wait_answers()
+        self.fleet.store.mode = "down"
+        for instance in (self.fleet.entries[0], self.fleet.agents[0]):
+            self.fleet.kill(instance)
+            self.fleet.start(instance)
+            wait_until("start", lambda it=instance: http("GET", it.metrics, "/metrics", timeout=1))
+            self.wait_evacuated(2)
+        time.sleep(2)  # until the worker's next heartbeat has reached the agent
+        self.wait_answers()
+        self.fleet.store.mode = None
+        end = time.monotonic()
+        self.fleet.evacuate("z0", False)
+        self.wait_evacuated(1)
+        worker = self.fleet.workers[0]
+        seconds = wait_until("a run after the withdrawal", lambda: any(
+            it.worker == worker.id and it.begin > end for it in list(self.fleet.history)))
+        self.assertLess(seconds, 2)
+        stop.set()
+        for it in threads:
+            it.join(20)
+        # Starts that were sent before `begin` arrive within 0.25 s.
+        self.assertEqual([it for it in self.fleet.history
+                          if it.worker == worker.id and begin + 0.25 < it.begin < end], [])
+        self.assertIn("event=evacuation_unreadable", self.fleet.log_of(self.fleet.entries[1]))
+
+    # Guards against jobs that wait or fail while no data centre may run them.
+    def test_evacuation_of_all(self):
+        for zone in range(self.ZONES):
+            self.fleet.evacuate(f"z{zone}", True)
+        self.wait_evacuated(self.ZONES)
+        wait_until("refusal", lambda: self.submit(1)[0].status == 503, limit=2)
+        begin = time.monotonic()
+        self.assertEqual({(it.status, it.retry_after) for it in self.submit(5)}, {(503, "1")})
+        self.assertLess(time.monotonic() - begin, 0.5)
+        for zone in range(self.ZONES):
+            self.fleet.evacuate(f"z{zone}", False)
+        self.wait_evacuated(0)
+        wait_until("room", lambda: self.submit(1)[0].state == "completed", limit=2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -29,7 +29,7 @@
 
 SETTINGS = """node_name = "{name}"
 ip = "{ip}"
-zone = "z0"
+zone = "{zone}"
 port_range = [{link_port}, {metrics_port}]
 seeds = [{seeds}]
 [bind_addrs]
@@ -43,7 +43,7 @@
 resend_ms = 1300
 drain_ms = 2000
 config_apply_ms = 2000
-[platform]
+{evacuation}[platform]
 address = "{store}"
 """
 
@@ -54,11 +54,12 @@
     A restart keeps the Instance and replaces its process.
     """
 
-    def __init__(self, role, name, ip, own, settings):
+    def __init__(self, role, name, ip, own, settings, zone):
         self.role = role
         self.name = name
         self.ip = ip    # IP address that it tells the other instances: the proxy's for an entry
         self.own = own  # IP address that it listens on
+        self.zone = zone  # data centre
         self.settings = settings  # path of the settings file
         self.process = None
         self.metrics = f"{ip}:{METRICS_PORT}"  # address of its metrics
@@ -80,13 +81,16 @@
     """A store, entries, agents with one worker each, and the proxies between them.
 
     `seed` selects the clock rates of the workers, `cpu` is the capacity of each worker in thousandths
-    of a core. The constructor starts all processes without waiting for them; see wait_ready().
+    of a core. With several zones (data centres) the instances of each role take turns in them, and the
+    settings allow their evacuation. The constructor starts all processes without waiting for them; see
+    wait_ready().
     """
 
-    def __init__(self, entries=2, agents=3, seed=0, cpu=4000):
+    def __init__(self, entries=2, agents=3, seed=0, cpu=4000, zones=1):
         self.random = random.Random(seed)
         self.network = 10 + os.getpid() % 240  # second byte of all addresses; differs between runs
         self.directory = tempfile.mkdtemp(prefix="cactuscove-dispatch-")  # settings and output
+        self.zones = zones
         self.history = []  # ended runs of all workers, in the order of their end
         self.proxies = {}  # address of the control interface, by name of the proxy
         self.children = []  # all processes that were ever started
@@ -104,7 +108,7 @@
             self.workers.append(Worker(
                 f"{self.ip(WORKER, n + 1)}:{WORKER_PORT}", f"{agent.own}:{WORKER_PORT}",
                 self.history, "desk", cpu, clock_rate=self.random.choice([1.0, 0.98]),
-                announced=f"{self.ip(LINK, n + 101)}:{WORKER_PORT}"))
+                announced=f"{self.ip(LINK, n + 101)}:{WORKER_PORT}", zone=agent.zone))
         for instance in self.entries + self.agents:
             self.start(instance)
 
@@ -120,7 +124,8 @@
         if role == "entry":
             self.start_proxy(f"link{n}", ip, LINK_PORT, own)
             self.start_proxy(f"caller{n}", self.ip(CALLER, n), CALLER_PORT, own)
-        instance = Instance(role, name, ip, own, os.path.join(self.directory, name + ".toml"))
+        instance = Instance(role, name, ip, own, os.path.join(self.directory, name + ".toml"),
+                            f"z{(n - 1) % self.zones}")
         self.write_settings(instance)
         return instance
 
@@ -129,7 +134,9 @@
         seeds = ", ".join(f'"{self.ip(LINK, n)}:{LINK_PORT}"' for n in (1, 2))
         with open(instance.settings, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(
-                name=instance.name, ip=instance.ip, own=instance.own, seeds=seeds, link_port=LINK_PORT,
+                name=instance.name, zone=instance.zone,
+                evacuation="evacuate_ms = 5000\n" if self.zones > 1 else "",
+                ip=instance.ip, own=instance.own, seeds=seeds, link_port=LINK_PORT,
                 metrics_port=METRICS_PORT, caller_port=CALLER_PORT, ready_port=READY_PORT,
                 worker_port=WORKER_PORT, store=f"{self.ip(STORE, 2)}:{STORE_PORT}"))
 
@@ -206,6 +213,10 @@
         self.store.write("keyed.op", "config",
                          json.dumps({"version": self.version, "routes": routes, "services": []}))
 
+    def evacuate(self, zone, is_evacuated):
+        """Writes the operators' request to evacuate a data centre, or its withdrawal, to the store."""
+        self.store.write("keyed.op", f"evacuate/{zone}", "{}" if is_evacuated else "")
+
     # Jobs
 
     def make_job(self, tasks=3, run_ms=50, cpu=500, queue="urgent", **spec):
--- a/tests/system/platformstandin.py
+++ b/tests/system/platformstandin.py
@@ -148,7 +148,8 @@
                 key = it[1:1 + it[0]].decode()
                 found[key] = {"key": key, "offset": offset,
                               "value": base64.b64encode(it[1 + it[0]:]).decode()}
-            page = sorted((it for it in found.values() if it["key"] > after),
+            # A key whose newest record has no value is deleted.
+            page = sorted((it for it in found.values() if it["key"] > after and it["value"]),
                           key=lambda it: it["key"])
             return answer_json(200, items=page, has_more=False, end_offset=len(records))
 
@@ -182,12 +183,14 @@
     the heartbeats if that differs. Its clock advances clock_rate seconds in each second.
     """
 
-    def __init__(self, address, agent, history, service, cpu=4000, clock_rate=1.0, announced=None):
+    def __init__(self, address, agent, history, service, cpu=4000, clock_rate=1.0, announced=None,
+                 zone="z0"):
         self.history = history
         self.agent = agent
         self.service = service
         self.cpu = cpu
         self.clock_rate = clock_rate
+        self.zone = zone
         self.slowness = 1.0
         self.is_failing = False
         self.is_hung = False
@@ -365,7 +368,7 @@
                 self.sequence += 1
                 path = "/-/instances/" + self.id
                 body = json.dumps({
-                    "service": self.service, "address": self.announced, "zone": "z0",
+                    "service": self.service, "address": self.announced, "zone": self.zone,
                     "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
                     "capacity": {"cpu": self.cpu, "mem_mb": 8192, "gpu": 0}, "labels": ["a", "r1"],
                     "born": self.born, "clock_ms": int(self.clock()), "seq_num": self.sequence})
