--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -159,12 +159,32 @@
                             dispatcher.configure(std::move(config), out);
                         });
                 },
+                [this](const std::set<std::string> &dataCentres) { applyEvacuations(dataCentres); },
+                [this](std::string_view dataCentre) {
+                    return m_dispatcher.workers().workersIn(dataCentre);
+                },
                 [this](OperatorPeer peer, PeerMessage message) {
                     m_links.at(peer.value).link->send(std::move(message));
                 },
                 [this](const LogEvent &event) { log(event); }};
     }
 
+    // Puts evacuations in force and sends them to all processes that are connected.
+    void applyEvacuations(const std::set<std::string> &dataCentres)
+    {
+        m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &) {
+            dispatcher.setEvacuated(dataCentres, now);
+        });
+        for (auto &[id, it] : m_links)
+            sendEvacuations(it);
+    }
+
+    void sendEvacuations(Link &it)
+    {
+        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= 2)
+            it.link->send(m_operators.evacuationUpdate());
+    }
+
     // Agents and other entries
 
     FramedLink::Handlers makeHandlers(LinkId id)
@@ -298,6 +318,8 @@
                     else if (const auto *started = std::get_if<EntriesStarted>(&message))
                         for (const EntryStart &start : started->starts)
                             onEntryStarted(start);
+                    else if (const auto *update = std::get_if<EvacuationUpdate>(&message))
+                        onEvacuationUpdate(it, *update);
                     else if (it.peer && it.peer->role == Role::Agent)
                         dispatcher.onAgentMessage(it.peer->instance, message, now, out);
                     else if (it.peer)
@@ -306,12 +328,19 @@
             });
     }
 
+    void onEvacuationUpdate(const Link &it, const EvacuationUpdate &update)
+    {
+        if (it.peer)
+            m_operators.onEvacuationUpdate(it.peer->name, update);
+    }
+
     void onHello(LinkId id, Link &it, const PeerHello &hello, TimePoint now, DispatcherOutbox &out)
     {
         it.peer = hello;
         log({Severity::Info,
              hello.role == Role::Agent ? "agent_connected" : "entry_connected",
              {{"name", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
+        sendEvacuations(it);
         if (hello.role == Role::Entry) {
             if (!it.dialled.empty())
                 m_selection.onOpened(it.dialled);
--- a/src/dispatchoperators.cpp
+++ b/src/dispatchoperators.cpp
@@ -17,6 +17,7 @@
 void DispatchOperators::start(const platform::PlatformSettings &settings,
                               const FeatureFlags &features, std::uint64_t seed)
 {
+    m_hasEvacuations = settings.hasEvacuations;
     StoreFollowerSettings follower;
     follower.store = settings.storeAddress;
     follower.topic = platform::operatorTopic();
@@ -26,6 +27,9 @@
         StoreFollower::Handlers{[this](const platform::StoreRecord &record) { onRecord(record); },
                                 [this](bool isReachable, const std::string &detail) {
                                     onReachabilityChanged(isReachable, detail);
+                                },
+                                [this](const std::set<std::string> &keys, LogOffset readUpTo) {
+                                    onCompleteRead(keys, readUpTo);
                                 }});
     if (features.operatorCopies > 0)
         startSync(settings, static_cast<std::uint32_t>(features.operatorCopies), seed);
@@ -80,10 +84,62 @@
 
 void DispatchOperators::onRecord(const platform::StoreRecord &record)
 {
-    if (record.key == platform::ConfigKey)
+    if (platform::isEvacuationKey(record.key))
+        onEvacuationRecord(record);
+    else if (record.key == platform::ConfigKey)
         applyConfig(record.value, "store", {{"offset", std::to_string(record.offset.value)}});
 }
 
+void DispatchOperators::onEvacuationRecord(const platform::StoreRecord &record)
+{
+    if (!m_hasEvacuations)
+        return;
+    const auto evacuation = platform::parseEvacuation(record);
+    std::optional<LogEvent> event;
+    if (!isOk(evacuation))
+        event
+            = m_evacuationChanges.unreadable(record.key, record.offset, errorOf(evacuation).reason);
+    else if (!m_records.updateEvacuation(valueOf(evacuation)))
+        event = m_evacuationChanges.withoutEffect(valueOf(evacuation), m_records);
+    if (event)
+        m_handlers.log(*event);
+    applyEvacuations("store");
+}
+
+void DispatchOperators::onCompleteRead(const std::set<std::string> &keys, LogOffset readUpTo)
+{
+    if (!m_hasEvacuations)
+        return;
+    std::set<std::string> evacuated;
+    for (const std::string &it : keys)
+        evacuated.insert(platform::evacuatedDataCentre(it));
+    m_records.completeRead(evacuated, readUpTo);
+    applyEvacuations("store");
+}
+
+void DispatchOperators::onEvacuationUpdate(std::string_view sender, const EvacuationUpdate &update)
+{
+    if (!m_hasEvacuations)
+        return;
+    m_records.mergeEvacuations(update.evacuations, update.readUpTo);
+    applyEvacuations(sender);
+}
+
+void DispatchOperators::applyEvacuations(std::string_view source)
+{
+    const EvacuationChanges::Change change
+        = m_evacuationChanges.take(m_records, source, m_handlers.workersIn);
+    for (const LogEvent &it : change.events)
+        m_handlers.log(it);
+    if (!change.isNews)
+        return;
+    const std::set<std::string> dataCentres = m_records.evacuatedDataCentres();
+    m_metrics.set("cactuscove_evacuated_data_centres", {}, static_cast<double>(dataCentres.size()));
+    m_handlers.onEvacuations(dataCentres);
+    if (m_sync)
+        m_sync->recordsChanged();
+}
+
 void DispatchOperators::applyConfig(const std::string &text, std::string_view source,
                                     LogFields details)
 {
@@ -110,13 +166,10 @@
 {
     if (snapshot.configVersion > m_records.configVersion())
         applyConfig(snapshot.configText, source, details);
-    if (m_records.mergeEvacuations(snapshot.evacuations, snapshot.readUpTo)) {
-        LogFields fields = details;
-        fields.emplace_back("source", source);
-        fields.emplace_back("count", std::to_string(m_records.evacuatedDataCentres().size()));
-        m_handlers.log({Severity::Info, "evacuations_source", std::move(fields)});
-    }
-    m_sync->recordsChanged();
+    if (!m_hasEvacuations)
+        return;
+    m_records.mergeEvacuations(snapshot.evacuations, snapshot.readUpTo);
+    applyEvacuations(source);
 }
 
 } // namespace cactuscove
