All entries write copies if those before them in rank do not

Cause: entries know addresses of machines that no longer exist. If the first eight in rank for a state were such addresses, no entry wrote the state.

Change: entries after the first nine follow at intervals of 1 s unless they hear that the state is copied. The system test kills the agents as well, with a data centre evacuated.

--- a/src/operatorcopies.cpp
+++ b/src/operatorcopies.cpp
@@ -27,9 +27,11 @@
 constexpr Duration StartTime = 500ms;
 // Longer than a read and an append of a store that is well, so that only the first entry calls it.
 constexpr Duration RankInterval = 150ms;
-// Entries that take part in the writing of a state. Bounds the calls for one state; that all of
-// them are down or cut off is rare, even if a third of the fleet is.
-constexpr std::ptrdiff_t MaxWriters = 8;
+// The first entries in rank follow each other at RankInterval: it is rare that all of them are down
+// or cut off, even if a third of the fleet is. Later ones follow slowly, as they matter only where
+// most of the known addresses are out of date; so the store, if it is down, is called by few.
+constexpr std::ptrdiff_t QuickWriters = 8;
+constexpr Duration LateRankInterval = 1s;
 // A partition is read again before an append if it was read longer ago.
 constexpr Duration ContentFreshTime = 1s;
 
@@ -118,7 +120,8 @@
     const std::uint64_t own = hashOf(m_settings.selfAddress);
     const auto rank = std::count_if(m_entries.begin(), m_entries.end(),
                                     [&](const std::string &it) { return hashOf(it) < own; });
-    return rank < MaxWriters ? m_dueAt + RankInterval * rank : NeverTime;
+    return m_dueAt + RankInterval * std::min(rank, QuickWriters)
+           + LateRankInterval * std::max<std::ptrdiff_t>(rank - QuickWriters, 0);
 }
 
 void OperatorCopies::callPartition(std::uint32_t number, TimePoint now, CopiesOutbox &out)
--- a/src/operatorcopies.h
+++ b/src/operatorcopies.h
@@ -135,7 +135,7 @@
 
     bool isReading(const Partition &it) const { return m_use == Use::Reading && !it.wasRead; }
     bool isWriting(const Partition &it) const { return m_isWriter && it.holdsHash != m_hash; }
-    // When this entry begins to write the state, by its rank; NeverTime if it does not.
+    // When this entry begins to write the state, by its rank; NeverTime if it need not.
     TimePoint writeStart() const;
     void beginWriting(TimePoint now, CopiesOutbox &out);
     // If a copy of this size is larger than a record, reports it and returns false; nothing is
--- a/tests/operatorcopies_test.cpp
+++ b/tests/operatorcopies_test.cpp
@@ -307,6 +307,22 @@
     }
 }
 
+// Guards against a version that no entry writes because most of the known addresses are out of
+// date.
+TEST(OperatorCopies, TheLastEntriesWriteIfAllOthersAreGone)
+{
+    Store store;
+    Fleet fleet(60, store);
+    fleet.readTopic();
+    for (int i = 2; i < fleet.size(); ++i)
+        fleet.entry(i).isKilled = true;
+    fleet.apply(0, 7);
+    fleet.apply(1, 7);
+    fleet.run(60s);
+    EXPECT_EQ(store.versionIn(0), 7u);
+    EXPECT_EQ(store.partitions[0].reads, 1);
+}
+
 // Guards against an older state that replaces a newer copy, and against an evacuation that is lost
 // when an entry that does not know it writes a newer configuration.
 TEST(OperatorCopies, AWriterKeepsWhatIsNewer)
--- a/tests/system/copies_test.py
+++ b/tests/system/copies_test.py
@@ -1,4 +1,4 @@
-"""System test of the copies of the operators' records: the loss of all entries while the store's
+"""System test of the copies of the operators' records: the loss of all processes while the store's
 partition with the operators' records does not respond.
 """
 import datetime
@@ -22,7 +22,8 @@
     """A fleet whose entries keep copies of the operators' records."""
 
     def setUp(self):
-        self.fleet = DispatchFleet(entries=3, entry_flags=[f"--operator-copies={COPY_COUNT}"])
+        self.fleet = DispatchFleet(entries=3, zones=3,
+                                   entry_flags=[f"--operator-copies={COPY_COUNT}"])
         self.addCleanup(self.fleet.stop)
         self.fleet.wait_ready()
 
@@ -36,11 +37,11 @@
         return wait_until("copies", lambda: all(new and new != old for new, old
                                                 in zip(self.copies(), before)), limit=5)
 
-    def restart_entries(self):
-        """Kills all entries, then starts them."""
-        for it in self.fleet.entries:
+    def restart_all(self):
+        """Kills all entries and agents, then starts them."""
+        for it in self.fleet.entries + self.fleet.agents:
             self.fleet.kill(it)
-        for it in self.fleet.entries:
+        for it in self.fleet.entries + self.fleet.agents:
             self.fleet.start(it)
 
     def version_in_force(self, entry):
@@ -60,21 +61,23 @@
             for it in ("process_started", "config_source"))
         return (end - begin).total_seconds()
 
-    # Guards against a fleet that has lost all entries and refuses all jobs for as long as the
-    # partition with the operators' records does not respond.
-    def test_all_entries_are_lost_while_the_operators_partition_is_silent(self):
+    # Guards against a fleet that has lost all processes and refuses all jobs for as long as the
+    # partition with the operators' records does not respond, or starts tasks in an evacuated data centre.
+    def test_all_processes_are_lost_while_the_operators_partition_is_silent(self):
         store, fleet = self.fleet.store, self.fleet
         wait_until("copies", lambda: all(self.copies()), limit=5)
         before = self.copies()
+        fleet.evacuate("z1", True)
         fleet.apply_config(["later"])
         self.assertLess(self.wait_copied(before), 0.9)
         store.silent_parts = {OPERATORS, (COPIES, 0)}
-        self.restart_entries()
+        self.restart_all()
         for entry in fleet.entries:
             wait_until("configuration", lambda it=entry: self.version_in_force(it) == fleet.version)
             line = self.lines(entry, "config_source")[-1]
             self.assertRegex(line, "source=(copy|entry)")
             self.assertLess(self.seconds_to_config(entry), MAX_CONFIG_S)
+            self.assertEqual(metric(entry.metrics, "cactuscove_evacuated_data_centres"), 1)
             caller = Caller(fleet, seed=1)
             caller.connect(entry)
             wait_until("job", lambda it=caller: getattr(it.submit_once(
@@ -103,7 +106,7 @@
         for n, it in enumerate(bad.values()):
             store.write(COPIES, "records", it, n)
         store.silent_parts = {OPERATORS}
-        self.restart_entries()
+        self.restart_all()
         entry = fleet.entries[0]
         wait_until("log lines", lambda: len(self.lines(entry, "copy_unreadable")) >= COPY_COUNT)
         time.sleep(2)
