A new entry places no task before it knows the evacuations

Cause: an entry could place tasks in an evacuated data centre by a configuration that it received before the evacuations, for example on an earlier page of the newest records.

Change: with evacuations, an entry places nothing before it has read the operators' topic completely or was told a complete state, for at most the 1.5 s in which jobs may wait for agents at its start. Tests of this, of the expected waits after a drop of capacity, and of random faults of processes and links during an evacuation.

--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -52,9 +52,9 @@
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
         , m_features(loaded.features)
         , m_linkListen(std::move(loaded.linkListen))
-        , m_dispatcher(
-              {m_incarnation.value, lostAgentTimeout(m_settings), m_features.hasScarcityControl},
-              bootNow())
+        , m_dispatcher({m_incarnation.value, lostAgentTimeout(m_settings),
+                        m_features.hasScarcityControl, m_settings.hasEvacuations},
+                       bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_entryUpdateTimer(m_loop, [this] { sendEntryUpdates(); })
@@ -307,7 +307,7 @@
         m_metrics.set("cactuscove_evacuated_data_centres", {},
                       static_cast<double>(dataCentres.size()));
         m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &) {
-            dispatcher.setEvacuated(dataCentres, now);
+            dispatcher.setEvacuated(dataCentres, m_records.readUpTo() > LogOffset{}, now);
         });
         for (auto &[id, it] : m_links)
             sendEvacuations(it);
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -475,7 +475,8 @@
         expireJobs(now, out);
     if (m_directory.hasEvacuations())
         refuseEvacuatedJobs(now, out);
-    placeWaitingTasks(now, out);
+    if (m_knowsEvacuations || !m_settings.hasEvacuations || !isStarting(now))
+        placeWaitingTasks(now, out);
     m_nextExpiry = earliestExpiry();
 }
 
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -77,6 +77,7 @@
     // dispatcher counts from the end of the connection, which is later than that message.
     Duration lostAgentTimeout = std::chrono::milliseconds(1800);
     bool hasScarcityControl = false; // see FeatureFlags
+    bool hasEvacuations = false;     // setEvacuated() will be called
 };
 
 // The best-effort jobs of one entry process, which calls it from its event loop.
@@ -110,8 +111,9 @@
                         DispatcherOutbox &out);
     // The workers of these data centres get no tasks from now on; running tasks continue. Replaces
     // the earlier set. Jobs of which nothing has started are refused if all workers that could run
-    // them are in these data centres.
-    void setEvacuated(std::set<std::string> dataCentres, TimePoint now);
+    // them are in these data centres. `isComplete`: no other one may be evacuated as well. Shortly
+    // after the start of the process no task is placed before that is known.
+    void setEvacuated(std::set<std::string> dataCentres, bool isComplete, TimePoint now);
     // Ends jobs whose time has run out, requeues tasks whose attempt at a lost agent has ended by
     // now, and assigns waiting tasks to workers. To be called after inputs, once for several of
     // them, and at nextTimer().
@@ -296,6 +298,7 @@
     TimePoint m_lastInputAt{};          // time of the newest input
     // Number of entries that each connected agent has a connection to, as it reports.
     std::map<Incarnation, std::uint32_t> m_entryCounts;
+    bool m_knowsEvacuations = false; // setEvacuated() was called with a complete set
     bool m_shuttingDown = false;
 };
 
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -301,8 +301,9 @@
 
 // Evacuations
 
-void JobDispatcher::setEvacuated(std::set<std::string> dataCentres, TimePoint now)
+void JobDispatcher::setEvacuated(std::set<std::string> dataCentres, bool isComplete, TimePoint now)
 {
+    m_knowsEvacuations |= isComplete;
     const double coresBefore = m_directory.usableCores(now);
     m_directory.setEvacuated(std::move(dataCentres));
     const double cores = m_directory.usableCores(now);
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -224,6 +224,7 @@
         DispatcherSettings settings;
         settings.seed = options.seed * 100 + i;
         settings.hasScarcityControl = options.hasScarcityControl;
+        settings.hasEvacuations = options.dataCentres > 1;
         settings.lostAgentTimeout = options.lostAgentTimeout.value_or(settings.lostAgentTimeout);
         it.dispatcher = std::make_unique<JobDispatcher>(settings, now);
         DispatcherOutbox out;
@@ -240,10 +241,10 @@
     {
         if (isStoreAway)
             return;
-        const OperatorSnapshot state = store.snapshot();
+        const EvacuationUpdate state{store.evacuations(), LogOffset{storeEnd}};
         post(now + StoreDelay, [this, entry, state] {
             stepEntry(entry, [this, entry, state](JobDispatcher &, DispatcherOutbox &) {
-                mergeAtEntry(entry, {state.evacuations, state.readUpTo});
+                mergeAtEntry(entry, state);
             });
         });
     }
@@ -255,7 +256,8 @@
         it.records.mergeEvacuations(update.evacuations, update.readUpTo);
         if (before == it.records.snapshot())
             return;
-        it.dispatcher->setEvacuated(it.records.evacuatedDataCentres(), now);
+        it.dispatcher->setEvacuated(it.records.evacuatedDataCentres(),
+                                    it.records.readUpTo() > LogOffset{}, now);
         for (std::size_t a = 0; a < agents.size(); ++a)
             sendToAgent(e, agentId(a), stateOf(it.records));
     }
@@ -1075,7 +1077,7 @@
     std::uint64_t runNumber = 0;
     std::vector<std::pair<TimePoint, int>> starts; // time and worker of each run
     OperatorRecords store;                         // evacuations in the operators' topic
-    std::uint64_t storeEnd = 0;                    // offset of its next record
+    std::uint64_t storeEnd = 1; // offset of its next record, after a configuration
     bool isStoreAway = false;
     std::vector<Worker> workers;
     std::vector<Agent> agents;
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <random>
 
 namespace cactuscove {
 
@@ -84,6 +85,45 @@
     return info;
 }
 
+void report(JobDispatcher &dispatcher, const Resources &free, DispatcherOutbox &out)
+{
+    WorkerLoad load;
+    load.workerId = "w";
+    load.free = free;
+    load.isUsable = true;
+    load.lastAssignmentNumber = 10; // the load includes all that were sent
+    dispatcher.onAgentMessage(Peer, load, Now, out);
+}
+
+// Gives the dispatcher a queue and one worker in data centre "north".
+void prepare(JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out)
+{
+    DispatchConfig config;
+    config.version = 1;
+    QueueSettings queue;
+    queue.name = "q";
+    queue.upstream = "u";
+    queue.targetLatency = 2s;
+    config.queues.push_back(queue);
+    dispatcher.configure(config, out);
+    dispatcher.onAgentConnected({"agent", Peer, Role::Agent, "south", ""}, now, out);
+    dispatcher.onAgentMessage(Peer, PeerHeartbeat{now, 1}, now, out);
+    dispatcher.onAgentMessage(Peer, WorkerUpdate{workerIn("north")}, now, out);
+    report(dispatcher, {1000, 1000, 0}, out);
+}
+
+void submitTo(JobDispatcher &dispatcher, std::uint64_t caller, TimePoint now, DispatcherOutbox &out)
+{
+    BestEffortJob job;
+    job.id = "job" + std::to_string(caller);
+    job.queue = "q";
+    job.needs = {1000, 10, 0};
+    job.taskCount = 1;
+    job.declaredRunTime = 10ms;
+    dispatcher.submit(CallerId{caller}, job, 5s, now, out);
+    dispatcher.processPending(now, out);
+}
+
 } // namespace
 
 // Guards against tasks that start in an evacuated data centre, callers that are not served by the
@@ -144,6 +184,89 @@
     EXPECT_GT(fleet.startsIn(0, 3s, 5s), 0u);
 }
 
+// Guards against a process that is suspended, restarted or cut off at the wrong moment and starts a
+// task with an old state.
+TEST(EvacuationFleet, FaultsOfProcessesAndLinksDoNotBreakTheEvacuation)
+{
+    // Longest time in which a resumed process may act on messages from before its suspension: a
+    // task waits at an agent for 150 ms at most, and a start is valid for 250 ms.
+    constexpr Duration ResumeTime = 400ms;
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8}) {
+        DispatchFleetOptions options = threeDataCentres(seed);
+        options.workers = 9;
+        DispatchFleet fleet(options);
+        std::mt19937_64 random(seed);
+        const auto pick
+            = [&](int n) { return std::uniform_int_distribution<int>(0, n - 1)(random); };
+        for (int i = 0; i < 16; ++i) {
+            const Duration at = std::chrono::milliseconds(pick(4500));
+            const Duration length = std::chrono::milliseconds(30 + pick(1500));
+            const int agent = pick(options.workers);
+            // Entry 0 stays up: without any entry nobody reads the request.
+            const int entry = 1 + pick(options.entries - 1);
+            switch (pick(5)) {
+            case 0:
+                fleet.schedule(at, [&fleet, agent, length] { fleet.killAgent(agent, length); });
+                break;
+            case 1:
+                fleet.schedule(at, [&fleet, entry, length] { fleet.killEntry(entry, length); });
+                break;
+            case 2:
+                fleet.schedule(at, [&fleet, agent, length] { fleet.freezeAgent(agent, length); });
+                break;
+            case 3:
+                fleet.schedule(at, [&fleet, entry, length] { fleet.freezeEntry(entry, length); });
+                break;
+            default:
+                fleet.schedule(at, [&fleet, entry, agent] { fleet.setCut(entry, agent, true); });
+                fleet.schedule(at + length,
+                               [&fleet, entry, agent] { fleet.setCut(entry, agent, false); });
+            }
+        }
+        fleet.schedule(1s, [&] { fleet.evacuate(2, true); });
+        fleet.schedule(4s, [&] { fleet.evacuate(2, false); });
+        fleet.run();
+        EXPECT_EQ(fleet.violations(), std::vector<std::string>{}) << "seed " << seed;
+        EXPECT_EQ(fleet.startsIn(2, 1s + FollowTime + ResumeTime, 4s), 0u) << "seed " << seed;
+        EXPECT_GT(fleet.startsIn(2, 4s, 6s), 0u) << "seed " << seed;
+    }
+}
+
+// Guards against placing tasks by a configuration that was received before the evacuations, and
+// against an entry that never serves because the topic cannot be read completely.
+TEST(EvacuationEntry, ANewEntryPlacesNothingBeforeItKnowsTheEvacuations)
+{
+    for (const bool isTold : {true, false}) {
+        DispatcherSettings settings;
+        settings.hasEvacuations = true;
+        JobDispatcher dispatcher(settings, Now);
+        DispatcherOutbox out;
+        prepare(dispatcher, Now, out);
+        submitTo(dispatcher, 1, Now, out);
+        dispatcher.setEvacuated({"south"}, false, Now);
+        dispatcher.processPending(Now, out);
+        EXPECT_EQ(messagesIn<AssignTask>(out).size(), 0u);
+        if (isTold)
+            dispatcher.setEvacuated({"south"}, true, Now);
+        dispatcher.onAgentMessage(Peer, PeerHeartbeat{Now, 1}, Now + 1600ms, out);
+        dispatcher.processPending(isTold ? Now : Now + 1600ms, out);
+        EXPECT_EQ(messagesIn<AssignTask>(out).size(), 1u);
+    }
+}
+
+// Guards against admitting jobs by what the fleet could start before the evacuation.
+TEST(EvacuationEntry, ExpectedWaitsFollowTheCapacityAtOnce)
+{
+    LoadControl control;
+    const Work job{1, 100};
+    for (int i = 0; i < 100; ++i)
+        control.recordStart(0, job, Now);
+    control.addWaiting(0, {10, 1000});
+    const Duration before = control.expectedWait(0, job, {0, 1}, Now);
+    control.scaleStartRates(0.5);
+    EXPECT_GT(control.expectedWait(0, job, {0, 1}, Now), before * 1.9);
+}
+
 // Guards against stopping a run, or a task whose start may have been carried out, because of an
 // evacuation, and against starting a queued task after it.
 TEST(EvacuationAgent, QueuedTasksAreRefusedAndStartedOnesContinue)
@@ -203,43 +326,9 @@
 class EvacuationEntryTest : public testing::Test
 {
 protected:
-    EvacuationEntryTest()
-    {
-        DispatchConfig config;
-        config.version = 1;
-        QueueSettings queue;
-        queue.name = "q";
-        queue.upstream = "u";
-        queue.targetLatency = 2s;
-        config.queues.push_back(queue);
-        dispatcher.configure(config, out);
-        dispatcher.onAgentConnected({"agent", Peer, Role::Agent, "south", ""}, Now, out);
-        dispatcher.onAgentMessage(Peer, PeerHeartbeat{Now, 1}, Now, out);
-        dispatcher.onAgentMessage(Peer, WorkerUpdate{workerIn("north")}, Now, out);
-        report({1000, 1000, 0});
-    }
-
-    void report(const Resources &free)
-    {
-        WorkerLoad load;
-        load.workerId = "w";
-        load.free = free;
-        load.isUsable = true;
-        load.lastAssignmentNumber = 10; // the load includes all that were sent
-        dispatcher.onAgentMessage(Peer, load, Now, out);
-    }
+    EvacuationEntryTest() { prepare(dispatcher, Now, out); }
 
-    void submit(std::uint64_t caller)
-    {
-        BestEffortJob job;
-        job.id = "job" + std::to_string(caller);
-        job.queue = "q";
-        job.needs = {1000, 10, 0};
-        job.taskCount = 1;
-        job.declaredRunTime = 10ms;
-        dispatcher.submit(CallerId{caller}, job, 5s, Now, out);
-        dispatcher.processPending(Now, out);
-    }
+    void submit(std::uint64_t caller) { submitTo(dispatcher, caller, Now, out); }
 
     // The reason of the newest answer; none without an answer.
     std::optional<std::string> lastRefusal() const
@@ -258,13 +347,13 @@
 // own data centre counts, not that of its agent.
 TEST_F(EvacuationEntryTest, WaitingAndNewJobsAreRefusedAtOnce)
 {
-    report({0, 1000, 0});
+    report(dispatcher, {0, 1000, 0}, out);
     submit(1);
     ASSERT_EQ(lastRefusal(), std::nullopt);
-    dispatcher.setEvacuated({"south"}, Now);
+    dispatcher.setEvacuated({"south"}, true, Now);
     dispatcher.processPending(Now, out);
     ASSERT_EQ(lastRefusal(), std::nullopt);
-    dispatcher.setEvacuated({"north"}, Now);
+    dispatcher.setEvacuated({"north"}, true, Now);
     dispatcher.processPending(Now, out);
     EXPECT_EQ(lastRefusal(), "evacuated");
     out.clear();
@@ -280,7 +369,7 @@
     submit(1);
     const auto assigned = messagesIn<AssignTask>(out);
     ASSERT_EQ(assigned.size(), 1u);
-    dispatcher.setEvacuated({"north"}, Now);
+    dispatcher.setEvacuated({"north"}, true, Now);
     dispatcher.processPending(Now, out);
     EXPECT_EQ(lastRefusal(), std::nullopt);
     dispatcher.onAgentMessage(Peer, StartRefused{assigned[0].task, 1, StartRefusal::Draining}, Now,
@@ -288,8 +377,8 @@
     dispatcher.processPending(Now, out);
     EXPECT_EQ(lastRefusal(), "evacuated");
     out.clear();
-    dispatcher.setEvacuated({}, Now);
-    report({1000, 1000, 0});
+    dispatcher.setEvacuated({}, true, Now);
+    report(dispatcher, {1000, 1000, 0}, out);
     submit(2);
     EXPECT_EQ(messagesIn<AssignTask>(out).size(), 1u) << "placed at once";
 }
