--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -3,23 +3,11 @@
 
 #include "storefollower.h"
 
-#include <algorithm>
+#include "storeretry.h"
 
-namespace cactuscove {
-
-namespace {
-
-using namespace std::chrono_literals;
+#include <utility>
 
-// Delay before a retry: the shortest one plus a random part. All instances lose the store at the
-// same time, and the jitter keeps them from retrying at the same time.
-constexpr Duration MinRetryDelay = 60ms;
-constexpr Duration RetryJitter = 120ms;
-// The jitter doubles with each failed read in a row, at most this many times. For appends it stays
-// the same.
-constexpr int MaxJitterDoublings = 2;
-
-} // namespace
+namespace cactuscove {
 
 StoreFollower::StoreFollower(EventLoop &loop, HttpClient &http, StoreFollowerSettings settings,
                              Handlers handlers)
@@ -34,13 +22,6 @@
     m_readTimer.startIn({});
 }
 
-Duration StoreFollower::retryDelay(int failuresBefore)
-{
-    const Duration spread = RetryJitter * (1 << std::min(failuresBefore, MaxJitterDoublings));
-    std::uniform_int_distribution<Duration::rep> pick(0, spread.count());
-    return MinRetryDelay + Duration(pick(m_random));
-}
-
 void StoreFollower::setReachable(bool isReachable, const std::string &detail)
 {
     if (m_isReachable == isReachable)
@@ -69,15 +50,27 @@
                      if (m_continueAfterKey.empty())
                          m_firstPageEnd = valueOf(page).next;
                      onPage(valueOf(page));
+                     for (const platform::StoreRecord &it : valueOf(page).records)
+                         m_newestKeys.insert(it.key);
+                     for (const std::string &it : valueOf(page).unreadableKeys)
+                         m_newestKeys.insert(it);
                      m_continueAfterKey = valueOf(page).continueAfterKey;
-                     // The pages are not a snapshot. Records that were appended while the pages
-                     // were read come after the end that the first page reported.
                      if (m_continueAfterKey.empty())
-                         m_nextOffset = m_firstPageEnd;
+                         onNewestRead();
                      startRead();
                  });
 }
 
+// The pages are not a snapshot. Records that were appended while the pages were read come after the
+// end that the first page reported.
+void StoreFollower::onNewestRead()
+{
+    m_nextOffset = m_firstPageEnd;
+    const std::set<std::string> keys = std::exchange(m_newestKeys, {});
+    if (m_handlers.onCompleteRead)
+        m_handlers.onCompleteRead(keys, m_firstPageEnd);
+}
+
 void StoreFollower::readNext()
 {
     m_http.start(platform::makeReadCall(m_settings.store, m_settings.topic, *m_nextOffset,
@@ -110,11 +103,12 @@
     if (isTrimmed || error.kind == platform::StoreFailure::Malformed) {
         m_nextOffset.reset();
         m_continueAfterKey.clear();
+        m_newestKeys.clear();
     }
     if (isTrimmed)
         return m_readTimer.startIn({});
     setReachable(false, error.detail);
-    m_readTimer.startIn(retryDelay(m_readFailures++));
+    m_readTimer.startIn(storeRetryDelay(m_readFailures++, m_random));
 }
 
 void StoreFollower::publish(std::string key, std::string value)
@@ -131,7 +125,7 @@
                                           m_publishedValue, m_settings.appendTimeout),
                  [this](const platform::CallResult &result) {
                      if (platform::parseAppend(result))
-                         m_appendTimer.startIn(retryDelay(0));
+                         m_appendTimer.startIn(storeRetryDelay(0, m_random));
                  });
 }
 
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -21,6 +21,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -159,6 +160,10 @@
     // unanswered start take, and shorter than the pause after which a caller repeats a lost job.
     Duration startWindow = std::chrono::milliseconds(250);
     bool hasScarcityControl = false; // see FeatureFlags
+    // Of the machine; counts for workers that name none.
+    std::string dataCentre;
+    // Run times of a cold worker, as a multiple of its usual ones.
+    double coldSlowness = 1;
 };
 
 // The best-effort tasks of one agent process, which calls it from its event loop.
@@ -173,6 +178,9 @@
 
     // A heartbeat of a worker. The first one makes the worker known.
     void onWorkerInfo(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    // The worker runs tasks more slowly for this long, because it has started recently. Ignored for
+    // an unknown worker.
+    void onWorkerCold(std::string_view workerId, Duration remaining, TimePoint now);
     // The worker has said that it leaves. Its runs are reported as lost, its queued tasks are
     // refused.
     void onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out);
@@ -195,6 +203,10 @@
     void onWithdraw(Incarnation entry, const WithdrawTask &request, TimePoint now,
                     RunnerOutbox &out);
 
+    // The workers in these data centres start no tasks from now on. Their queued and new tasks are
+    // refused; tasks whose start was sent continue. Replaces the earlier set.
+    void setEvacuated(std::set<std::string> dataCentres);
+
     // Stops and refuses tasks whose time has run out, starts queued tasks that have capacity, and
     // polls the workers. To be called after inputs, once for several of them, and at nextTimer().
     void processPending(TimePoint now, RunnerOutbox &out);
@@ -223,6 +235,7 @@
     // Tasks that are queued, being started, running or being stopped.
     std::size_t openTasks() const;
     std::size_t openTasksOf(Incarnation entry) const; // the same, of one entry
+    std::size_t workersIn(std::string_view dataCentre) const;
 
 private:
     // State of a task. Starting: a start was sent and not accepted yet. Stopping: a stop was sent,
@@ -287,6 +300,7 @@
         bool isUnresponsive = false; // no reply to polls for too long
         // No starts are sent before this time, as one was refused or could not be delivered.
         TimePoint unhealthyUntil{};
+        TimePoint coldUntil{};        // slower before this time; TimePoint{}: not cold
         std::map<TaskId, Task> tasks; // not ended
         std::vector<Orphan> orphans;
         WorkerPerformance performance;
@@ -358,6 +372,9 @@
     void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
     // To be called with the clock in each reply of the worker.
     void updateClock(Worker &worker, WorkerClock clock, TimePoint now);
+    const std::string &dataCentreOf(const Worker &worker) const;
+    // The worker starts no tasks: it is leaving, or its data centre is evacuated.
+    bool isDraining(const Worker &worker) const;
     bool isEntrySilent(Incarnation entry, TimePoint now) const;
     // Needs of all tasks that are not queued.
     Resources usedResources(const Worker &worker) const;
@@ -385,6 +402,7 @@
     std::map<std::string, Worker, std::less<>> m_workers;
     std::map<Incarnation, Entry> m_entries;
     std::map<WorkerCallId, PendingCall> m_calls;
+    std::set<std::string> m_evacuated;  // data centres
     std::deque<EndedTask> m_endedTasks; // oldest first
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastArrival = 0;
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -70,7 +70,7 @@
         load.workerId = id;
         load.free = worker.info.capacity - usedResources(worker);
         load.isUsable = m_startsAllowed && worker.isSynced && worker.orphans.empty()
-                        && !worker.info.isDraining && !worker.isUnresponsive && !m_shuttingDown;
+                        && !isDraining(worker) && !worker.isUnresponsive && !m_shuttingDown;
         std::map<int, Resources> queued;
         for (const auto &[taskId, task] : worker.tasks) {
             if (task.state == State::Queued)
@@ -82,6 +82,8 @@
             load.queued.push_back({priority, needs});
         load.coreReleaseRate /= std::max(1.0, worker.performance.meanSlowness());
         load.slowness = worker.performance.slowness(now);
+        if (now < worker.coldUntil)
+            load.slowness = std::max(load.slowness, m_settings.coldSlowness);
         load.failureRate = worker.performance.failureRate(now);
         loads.push_back(std::move(load));
     }
@@ -115,4 +117,11 @@
     return n;
 }
 
+std::size_t TaskRunner::workersIn(std::string_view dataCentre) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_workers.begin(), m_workers.end(),
+                      [&](const auto &it) { return dataCentreOf(it.second) == dataCentre; }));
+}
+
 } // namespace cactuscove
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -238,6 +238,19 @@
     EXPECT_EQ(errorOf(parseRead(reply(200, "short"), {})).kind, StoreFailure::Malformed);
     EXPECT_EQ(errorOf(parseNewest(reply(200, "[]"))).kind, StoreFailure::Malformed);
     EXPECT_EQ(errorOf(parseNewest(HttpCallError{})).kind, StoreFailure::Unreachable);
+    EXPECT_EQ(parseAppend(reply(412, ""))->kind, StoreFailure::Conflict);
+}
+
+// Guards against an append that goes to another partition, or that replaces a record which was
+// written since the partition was read.
+TEST(PlatformStore, AnAppendNamesItsPartitionAndTheEndThatItExpects)
+{
+    EXPECT_EQ(makeAppendCall("1.1.1.1:1", "t", "k", "v", 1s, 2, LogOffset{5}).url,
+              "http://1.1.1.1:1/-/log-append?topic=t&part=2&at=5");
+    EXPECT_EQ(makeAppendCall("1.1.1.1:1", "t", "k", "v", 1s).url,
+              "http://1.1.1.1:1/-/log-append?topic=t&part=0");
+    EXPECT_EQ(makeNewestCall("1.1.1.1:1", "t", "", 1s, 2).url,
+              "http://1.1.1.1:1/-/log-newest?topic=t&part=2");
 }
 
 // Guards against an invalid record that makes the other ones of its page unreadable.
@@ -253,6 +266,54 @@
     EXPECT_EQ(valueOf(page).continueAfterKey, "config");
 }
 
+// Guards against a key whose record cannot be decoded and then counts as deleted, and against a
+// page of such records that ends the read.
+TEST(PlatformStore, KeysOfInvalidRecordsAreListed)
+{
+    const auto page = parseNewest(
+        reply(200, R"({"items":[{"key":"evacuate/n","value":"!","offset":5}],"has_more":true,)"
+                   R"("end_offset":6})"));
+    ASSERT_TRUE(isOk(page));
+    EXPECT_EQ(valueOf(page).unreadableKeys, std::vector<std::string>{"evacuate/n"});
+    EXPECT_EQ(valueOf(page).continueAfterKey, "evacuate/n");
+}
+
+// Guards against an evacuation of the wrong data centre, and against a record that cannot be read
+// but counts as a request or a withdrawal.
+TEST(PlatformStore, EvacuationsAreDecoded)
+{
+    const auto request = parseEvacuation({"evacuate/mba-port", "{}", LogOffset{3}});
+    ASSERT_TRUE(isOk(request));
+    EXPECT_EQ(valueOf(request), (EvacuationRecord{"mba-port", true, LogOffset{3}}));
+    const auto withdrawal = parseEvacuation({"evacuate/mba-port", "", LogOffset{4}});
+    ASSERT_TRUE(isOk(withdrawal));
+    EXPECT_FALSE(valueOf(withdrawal).isEvacuated);
+    for (const char *key : {"evacuate/", "evacuate/a b", "evacuate/a/b", "evacuate/\n"})
+        EXPECT_FALSE(isOk(parseEvacuation({key, "{}", {}}))) << key;
+    for (const char *value : {"{", "null", "[]", "1"})
+        EXPECT_FALSE(isOk(parseEvacuation({"evacuate/a", value, {}}))) << value;
+    EXPECT_FALSE(isEvacuationKey("config"));
+}
+
+// Guards against a heartbeat that is refused because of an invalid field that it can do without.
+TEST(PlatformWorkers, ColdTimeIsOptional)
+{
+    const auto coldLeft = [](const std::string &field) {
+        HttpRequest request;
+        request.method = "PUT";
+        request.path = "/-/instances/i-1";
+        request.body = R"({"service":"s","address":"127.0.0.1:80","zone":"z","state":"ready",)"
+                       R"("capacity":{"cpu":1000},"seq_num":1)"
+                       + field + "}";
+        const auto report = parseWorkerReport(request);
+        return isOk(report) ? std::optional(valueOf(report).coldLeft) : std::nullopt;
+    };
+    EXPECT_EQ(coldLeft(R"(,"cold_left_ms":900)"), Duration(900ms));
+    EXPECT_EQ(coldLeft(""), Duration{});
+    EXPECT_EQ(coldLeft(R"(,"cold_left_ms":-5)"), Duration{});
+    EXPECT_EQ(coldLeft(R"(,"cold_left_ms":"soon")"), Duration{});
+}
+
 // Guards against a limit that is read from the wrong field and against an incomplete configuration
 // that is accepted.
 TEST(PlatformConfig, QueuesAreDecoded)
