--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -172,8 +172,9 @@
     // Puts evacuations in force and sends them to all processes that are connected.
     void applyEvacuations(const std::set<std::string> &dataCentres)
     {
+        const bool isComplete = m_operators.evacuationUpdate().readUpTo > LogOffset{};
         m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &) {
-            dispatcher.setEvacuated(dataCentres, m_records.readUpTo() > LogOffset{}, now);
+            dispatcher.setEvacuated(dataCentres, isComplete, now);
         });
         for (auto &[id, it] : m_links)
             sendEvacuations(it);
