Agents know their worker from a record in the store after a restart

Cause: a restarted agent learns of its worker by the worker's heartbeat, which takes up to 1.5 s. After the loss of all processes the fleet has no capacity for so long, although all workers run.

TaskRunner::onWorkerRecord polls the worker of a record at once; entries hear of it only when the reply shows the same id and start time.

A worker now counts as free of runs of an earlier process, and starts are sent to it, only after it has answered a poll that was sent when the start window of that process had passed. An earlier list may lack a start that was still under way; with records such lists come within milliseconds. This holds without the flag as well and costs one poll at the start of an agent.

The system test of a restarted agent found an undeclared metric that ended the process, which is mended here.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -7,6 +7,7 @@
 #include "decisionloop.h"
 #include "dispatchprocess.h"
 #include "taskrunner.h"
+#include "workerrecordclient.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -62,6 +63,11 @@
         if (auto error = serveMetrics())
             return error;
         followEntryAddresses();
+        if (m_features.hasWorkerRecords)
+            m_workerRecord = std::make_unique<WorkerRecordClient>(
+                m_loop, m_http, m_metrics, m_settings, m_incarnation.value,
+                WorkerRecordClient::Handlers{[this](const WorkerInfo &it) { onWorkerRecord(it); },
+                                             [this](const LogEvent &event) { log(event); }});
         m_heartbeatTimer.startIn(LinkHeartbeatInterval);
         return std::nullopt;
     }
@@ -175,9 +181,18 @@
             else
                 runner.onWorkerLeft(it.workerId, now, out);
         });
+        if (it.info && m_workerRecord)
+            m_workerRecord->onWorkerInfo(*it.info);
         m_server->respond(id, {200, "{}"});
     }
 
+    void onWorkerRecord(const WorkerInfo &worker)
+    {
+        m_decisions.handleInput([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+            runner.onWorkerRecord(worker, now, out);
+        });
+    }
+
     // Entries
 
     static bool isReleasing(const EntryConnection &it) { return it.releasingSince != NeverTime; }
@@ -408,6 +423,8 @@
     std::string metricsText() override
     {
         m_metrics.set("cactuscove_open_tasks", {}, static_cast<double>(m_runner.openTasks()));
+        m_metrics.set("cactuscove_known_workers", {},
+                      static_cast<double>(m_runner.workers().size()));
         return m_metrics.text();
     }
 
@@ -418,6 +435,8 @@
     Timer m_loadTimer;
     Timer m_shutdownTimer;
     std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<WorkerRecordClient>
+        m_workerRecord; // none without FeatureFlags::hasWorkerRecords
     std::map<std::string, EntryConnection> m_connections; // by address
     std::uint64_t m_loadVersion = 0;                      // sent to all entries that were connected
     TimePoint m_loadsSentAt{};
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -31,6 +31,8 @@
     {"cactuscove_jobs_answered_total", "Answers given to callers, by outcome and reason."},
     {"cactuscove_upstream_starts_total", "Tasks started on the upstream, by result."},
     {"cactuscove_worker_calls_total", "Calls to workers, by kind (start, stop, hold)."},
+    {"cactuscove_worker_record_calls_total",
+     "Calls to the store for the record of the worker, by kind (read, write)."},
     {"cactuscove_log_appends_total", "Appends to the log, by result."},
 };
 
@@ -47,6 +49,7 @@
     {"cactuscove_remembered_keys", "Job keys that this entry remembers."},
     {"cactuscove_open_jobs", "Best-effort jobs that this entry coordinates."},
     {"cactuscove_open_tasks", "Best-effort tasks queued or running beside this agent."},
+    {"cactuscove_known_workers", "Workers that this agent knows."},
     {"cactuscove_open_requests", "HTTP requests that are not yet answered."},
 };
 
--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -3,24 +3,10 @@
 
 #include "storefollower.h"
 
-#include <algorithm>
+#include "storeretry.h"
 
 namespace cactuscove {
 
-namespace {
-
-using namespace std::chrono_literals;
-
-// Delay before a retry: the shortest one plus a random part. All instances lose the store at the
-// same time, and the jitter keeps them from retrying at the same time.
-constexpr Duration MinRetryDelay = 60ms;
-constexpr Duration RetryJitter = 120ms;
-// The jitter doubles with each failed read in a row, at most this many times. For appends it stays
-// the same.
-constexpr int MaxJitterDoublings = 2;
-
-} // namespace
-
 StoreFollower::StoreFollower(EventLoop &loop, HttpClient &http, StoreFollowerSettings settings,
                              Handlers handlers)
     : m_loop(loop)
@@ -34,13 +20,6 @@
     m_readTimer.startIn({});
 }
 
-Duration StoreFollower::retryDelay(int failuresBefore)
-{
-    const Duration spread = RetryJitter * (1 << std::min(failuresBefore, MaxJitterDoublings));
-    std::uniform_int_distribution<Duration::rep> pick(0, spread.count());
-    return MinRetryDelay + Duration(pick(m_random));
-}
-
 void StoreFollower::setReachable(bool isReachable, const std::string &detail)
 {
     if (m_isReachable == isReachable)
@@ -114,7 +93,7 @@
     if (isTrimmed)
         return m_readTimer.startIn({});
     setReachable(false, error.detail);
-    m_readTimer.startIn(retryDelay(m_readFailures++));
+    m_readTimer.startIn(storeRetryDelay(m_readFailures++, m_random));
 }
 
 void StoreFollower::publish(std::string key, std::string value)
@@ -131,7 +110,8 @@
                                           m_publishedValue, m_settings.appendTimeout),
                  [this](const platform::CallResult &result) {
                      if (platform::parseAppend(result))
-                         m_appendTimer.startIn(retryDelay(0));
+                         // The delay between appends does not grow.
+                         m_appendTimer.startIn(storeRetryDelay(0, m_random));
                  });
 }
 
--- a/src/storefollower.h
+++ b/src/storefollower.h
@@ -66,8 +66,6 @@
     void onPage(const platform::StorePage &page);
     void onFailure(const platform::StoreError &error);
     void setReachable(bool isReachable, const std::string &detail);
-    // Returns the time until the next attempt after this many failures in a row.
-    Duration retryDelay(int failuresBefore);
 
     EventLoop &m_loop;
     HttpClient &m_http;
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -78,13 +78,16 @@
     const auto [it, isNew] = m_workers.try_emplace(info.id);
     Worker &worker = it->second;
     const bool isNewProcess = !isNew && info.startedAtUnixMs != worker.info.startedAtUnixMs;
+    const bool isFirst = isNew || worker.isUnconfirmed;
     // A heartbeat that was overtaken by a newer one is out of date.
-    if (!isNew
+    if (!isFirst
         && (info.startedAtUnixMs < worker.info.startedAtUnixMs
             || (!isNewProcess && info.sequence < worker.info.sequence)))
         return;
-    if (isNew || isNewProcess) {
+    if (isNew || isNewProcess)
         beginWorkerProcess(worker, info, now, out);
+    if (isFirst || isNewProcess) {
+        dropUnconfirmed(info.id, out);
         out.emplace_back(LogEvent{Severity::Info,
                                   "worker_joined",
                                   {{"worker", info.id},
@@ -95,16 +98,49 @@
     }
     WorkerInfo previous = std::exchange(worker.info, info);
     worker.heardAt = now;
+    worker.isUnconfirmed = false;
     previous.sequence = info.sequence;
-    if (isNew || isNewProcess || previous != info) {
+    if (isFirst || isNewProcess || previous != info) {
         if (info.isDraining && !previous.isDraining)
             out.emplace_back(
                 LogEvent{Severity::Info,
                          "worker_draining",
                          {{"worker", info.id}, {"sequence", std::to_string(info.sequence)}}});
-        for (const auto &[entry, state] : m_entries)
-            out.emplace_back(SendToEntry{entry, WorkerUpdate{info, false}});
-        ++m_loadVersion;
+        announce(worker, out);
+    }
+}
+
+void TaskRunner::announce(const Worker &worker, RunnerOutbox &out)
+{
+    for (const auto &[entry, state] : m_entries)
+        out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, false}});
+    ++m_loadVersion;
+}
+
+void TaskRunner::onWorkerRecord(const WorkerInfo &info, TimePoint now, RunnerOutbox &out)
+{
+    expireAfterSuspension(now, out);
+    if (!m_workers.empty() || m_shuttingDown)
+        return;
+    Worker &worker = m_workers[info.id];
+    beginWorkerProcess(worker, info, now, out);
+    worker.isUnconfirmed = true;
+}
+
+void TaskRunner::dropUnconfirmed(std::string_view otherThan, RunnerOutbox &out)
+{
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        const Worker &worker = it->second;
+        if (!worker.isUnconfirmed || it->first == otherThan) {
+            ++it;
+            continue;
+        }
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "worker_record_dropped",
+                                  {{"worker", worker.info.id},
+                                   {"born_ms", std::to_string(worker.info.startedAtUnixMs)},
+                                   {"unanswered", std::to_string(worker.unansweredPolls)}}});
+        it = m_workers.erase(it);
     }
 }
 
@@ -114,6 +150,8 @@
     if (it == m_workers.end())
         return;
     Worker &worker = it->second;
+    if (worker.isUnconfirmed)
+        return dropUnconfirmed({}, out);
     endAllRunsAsLost(worker, "worker_left", now, out);
     while (!worker.tasks.empty())
         refuseTask(worker, worker.tasks.begin(), StartRefusal::NoWorker, out);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -173,6 +173,10 @@
 
     // A heartbeat of a worker. The first one makes the worker known.
     void onWorkerInfo(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    // The worker as an earlier process of this agent knew it. Ignored if a worker is known. The
+    // worker is polled at once. It becomes known, and entries learn of it, when its reply or a
+    // heartbeat shows the same process; else it is dropped.
+    void onWorkerRecord(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
     // The worker has said that it leaves. Its runs are reported as lost, its queued tasks are
     // refused.
     void onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out);
@@ -272,10 +276,15 @@
     struct Worker
     {
         WorkerInfo info;
+        // Known from onWorkerRecord() only. Such a worker is not synced and has no tasks.
+        bool isUnconfirmed = false;
         bool isSynced = false; // a list of its runs was received from this process
-        WorkerClock clock;     // the worker's clock in its newest reply
-        TimePoint clockAt{};   // when that reply was received
-        TimePoint heardAt{};   // newest heartbeat or reply
+        // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
+        // this agent sent can start after it. No start is sent before that.
+        bool isProven = false;
+        WorkerClock clock;   // the worker's clock in its newest reply
+        TimePoint clockAt{}; // when that reply was received
+        TimePoint heardAt{}; // newest heartbeat or reply
         // Latest possible end of any lease or start window that the worker was sent.
         TimePoint leaseEnd{};
         std::uint64_t acknowledged = 0; // number of the last end received
@@ -346,6 +355,10 @@
     // tasks stay queued.
     void beginWorkerProcess(Worker &worker, const WorkerInfo &info, TimePoint now,
                             RunnerOutbox &out);
+    // Drops the worker that is known from a record only, unless it has this id.
+    void dropUnconfirmed(std::string_view otherThan, RunnerOutbox &out);
+    // Tells the entries of a worker that is new to them or has changed.
+    void announce(const Worker &worker, RunnerOutbox &out);
     // To be called when it is known that the start was carried out: it was accepted, or the run was
     // listed.
     void markRunning(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -180,7 +180,7 @@
 
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    if (!worker.isSynced || worker.info.isDraining || !worker.orphans.empty() || !m_startsAllowed
+    if (!worker.isProven || worker.info.isDraining || !worker.orphans.empty() || !m_startsAllowed
         || now < worker.unhealthyUntil || worker.isUnresponsive)
         return;
     Resources freeResources = worker.info.capacity - usedResources(worker);
@@ -293,6 +293,8 @@
     poll.maxWait = !worker.isSynced || worker.unansweredPolls > 0 ? Duration{}
                    : isBusy                                       ? BusyPollWait
                                                                   : IdlePollWait;
+    if (!worker.isProven)
+        poll.maxWait = std::clamp<Duration>(m_startsAllowedAt - now, Duration{}, poll.maxWait);
     worker.nextPollAt
         = now + poll.maxWait + PollMargin * (1 + std::min(worker.unansweredPolls, MaxPollBackOff));
     poll.timeout = poll.maxWait + CallTimeout;
@@ -325,9 +327,19 @@
             worker->nextPollAt = now + NotSentRetryDelay;
         return;
     }
-    // The worker restarted under its id; its heartbeat with the new start time follows.
-    if (reply.startedAtUnixMs != 0 && reply.startedAtUnixMs != worker->info.startedAtUnixMs)
+    // The worker restarted under its id; its heartbeat with the new start time follows. A record is
+    // confirmed only by a reply that contains the start time.
+    const bool isSameProcess = reply.startedAtUnixMs == worker->info.startedAtUnixMs
+                               || (reply.startedAtUnixMs == 0 && !worker->isUnconfirmed);
+    if (!isSameProcess)
         return onWorkerLeft(std::string(worker->info.id), now, out);
+    if (std::exchange(worker->isUnconfirmed, false)) {
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "worker_record_confirmed",
+                                  {{"worker", worker->info.id},
+                                   {"waited_ms", toMsString(now - worker->lastPollReplyAt)}}});
+        announce(*worker, out);
+    }
     if (std::exchange(worker->isUnresponsive, false)) {
         out.emplace_back(LogEvent{Severity::Info,
                                   "worker_responsive",
@@ -400,9 +412,11 @@
         }
     }
     const bool isOrphanFree = worker.orphans.empty();
-    if (!worker.isSynced || wasOrphanFree != isOrphanFree)
+    const bool isProven = worker.isProven || askedAt >= m_startsAllowedAt;
+    if (!worker.isSynced || wasOrphanFree != isOrphanFree || worker.isProven != isProven)
         ++m_loadVersion;
     worker.isSynced = true;
+    worker.isProven = isProven;
     measureProgress(worker, now, out);
 }
 
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -26,7 +26,7 @@
 {
     std::vector<std::string> orphanFree;
     for (const auto &[id, worker] : m_workers)
-        if (worker.isSynced && worker.orphans.empty())
+        if (worker.isProven && worker.orphans.empty())
             orphanFree.push_back(id);
     return orphanFree;
 }
@@ -52,7 +52,8 @@
 {
     std::vector<WorkerUpdate> updates;
     for (const auto &[id, worker] : m_workers)
-        updates.push_back({worker.info, m_shuttingDown});
+        if (!worker.isUnconfirmed)
+            updates.push_back({worker.info, m_shuttingDown});
     return updates;
 }
 
@@ -66,10 +67,12 @@
 {
     std::vector<WorkerLoad> loads;
     for (const auto &[id, worker] : m_workers) {
+        if (worker.isUnconfirmed)
+            continue;
         WorkerLoad load;
         load.workerId = id;
         load.free = worker.info.capacity - usedResources(worker);
-        load.isUsable = m_startsAllowed && worker.isSynced && worker.orphans.empty()
+        load.isUsable = m_startsAllowed && worker.isProven && worker.orphans.empty()
                         && !worker.info.isDraining && !worker.isUnresponsive && !m_shuttingDown;
         std::map<int, Resources> queued;
         for (const auto &[taskId, task] : worker.tasks) {
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstdio>
 #include <cstdlib>
+#include <optional>
 
 namespace cactuscove {
 
@@ -30,6 +31,8 @@
 constexpr Duration ResubmitPause = 1300ms;
 constexpr double LateValueShare = 0.2; // of a job's value, for a late answer
 constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr Duration MinConnectTime = 20ms;
+constexpr Duration MaxRecordReadTime = 30ms; // of a worker record in the store
 
 } // namespace
 
@@ -86,6 +89,7 @@
         std::uint64_t sentLoadVersion = 0;
         TimePoint startedAt = Start;
         std::unique_ptr<EntrySelection> selection;
+        std::optional<WorkerInfo> record; // of its worker, in the store
     };
 
     struct Entry : Process
@@ -118,6 +122,7 @@
         bool hasRun = false;        // a worker started one of its tasks
         JobOutcome outcome = JobOutcome::Unknown;
         TimePoint answeredAt;
+        TimePoint sentAt;         // newest submission to an entry that was up
         std::uint64_t caller = 0; // number of the newest submission; 0: none is open
         std::size_t entry = 0;
     };
@@ -146,6 +151,8 @@
             it.index = static_cast<int>(i);
             const bool isThird = i % 3 == 2;
             it.speed = isThird ? options.fastWorkerSpeed : 1;
+            if (!options.workerSpeeds.empty())
+                it.speed = options.workerSpeeds[i % options.workerSpeeds.size()];
             const double size = isThird && options.largeShare > 0 ? 1.5 : 1;
             it.capacity
                 = {static_cast<std::int64_t>(static_cast<double>(options.workerCpuMillis) * size),
@@ -277,6 +284,16 @@
             it.selection->add(addressOf(e));
         it.sentLoadVersion = 0;
         it.startedAt = now;
+        if (options.maxConnectTime > Duration{})
+            selectEntries(i);
+        if (it.record && options.workerRecordShare > 0 && uniform() < options.workerRecordShare)
+            post(now + fromMs(uniform() * toMs(MaxRecordReadTime)),
+                 [this, i, incarnation = it.incarnation, record = *it.record] {
+                     if (agents[i].incarnation == incarnation)
+                         stepAgent(i, [this, record](TaskRunner &runner, RunnerOutbox &out) {
+                             runner.onWorkerRecord(record, now, out);
+                         });
+                 });
     }
 
     static std::string addressOf(std::size_t entry) { return "entry" + std::to_string(entry); }
@@ -448,6 +465,23 @@
         return n;
     }
 
+    // Opens the dialled connection after its connect time.
+    void open(std::size_t e, std::size_t a)
+    {
+        if (options.maxConnectTime <= Duration{})
+            return connect(e, a);
+        const double range = toMs(options.maxConnectTime - MinConnectTime);
+        post(now + MinConnectTime + fromMs(uniform() * range),
+             [this, e, a, from = agents[a].incarnation, to = entries[e].incarnation] {
+                 if (agents[a].incarnation != from)
+                     return;
+                 if (entries[e].isUp && entries[e].incarnation == to && !links[e][a].isCut)
+                     connect(e, a);
+                 else
+                     agents[a].selection->onClosed(addressOf(e), now);
+             });
+    }
+
     // Carries out the agent's choice of entries, as dispatchagent.cpp does.
     void selectEntries(std::size_t a)
     {
@@ -459,7 +493,7 @@
             const std::size_t e = entryAt(address);
             agent.selection->onDialled(address, now);
             if (entries[e].isUp && entries[e].frozenUntil <= now && !links[e][a].isCut)
-                connect(e, a);
+                open(e, a);
             else
                 agent.selection->onClosed(address, now);
         }
@@ -514,7 +548,9 @@
         Worker &it = workers[i];
         if (it.incarnation != incarnation)
             return;
-        post(now + WorkerHeartbeatInterval,
+        const bool isFirst = it.sequence == 0;
+        const double part = isFirst && options.hasSpreadHeartbeats ? uniform() : 1;
+        post(now + fromMs(part * toMs(WorkerHeartbeatInterval)),
              [this, i, incarnation] { sendWorkerHeartbeat(i, incarnation); });
         if (!it.isUp)
             return;
@@ -524,13 +560,19 @@
         info.address = "worker";
         info.dataCentre = "dc" + std::to_string(i % static_cast<std::size_t>(options.dataCentres));
         info.capacity = it.capacity;
-        info.startedAtUnixMs = static_cast<std::int64_t>(toMs(it.startedAt.time_since_epoch()));
+        info.startedAtUnixMs = startTimeOf(it);
         info.sequence = ++it.sequence;
-        stepAgent(i, [this, info](TaskRunner &runner, RunnerOutbox &out) {
+        stepAgent(i, [this, i, info](TaskRunner &runner, RunnerOutbox &out) {
+            agents[i].record = info;
             runner.onWorkerInfo(info, now, out);
         });
     }
 
+    static std::int64_t startTimeOf(const Worker &it)
+    {
+        return static_cast<std::int64_t>(toMs(it.startedAt.time_since_epoch()));
+    }
+
     WorkerClock clockOf(const Worker &it) const
     {
         return WorkerClock{static_cast<std::int64_t>(toMs(now - it.startedAt))};
@@ -639,6 +681,7 @@
         if (isOtherProcess)
             return out;
         out.clock = clockOf(it);
+        out.startedAtUnixMs = startTimeOf(it);
         updateProgress(it);
         for (const auto &[task, run] : it.runs)
             out.active.push_back(
@@ -904,6 +947,7 @@
         trace("caller" + std::to_string(caller),
               {Severity::Info, "job_sent", {{"job", job.spec.id}, {"entry", std::to_string(e)}}});
         job.caller = caller;
+        job.sentAt = now;
         job.entry = e;
         callers[caller] = number;
         const std::uint64_t incarnation = entries[e].incarnation;
@@ -988,6 +1032,58 @@
         return out;
     }
 
+    // Measurements of the fleet over time
+
+    FleetMoment momentNow() const
+    {
+        FleetMoment it;
+        double cores = 0;
+        for (const Worker &worker : workers)
+            cores += static_cast<double>(worker.capacity.cpuMillis);
+        for (std::size_t a = 0; a < agents.size(); ++a) {
+            if (!agents[a].isUp)
+                continue;
+            it.knownWorkerShare += !agents[a].runner->workers().empty();
+            for (const WorkerLoad &load : agents[a].runner->loads(now))
+                it.usableCoreShare
+                    += load.isUsable ? static_cast<double>(workers[a].capacity.cpuMillis) : 0;
+            it.connectedShare += connectedEntriesOf(a);
+        }
+        const std::size_t kept = std::min(options.linksPerAgent, entries.size());
+        it.knownWorkerShare /= static_cast<double>(agents.size());
+        it.usableCoreShare /= cores;
+        it.connectedShare /= static_cast<double>(agents.size() * kept);
+        return it;
+    }
+
+    void watch(Duration from, Duration to, Duration interval)
+    {
+        watchedFrom = Start + 3s + from;
+        watchInterval = interval;
+        for (Duration at = from; at < to; at += interval)
+            post(Start + 3s + at, [this] { moments.push_back(momentNow()); });
+    }
+
+    std::vector<FleetMoment> timeline() const
+    {
+        std::vector<FleetMoment> out = moments;
+        for (const Job &job : jobs) {
+            if (job.sentAt < watchedFrom)
+                continue;
+            const auto i = static_cast<std::size_t>((job.sentAt - watchedFrom) / watchInterval);
+            if (i >= out.size())
+                continue;
+            JobCounts &it = job.sentAt == job.firstSentAt ? out[i].fresh : out[i].returned;
+            const bool isDone = job.isAnswered && job.outcome == JobOutcome::Completed;
+            const bool isRefused = job.isAnswered && job.outcome == JobOutcome::Refused;
+            it.onTime += isDone && job.answeredAt <= job.objectiveAt;
+            it.late += isDone && job.answeredAt > job.objectiveAt;
+            it.refused += isRefused;
+            it.failed += !isDone && !isRefused;
+        }
+        return out;
+    }
+
     void checkRefused()
     {
         for (const Job &job : jobs)
@@ -1025,6 +1121,9 @@
     std::map<std::uint64_t, std::size_t> callers;
     std::map<std::uint64_t, StartAnswer> startAnswers;
     std::vector<std::string> violations;
+    std::vector<FleetMoment> moments; // without the jobs
+    TimePoint watchedFrom;
+    Duration watchInterval{};
 };
 
 DispatchFleet::DispatchFleet(DispatchFleetOptions options)
@@ -1073,6 +1172,15 @@
     });
 }
 
+void DispatchFleet::killAll(Duration down, Duration spread)
+{
+    const auto restart = [&] { return down + fromMs(m_impl->uniform() * toMs(spread)); };
+    for (std::size_t i = 0; i < m_impl->agents.size(); ++i)
+        killAgent(static_cast<int>(i), restart());
+    for (std::size_t i = 0; i < m_impl->entries.size(); ++i)
+        killEntry(static_cast<int>(i), restart());
+}
+
 void DispatchFleet::freezeAgent(int agent, Duration length)
 {
     TimePoint &until = m_impl->agents[static_cast<std::size_t>(agent)].frozenUntil;
@@ -1127,6 +1235,16 @@
     m_impl->workers[static_cast<std::size_t>(worker)].isFailing = isFailing;
 }
 
+void DispatchFleet::watch(Duration from, Duration to, Duration interval)
+{
+    m_impl->watch(from, to, interval);
+}
+
+std::vector<FleetMoment> DispatchFleet::timeline() const
+{
+    return m_impl->timeline();
+}
+
 void DispatchFleet::run()
 {
     m_impl->runAll();
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -47,7 +47,13 @@
     std::int64_t workerCpuMillis = 32000; // capacity of a worker, in thousandths of a core
     double largeShare = 0;                // above 0, every third worker has 1.5 times the capacity
     double fastWorkerSpeed = 1;           // speed of every third worker; the others have 1
-    std::vector<JobKind> kinds;           // all kinds of jobs
+    std::vector<double> workerSpeeds;     // of worker i modulo the size; empty: as above
+    // Share of the restarted agents that know their worker from the store; 0: no records.
+    double workerRecordShare = 0;
+    bool hasSpreadHeartbeats = false; // workers send their heartbeats at different times
+    // Connections open 20 ms to this long after they were dialled; 0: at once.
+    Duration maxConnectTime{};
+    std::vector<JobKind> kinds;                 // all kinds of jobs
     Duration length = std::chrono::seconds(20); // jobs are submitted during this time
     // Factor on the rate of a kind, by the time since the start of the load; empty: always 1.
     std::function<double(const JobKind &kind, Duration at)> rateFactor;
@@ -74,6 +80,26 @@
     Duration slowestRefusal{}; // longest time from the first submission to a refusal
 };
 
+// What became of jobs, by numbers of jobs.
+struct JobCounts
+{
+    int onTime = 0;
+    int late = 0;
+    int refused = 0;
+    int failed = 0; // or without a final answer
+    int all() const { return onTime + late + refused + failed; }
+};
+
+// State of the fleet at one time, and the jobs that were sent in the interval that begins then.
+struct FleetMoment
+{
+    double knownWorkerShare = 0; // share of the agents that know their worker
+    double usableCoreShare = 0;  // share of all cores at workers that take tasks
+    double connectedShare = 0;   // share of the connections that agents keep
+    JobCounts fresh;             // jobs that were sent for the first time
+    JobCounts returned;          // jobs that were sent again, as an earlier process was lost
+};
+
 // Runs once: plan the faults, call run(), then read the results.
 class DispatchFleet
 {
@@ -87,6 +113,9 @@
     // Ends the process; a new one starts after `down`.
     void killAgent(int agent, Duration down);
     void killEntry(int entry, Duration down);
+    // Kills all entries and agents. Each starts again after `down` and a random time up to
+    // `spread`.
+    void killAll(Duration down, Duration spread);
     // Suspends the process: inputs are handled when it resumes.
     void freezeAgent(int agent, Duration length);
     void freezeEntry(int entry, Duration length);
@@ -98,8 +127,12 @@
     // While this is set, every run on the worker fails after a fifth of its work.
     void setFailing(int worker, bool isFailing);
 
+    // To be called before run(): makes timeline() cover the time from `from` to `to`.
+    void watch(Duration from, Duration to, Duration interval);
+
     void run();
 
+    std::vector<FleetMoment> timeline() const; // one for each interval
     // By queue.
     std::map<std::string, KindResult> results() const;
     double valueShare() const; // the same as KindResult::valueShare, over all kinds
--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -7,6 +7,7 @@
 import signal
 import threading
 import unittest
+import unittest.mock
 
 from dispatchfleet import GRACE_S, Caller, DispatchFleet, in_threads, overlapping_runs, untrue_answers
 from fleet import http, metric, wait_until
@@ -130,6 +131,23 @@
         self.fleet.wait_ready()
         wait_until("room at the restarted agent", lambda: self.submit(1)[0].state == "completed")
 
+    # Guards against a restarted agent that waits for its worker's heartbeat although the store describes
+    # the worker. A restart may coincide with a heartbeat, so that the record is not used.
+    def test_a_restarted_agent_knows_its_worker(self):
+        agent = self.fleet.agents[0]
+        with unittest.mock.patch.dict(os.environ, CACTUSCOVE_WORKER_RECORDS="on"):
+            for _ in range(10):
+                self.fleet.kill(agent)
+                self.fleet.start(agent)
+                wait_until("worker", lambda: metric(
+                    agent.metrics, "cactuscove_known_workers") == 1, limit=5)
+                log = self.fleet.log_of(agent)
+                if "event=worker_record_confirmed" in log:
+                    break
+                wait_until("record", lambda: "event=worker_record_written" in self.fleet.log_of(agent))
+        self.assertIn("event=worker_record_confirmed", log)
+        self.assertEqual(log.count("event=worker_record_written"), 1)
+
     # Agents wait longer after each failed connection to an entry. Guards against a restarted entry that
     # refuses jobs because no agent is connected yet: the other entries tell the agents of its return.
     def test_an_entry_that_is_back_has_its_agents_soon(self):
