New jobs go before those that come back after the loss of all processes

Cause: the callers of all jobs that ran at the loss come back together, 1,300 ms after it. Their objectives have passed, but a restarted entry takes them for new jobs, so that new jobs end late or are refused for 500 ms.

Change: workers list the runs that ended while no agent polled them. In the first 1.5 s of its process, an entry gives such a job at most a tenth of its share of the free cores and places it after all others; else it is refused at once, with a Retry-After that is spread over the time that the refused work takes.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -94,6 +94,7 @@
     {
         TaskRunnerSettings settings;
         settings.hasScarcityControl = m_features.hasScarcityControl;
+        settings.listsEarlierRuns = m_features.hasWorkerRecords;
         const Duration spare
             = m_settings.resubmitDelay - m_settings.maxStopTime - ResubmitSafetyMargin;
         settings.entryTimeout = std::min<Duration>(settings.entryTimeout, spare / 2);
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -170,6 +170,10 @@
     StartRefusal reason = StartRefusal::Expired;
 };
 
+// Attempt number in TaskInventory::ended of a run that an earlier process of the agent started. Its
+// true number is not sent: it could be taken for that of a newer attempt. Attempts count from 1.
+inline constexpr std::uint32_t EarlierProcess = 0;
+
 // Agent to entry, once both have sent their hello and whenever the list of orphan-free workers has
 // changed: every task of this entry that the agent knows. An assignment on an older connection that
 // is missing here was not received and never will be.
@@ -177,7 +181,8 @@
 {
     std::vector<TaskStarted> started; // started and not ended
     std::vector<TaskStarted> waiting; // accepted, and not known to have started
-    std::vector<TaskEnded> ended;     // ended in the last seconds
+    // Ended in the last seconds; for EarlierProcess, one task of each job.
+    std::vector<TaskEnded> ended;
     // Ids of the workers at which nothing runs that an earlier process of the agent started.
     std::vector<std::string> orphanFreeWorkers;
 };
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace cactuscove {
@@ -63,6 +64,7 @@
     : m_settings(settings)
     , m_startedAt(startedAt)
     , m_directory(m_settings.seed)
+    , m_returningJobs(startedAt)
 {}
 
 const QueueSettings *JobDispatcher::findQueue(std::string_view name) const
@@ -194,9 +196,15 @@
                       + std::chrono::duration_cast<Duration>(makespan * queue->slackFactor);
     job.latestStart = job.objectiveAt - makespan + PriorityDelay * job.priority;
 
-    const AvailableCores available{usable.freeCores, shareOfCores(usable.total)};
+    const double shareCores = shareOfCores(usable.total);
+    const double cores = static_cast<double>(usable.total.cpuMillis) / 1000;
+    const AvailableCores available{usable.freeCores, shareCores,
+                                   cores > 0 ? shareCores / cores : 1};
     const bool mayWait = isStarting && available.shareCores == 0;
-    if (!mayWait && refuseIfOverloaded(caller, job, available, now, out))
+    if (m_returningJobs.isReturning(job.spec.id, now)) {
+        if (refuseReturning(caller, job, available, out))
+            return;
+    } else if (!mayWait && refuseIfOverloaded(caller, job, available, now, out))
         return;
     accept(caller, std::move(job));
 }
@@ -237,6 +245,19 @@
     return true;
 }
 
+bool JobDispatcher::refuseReturning(CallerId caller, Job &job, const AvailableCores &available,
+                                    DispatcherOutbox &out)
+{
+    const auto retryAfter = m_returningJobs.retryTime(
+        workOf(job, job.spec.taskCount), m_loadControl.waitingWork(std::numeric_limits<int>::max()),
+        available);
+    if (retryAfter)
+        refuse(caller, job.spec, "no_spare_capacity", *retryAfter, out);
+    else
+        job.latestStart = job.deadline;
+    return retryAfter.has_value();
+}
+
 void JobDispatcher::accept(CallerId caller, Job job)
 {
     std::uint32_t attempt = 0;
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -17,6 +17,7 @@
 #include "dispatchmessages.h"
 #include "loadcontrol.h"
 #include "outbox.h"
+#include "returningjobs.h"
 #include "runtimemodel.h"
 #include "workerdirectory.h"
 
@@ -233,6 +234,10 @@
     // Answers the caller and returns true if the job would wait too long for its objective.
     bool refuseIfOverloaded(CallerId caller, const Job &job, const AvailableCores &available,
                             TimePoint now, DispatcherOutbox &out) const;
+    // The same for a job that returns (returningjobs.h) and finds no spare capacity. Otherwise it
+    // is ranked after all jobs that can meet their objectives.
+    bool refuseReturning(CallerId caller, Job &job, const AvailableCores &available,
+                         DispatcherOutbox &out);
     void accept(CallerId caller, Job job);
     // Answers the caller of a job that is not accepted.
     void refuse(CallerId caller, const BestEffortJob &job, std::string reason, Duration retryAfter,
@@ -271,6 +276,7 @@
     WorkerDirectory m_directory;
     LoadControl m_loadControl;
     RunTimeModel m_runTimes;
+    ReturningJobs m_returningJobs;
     std::map<JobNumber, Job> m_jobs;
     std::map<std::string, JobNumber, std::less<>> m_jobsById;
     // Answered jobs that had an attempt, by id. Kept for at least 10 s (EndedJobRetention), as
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -240,8 +240,12 @@
     const auto connected = m_agents.find(agent);
     if (connected == m_agents.end())
         return;
-    for (const TaskEnded &it : inventory.ended)
-        onTaskEnded(agent, it, now, out);
+    for (const TaskEnded &it : inventory.ended) {
+        if (it.attempt == EarlierProcess)
+            m_returningJobs.noteEarlierRun(it.task.jobId, now);
+        else
+            onTaskEnded(agent, it, now, out);
+    }
     std::set<std::pair<TaskId, std::uint32_t>> listed;
     for (const auto *list : {&inventory.started, &inventory.waiting})
         for (const TaskStarted &it : *list) {
--- a/src/loadcontrol.h
+++ b/src/loadcontrol.h
@@ -28,6 +28,7 @@
 {
     double freeCores = 0;  // free cores by the newest reports
     double shareCores = 0; // the part of all cores that this entry may count on
+    double entryShare = 1; // that part / all cores
 };
 
 // Used by JobDispatcher, one object per entry process. A smaller priority is more urgent.
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -159,6 +159,9 @@
     // unanswered start take, and shorter than the pause after which a caller repeats a lost job.
     Duration startWindow = std::chrono::milliseconds(250);
     bool hasScarcityControl = false; // see FeatureFlags
+    // Inventories also list runs of an earlier process of this agent, by which restarted entries
+    // recognise the jobs that come back.
+    bool listsEarlierRuns = false;
 };
 
 // The best-effort tasks of one agent process, which calls it from its event loop.
@@ -312,7 +315,7 @@
     // An end that is still listed in inventories.
     struct EndedTask
     {
-        Incarnation entry;
+        Incarnation entry; // 0: a run of an earlier process, which is listed to all entries
         TaskEnded end;
         TimePoint endedAt;
     };
@@ -366,6 +369,9 @@
     // happened since.
     void applyPollReply(Worker &worker, const PollReply &reply, TimePoint askedAt, TimePoint now,
                         RunnerOutbox &out);
+    // Adds the end of a run that is not a task of this process to the inventories, once for each
+    // job and only if an earlier process has started it.
+    void recordEarlierRun(const Worker &worker, const EndedRun &end, bool wasOrphan, TimePoint now);
     // Updates the worker's speed by the progress of its runs. On a slow worker, reports the tasks
     // that will miss their objectives.
     void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -33,6 +33,8 @@
 // it also covers the worker's clock, which may be 2% slow; for a lease sendPoll() adds the 2%.
 constexpr Duration LeaseMargin = 60ms;
 constexpr Duration MinProgressTime = 15ms; // the progress of a shorter run is too inexact
+// Runs of an earlier process that are listed to entries: more than run at once on a worker.
+constexpr std::size_t MaxEarlierRuns = 100;
 // Largest number of ends in one reply; a longer list continues in the next reply.
 constexpr std::size_t MaxListedEnds = 500;
 
@@ -365,13 +367,15 @@
         if (end.number <= worker.acknowledged)
             continue;
         worker.acknowledged = end.number;
-        std::erase_if(worker.orphans, [&](const Orphan &it) {
+        const auto orphans = std::erase_if(worker.orphans, [&](const Orphan &it) {
             return it.task == end.task && it.attempt <= end.attempt;
         });
         const auto it = worker.tasks.find(end.task);
         if (it != worker.tasks.end() && it->second.assignment.attempt == end.attempt
             && it->second.state != State::Queued)
             endTask(worker, it, end.end, now, out);
+        else
+            recordEarlierRun(worker, end, orphans > 0, now);
     }
     for (const ActiveRun &run : reply.active) {
         const auto it = worker.tasks.find(run.task);
@@ -420,6 +424,20 @@
     measureProgress(worker, now, out);
 }
 
+void TaskRunner::recordEarlierRun(const Worker &worker, const EndedRun &end, bool wasOrphan,
+                                  TimePoint now)
+{
+    if (!m_settings.listsEarlierRuns || (worker.isProven && !wasOrphan)
+        || m_endedTasks.size() >= MaxEarlierRuns)
+        return;
+    const bool isListed
+        = std::any_of(m_endedTasks.begin(), m_endedTasks.end(), [&](const EndedTask &it) {
+              return it.entry == Incarnation{} && it.end.task.jobId == end.task.jobId;
+          });
+    if (!isListed)
+        m_endedTasks.push_back({Incarnation{}, {end.task, EarlierProcess, end.end, {}}, now});
+}
+
 void TaskRunner::measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     std::vector<RunProgress> progress;
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -43,7 +43,7 @@
             list.push_back({id, task.assignment.attempt});
         }
     for (const EndedTask &it : m_endedTasks)
-        if (it.entry == entry)
+        if (it.entry == entry || it.entry == Incarnation{})
             inventory.ended.push_back(it.end);
     return inventory;
 }
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -277,6 +277,7 @@
         it.frozenUntil = now;
         TaskRunnerSettings settings = options.runner;
         settings.hasScarcityControl = options.hasScarcityControl;
+        settings.listsEarlierRuns = options.workerRecordShare > 0;
         it.runner = std::make_unique<TaskRunner>(settings, now);
         it.selection
             = std::make_unique<EntrySelection>("agent" + std::to_string(i), options.linksPerAgent);
--- a/tests/fleetstart_test.cpp
+++ b/tests/fleetstart_test.cpp
@@ -123,8 +123,69 @@
     std::vector<FleetMoment> timeline;
 };
 
+// The effects of this type, in order.
+template <typename T, typename Effects>
+std::vector<T> effectsOf(const std::vector<Effects> &out)
+{
+    std::vector<T> found;
+    for (const Effects &it : out)
+        if (const auto *effect = std::get_if<T>(&it))
+            found.push_back(*effect);
+    return found;
+}
+
 } // namespace
 
+// Guards against returning jobs that take more than a small part of the free cores, against callers
+// that are all told the same time, and against a rule that outlasts the start of the process.
+TEST(ReturningJobs, GetSpareCapacityOnly)
+{
+    const TimePoint start{1h};
+    ReturningJobs jobs(start);
+    jobs.noteEarlierRun("a", start + 1s);
+    EXPECT_TRUE(jobs.isReturning("a", start + 1s));
+    EXPECT_FALSE(jobs.isReturning("b", start + 1s));
+    EXPECT_FALSE(jobs.isReturning("a", start + 2s));
+    const AvailableCores available{800, 200, 0.25}; // 200 free cores for this entry
+    EXPECT_FALSE(jobs.retryTime({20, 1000}, {}, available));
+    EXPECT_TRUE(jobs.retryTime({21, 4000}, {}, available));
+    EXPECT_EQ(jobs.retryTime({20, 4000}, {1, 0}, available), Duration(40ms));
+    EXPECT_EQ(jobs.retryTime({20, 4000}, {1, 0}, available), Duration(60ms));
+    jobs.noteEarlierRun("c", start + 2s);
+    EXPECT_FALSE(jobs.isReturning("c", start + 1s));
+}
+
+// Guards against runs of an earlier process that are missing in inventories, and against their
+// attempt numbers being taken for those of new attempts: the entry would count the new run as ended
+// and start another one.
+TEST(ReturningJobs, AreListedByTheRestartedAgent)
+{
+    TaskRunnerSettings settings;
+    settings.listsEarlierRuns = true;
+    TaskRunner runner(settings, TimePoint{1h});
+    RunnerOutbox out;
+    WorkerInfo worker;
+    worker.id = "i-1";
+    const TimePoint now{1h + 1s};
+    runner.onWorkerInfo(worker, now, out);
+    runner.processPending(now, out);
+    PollReply reply;
+    reply.answer = CallAnswer::Ok;
+    reply.active = {{{"running", 0}, 3, 0}};
+    reply.ended = {{1, {"ended", 0}, 1, TaskEnd::Lost}, {2, {"ended", 1}, 1, TaskEnd::Done}};
+    runner.onPollReply(effectsOf<PollRuns>(out).back().call, reply, now, out);
+    runner.processPending(now, out);
+    reply.active.clear();
+    reply.ended = {{3, {"running", 0}, 3, TaskEnd::Stopped}};
+    runner.onPollReply(effectsOf<PollRuns>(out).back().call, reply, now + 20ms, out);
+    const TaskInventory inventory = runner.inventoryOf(Incarnation{7});
+    ASSERT_EQ(inventory.ended.size(), 2u);
+    EXPECT_EQ(inventory.ended[0].task.jobId, "ended");
+    EXPECT_EQ(inventory.ended[1].task.jobId, "running");
+    EXPECT_EQ(inventory.ended[0].attempt, EarlierProcess);
+    EXPECT_EQ(inventory.ended[1].attempt, EarlierProcess);
+}
+
 // Guards against agents that wait for their workers' heartbeats. Callers that found no entry come
 // back until 1.3 s after the start, which makes the demand 1.2 times the capacity.
 TEST_F(FleetStart, WorkersAreKnownBeforeTheirHeartbeats)
@@ -137,8 +198,20 @@
     EXPECT_GT(onTimeShare(1400ms, 2s), 0.99) << describe();
 }
 
-// Guards against the use of a record of a worker that was replaced while its agent was away, when
-// a third of the agents cannot read their records.
+// Guards against new jobs that end late or are refused because of the jobs that ran at the loss,
+// whose callers all come back at one moment, here 800 ms after the start.
+TEST_F(FleetStart, NewJobsAreServedBeforeReturningOnes)
+{
+    lose(500ms, 1);
+    EXPECT_GT(onTimeShare(300ms, 800ms), 0.99) << describe();
+    EXPECT_GT(onTimeShare(800ms, 1400ms), RequiredShare) << describe();
+    const JobCounts returned = sum(&FleetMoment::returned, 0ms, 2s);
+    EXPECT_GT(returned.late, returned.all() / 2) << describe();
+    EXPECT_EQ(returned.failed, 0) << describe();
+}
+
+// Guards against the use of a record of a worker that was replaced while its agent was away, when a
+// third of the agents cannot read their records.
 TEST_F(FleetStart, ReplacedWorkersAreNotTakenFromTheirRecords)
 {
     lose(1500ms, 0.65, [](DispatchFleet &fleet) {
