--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -8,6 +8,7 @@
 #include "dispatchprocess.h"
 #include "evacuationchanges.h"
 #include "taskrunner.h"
+#include "workerrecordclient.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -64,6 +65,11 @@
         if (auto error = serveMetrics())
             return error;
         followEntryAddresses();
+        if (m_features.hasWorkerRecords)
+            m_workerRecord = std::make_unique<WorkerRecordClient>(
+                m_loop, m_http, m_metrics, m_settings, m_incarnation.value,
+                WorkerRecordClient::Handlers{[this](const WorkerInfo &it) { onWorkerRecord(it); },
+                                             [this](const LogEvent &event) { log(event); }});
         m_heartbeatTimer.startIn(LinkHeartbeatInterval);
         return std::nullopt;
     }
@@ -93,6 +99,7 @@
         settings.dataCentre = m_settings.dataCentre;
         if (m_settings.hasEvacuations)
             settings.coldSlowness = m_settings.coldSlowness;
+        settings.listsEarlierRuns = m_features.hasWorkerRecords;
         const Duration spare
             = m_settings.resubmitDelay - m_settings.maxStopTime - ResubmitSafetyMargin;
         settings.entryTimeout = std::min<Duration>(settings.entryTimeout, spare / 2);
@@ -180,9 +187,18 @@
             runner.onWorkerInfo(*it.info, now, out);
             runner.onWorkerCold(it.workerId, it.coldLeft, now);
         });
+        if (it.info && m_workerRecord)
+            m_workerRecord->onWorkerInfo(*it.info);
         m_server->respond(id, {200, "{}"});
     }
 
+    void onWorkerRecord(const WorkerInfo &worker)
+    {
+        m_decisions.handleInput([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
+            runner.onWorkerRecord(worker, now, out);
+        });
+    }
+
     // Entries
 
     static bool isReleasing(const EntryConnection &it) { return it.releasingSince != NeverTime; }
@@ -446,6 +462,8 @@
     std::string metricsText() override
     {
         m_metrics.set("cactuscove_open_tasks", {}, static_cast<double>(m_runner.openTasks()));
+        m_metrics.set("cactuscove_known_workers", {},
+                      static_cast<double>(m_runner.workers().size()));
         return m_metrics.text();
     }
 
@@ -458,6 +476,8 @@
     Timer m_loadTimer;
     Timer m_shutdownTimer;
     std::unique_ptr<HttpServer> m_server;
+    std::unique_ptr<WorkerRecordClient>
+        m_workerRecord; // none without FeatureFlags::hasWorkerRecords
     std::map<std::string, EntryConnection> m_connections; // by address
     std::uint64_t m_loadVersion = 0;                      // sent to all entries that were connected
     TimePoint m_loadsSentAt{};
--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -125,6 +125,7 @@
                                           m_publishedValue, m_settings.appendTimeout),
                  [this](const platform::CallResult &result) {
                      if (platform::parseAppend(result))
+                         // The delay between appends does not grow.
                          m_appendTimer.startIn(storeRetryDelay(0, m_random));
                  });
 }
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -164,6 +164,9 @@
     std::string dataCentre;
     // Run times of a cold worker, as a multiple of its usual ones.
     double coldSlowness = 1;
+    // Inventories also list runs of an earlier process of this agent, by which restarted entries
+    // recognise the jobs that come back.
+    bool listsEarlierRuns = false;
 };
 
 // The best-effort tasks of one agent process, which calls it from its event loop.
@@ -181,6 +184,10 @@
     // The worker runs tasks more slowly for this long, because it has started recently. Ignored for
     // an unknown worker.
     void onWorkerCold(std::string_view workerId, Duration remaining, TimePoint now);
+    // The worker as an earlier process of this agent knew it. Ignored if a worker is known. The
+    // worker is polled at once. It becomes known, and entries learn of it, when its reply or a
+    // heartbeat shows the same process; else it is dropped.
+    void onWorkerRecord(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
     // The worker has said that it leaves. Its runs are reported as lost, its queued tasks are
     // refused.
     void onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out);
@@ -285,10 +292,15 @@
     struct Worker
     {
         WorkerInfo info;
+        // Known from onWorkerRecord() only. Such a worker is not synced and has no tasks.
+        bool isUnconfirmed = false;
         bool isSynced = false; // a list of its runs was received from this process
-        WorkerClock clock;     // the worker's clock in its newest reply
-        TimePoint clockAt{};   // when that reply was received
-        TimePoint heardAt{};   // newest heartbeat or reply
+        // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
+        // this agent sent can start after it. No start is sent before that.
+        bool isProven = false;
+        WorkerClock clock;   // the worker's clock in its newest reply
+        TimePoint clockAt{}; // when that reply was received
+        TimePoint heardAt{}; // newest heartbeat or reply
         // Latest possible end of any lease or start window that the worker was sent.
         TimePoint leaseEnd{};
         std::uint64_t acknowledged = 0; // number of the last end received
@@ -317,7 +329,7 @@
     // An end that is still listed in inventories.
     struct EndedTask
     {
-        Incarnation entry;
+        Incarnation entry; // 0: a run of an earlier process, which is listed to all entries
         TaskEnded end;
         TimePoint endedAt;
     };
@@ -360,6 +372,10 @@
     // tasks stay queued.
     void beginWorkerProcess(Worker &worker, const WorkerInfo &info, TimePoint now,
                             RunnerOutbox &out);
+    // Drops the worker that is known from a record only, unless it has this id.
+    void dropUnconfirmed(std::string_view otherThan, RunnerOutbox &out);
+    // Tells the entries of a worker that is new to them or has changed.
+    void announce(const Worker &worker, RunnerOutbox &out);
     // To be called when it is known that the start was carried out: it was accepted, or the run was
     // listed.
     void markRunning(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
@@ -367,6 +383,9 @@
     // happened since.
     void applyPollReply(Worker &worker, const PollReply &reply, TimePoint askedAt, TimePoint now,
                         RunnerOutbox &out);
+    // Adds the end of a run that is not a task of this process to the inventories, once for each
+    // job and only if an earlier process has started it.
+    void recordEarlierRun(const Worker &worker, const EndedRun &end, bool wasOrphan, TimePoint now);
     // Updates the worker's speed by the progress of its runs. On a slow worker, reports the tasks
     // that will miss their objectives.
     void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -33,6 +33,8 @@
 // it also covers the worker's clock, which may be 2% slow; for a lease sendPoll() adds the 2%.
 constexpr Duration LeaseMargin = 60ms;
 constexpr Duration MinProgressTime = 15ms; // the progress of a shorter run is too inexact
+// Runs of an earlier process that are listed to entries: more than run at once on a worker.
+constexpr std::size_t MaxEarlierRuns = 100;
 // Largest number of ends in one reply; a longer list continues in the next reply.
 constexpr std::size_t MaxListedEnds = 500;
 
@@ -180,7 +182,7 @@
 
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    if (!worker.isSynced || isDraining(worker) || !worker.orphans.empty() || !m_startsAllowed
+    if (!worker.isProven || isDraining(worker) || !worker.orphans.empty() || !m_startsAllowed
         || now < worker.unhealthyUntil || worker.isUnresponsive)
         return;
     Resources freeResources = worker.info.capacity - usedResources(worker);
@@ -293,6 +295,8 @@
     poll.maxWait = !worker.isSynced || worker.unansweredPolls > 0 ? Duration{}
                    : isBusy                                       ? BusyPollWait
                                                                   : IdlePollWait;
+    if (!worker.isProven)
+        poll.maxWait = std::clamp<Duration>(m_startsAllowedAt - now, Duration{}, poll.maxWait);
     worker.nextPollAt
         = now + poll.maxWait + PollMargin * (1 + std::min(worker.unansweredPolls, MaxPollBackOff));
     poll.timeout = poll.maxWait + CallTimeout;
@@ -325,9 +329,19 @@
             worker->nextPollAt = now + NotSentRetryDelay;
         return;
     }
-    // The worker restarted under its id; its heartbeat with the new start time follows.
-    if (reply.startedAtUnixMs != 0 && reply.startedAtUnixMs != worker->info.startedAtUnixMs)
+    // The worker restarted under its id; its heartbeat with the new start time follows. A record is
+    // confirmed only by a reply that contains the start time.
+    const bool isSameProcess = reply.startedAtUnixMs == worker->info.startedAtUnixMs
+                               || (reply.startedAtUnixMs == 0 && !worker->isUnconfirmed);
+    if (!isSameProcess)
         return onWorkerLeft(std::string(worker->info.id), now, out);
+    if (std::exchange(worker->isUnconfirmed, false)) {
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "worker_record_confirmed",
+                                  {{"worker", worker->info.id},
+                                   {"waited_ms", toMsString(now - worker->lastPollReplyAt)}}});
+        announce(*worker, out);
+    }
     if (std::exchange(worker->isUnresponsive, false)) {
         out.emplace_back(LogEvent{Severity::Info,
                                   "worker_responsive",
@@ -353,13 +367,15 @@
         if (end.number <= worker.acknowledged)
             continue;
         worker.acknowledged = end.number;
-        std::erase_if(worker.orphans, [&](const Orphan &it) {
+        const auto orphans = std::erase_if(worker.orphans, [&](const Orphan &it) {
             return it.task == end.task && it.attempt <= end.attempt;
         });
         const auto it = worker.tasks.find(end.task);
         if (it != worker.tasks.end() && it->second.assignment.attempt == end.attempt
             && it->second.state != State::Queued)
             endTask(worker, it, end.end, now, out);
+        else
+            recordEarlierRun(worker, end, orphans > 0, now);
     }
     for (const ActiveRun &run : reply.active) {
         const auto it = worker.tasks.find(run.task);
@@ -400,12 +416,28 @@
         }
     }
     const bool isOrphanFree = worker.orphans.empty();
-    if (!worker.isSynced || wasOrphanFree != isOrphanFree)
+    const bool isProven = worker.isProven || askedAt >= m_startsAllowedAt;
+    if (!worker.isSynced || wasOrphanFree != isOrphanFree || worker.isProven != isProven)
         ++m_loadVersion;
     worker.isSynced = true;
+    worker.isProven = isProven;
     measureProgress(worker, now, out);
 }
 
+void TaskRunner::recordEarlierRun(const Worker &worker, const EndedRun &end, bool wasOrphan,
+                                  TimePoint now)
+{
+    if (!m_settings.listsEarlierRuns || (worker.isProven && !wasOrphan)
+        || m_endedTasks.size() >= MaxEarlierRuns)
+        return;
+    const bool isListed
+        = std::any_of(m_endedTasks.begin(), m_endedTasks.end(), [&](const EndedTask &it) {
+              return it.entry == Incarnation{} && it.end.task.jobId == end.task.jobId;
+          });
+    if (!isListed)
+        m_endedTasks.push_back({Incarnation{}, {end.task, EarlierProcess, end.end, {}}, now});
+}
+
 void TaskRunner::measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     std::vector<RunProgress> progress;
