--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -43,9 +43,9 @@
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
         , m_features(loaded.features)
         , m_linkListen(std::move(loaded.linkListen))
-        , m_dispatcher(
-              {m_incarnation.value, lostAgentTimeout(m_settings), m_features.hasScarcityControl},
-              bootNow())
+        , m_dispatcher({m_incarnation.value, lostAgentTimeout(m_settings),
+                        m_features.hasScarcityControl, m_settings.hasEvacuations},
+                       bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_entryUpdateTimer(m_loop, [this] { sendEntryUpdates(); })
@@ -172,8 +172,9 @@
     // Puts evacuations in force and sends them to all processes that are connected.
     void applyEvacuations(const std::set<std::string> &dataCentres)
     {
+        const bool isComplete = m_operators.evacuationUpdate().readUpTo > LogOffset{};
         m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &) {
-            dispatcher.setEvacuated(dataCentres, now);
+            dispatcher.setEvacuated(dataCentres, isComplete, now);
         });
         for (auto &[id, it] : m_links)
             sendEvacuations(it);
