Copies are called in turns while all of them fail

Change: while the last call to each partition has failed, the partitions take turns, at the retry delays of one reader. Calls that are under way do not hold up the next one, so a silent partition delays no other.

OperatorCopies.AStoreThatIsDownIsCalledInTurns: at most 45 reads in 10 s, and a copy is used within 1.2 s of the store's return while another partition is silent.

--- a/src/operatorcopies.cpp
+++ b/src/operatorcopies.cpp
@@ -1,4 +1,6 @@
-// One call at a time for each partition. A failed one is repeated after a delay with jitter.
+// One call at a time for each partition. A failed one is repeated after a delay with jitter. While
+// all partitions fail, the store is taken to be down: the partitions take turns, and all of them
+// together call it as often as one reader that retries.
 
 #include "operatorcopies.h"
 
@@ -106,8 +108,9 @@
     m_nextTimer = m_use == Use::Waiting ? m_startedAt + TopicReadTime : NeverTime;
     if (!m_isWriter)
         m_nextTimer = std::min(m_nextTimer, writeAt);
+    const std::uint32_t first = m_turn;
     for (std::uint32_t i = 0; i < m_partitions.size(); ++i)
-        callPartition(i, now, out);
+        callPartition((first + i) % m_settings.partitions, now, out);
 }
 
 TimePoint OperatorCopies::writeStart() const
@@ -124,14 +127,28 @@
            + LateRankInterval * std::max<std::ptrdiff_t>(rank - QuickWriters, 0);
 }
 
+bool OperatorCopies::isStoreDown() const
+{
+    return std::all_of(m_partitions.begin(), m_partitions.end(),
+                       [](const Partition &it) { return it.failures > 0; });
+}
+
 void OperatorCopies::callPartition(std::uint32_t number, TimePoint now, CopiesOutbox &out)
 {
     Partition &it = m_partitions[number];
     if (it.isCalling || (!isReading(it) && !isWriting(it)))
         return;
-    if (now < it.nextCallAt) {
-        m_nextTimer = std::min(m_nextTimer, it.nextCallAt);
-    } else if (isReading(it) || now >= it.contentFreshUntil) {
+    const bool isDown = isStoreDown();
+    const TimePoint callAt = isDown ? std::max(it.nextCallAt, m_probeAt) : it.nextCallAt;
+    if (now < callAt) {
+        m_nextTimer = std::min(m_nextTimer, callAt);
+        return;
+    }
+    if (isDown) {
+        m_probeAt = now + storeRetryDelay(it.failures, m_random);
+        m_turn = number + 1;
+    }
+    if (isReading(it) || now >= it.contentFreshUntil) {
         it.isCalling = true;
         out.emplace_back(ReadCopy{number});
     } else {
--- a/src/operatorcopies.h
+++ b/src/operatorcopies.h
@@ -141,6 +141,7 @@
     // If a copy of this size is larger than a record, reports it and returns false; nothing is
     // written until the next change then.
     bool fitsRecord(std::size_t bytes, CopiesOutbox &out);
+    bool isStoreDown() const; // the last call to each partition has failed
     // Starts the read or the append that the partition needs, if any.
     void callPartition(std::uint32_t number, TimePoint now, CopiesOutbox &out);
     void write(std::uint32_t number, TimePoint now, CopiesOutbox &out);
@@ -163,6 +164,8 @@
     TimePoint m_dueAt{};      // when the first entry in rank writes that state
     bool m_isCopied = false;  // the state in force is in most copies
     bool m_isWriter = false;  // this entry writes the state in force
+    TimePoint m_probeAt{};    // while the store is down: no call before this time
+    std::uint32_t m_turn = 0; // partition that is called first when the store may be up again
     TimePoint m_nextTimer = NeverTime;
 };
 
--- a/tests/operatorcopies_test.cpp
+++ b/tests/operatorcopies_test.cpp
@@ -38,6 +38,7 @@
     };
     std::vector<Partition> partitions = std::vector<Partition>(Partitions);
     Duration delay = 2ms; // of each answer
+    bool isDown = false;  // each call fails after `delay`
 
     std::uint64_t versionIn(std::uint32_t number) const
     {
@@ -149,11 +150,11 @@
         Store::Partition &it = m_store.partitions[effect.partition];
         ++it.reads;
         std::optional<CopyPage> page;
-        if (!it.isSilent)
+        if (!it.isSilent && !m_store.isDown)
             page = CopyPage{LogOffset{it.records.size()},
                             it.records.empty() ? std::nullopt : std::optional(it.records.back()),
                             LogOffset{it.records.size() - 1}};
-        at(page ? m_store.delay : Duration(1s), [this, number, effect, page] {
+        at(it.isSilent ? Duration(1s) : m_store.delay, [this, number, effect, page] {
             CopiesOutbox out;
             entry(number).copies->onRead(effect.partition, page, now, out);
             perform(number, out);
@@ -382,4 +383,25 @@
     EXPECT_EQ(store.partitions[2].appends, 0);
 }
 
+// Guards against a store that is down and is called by an entry for each partition as often as a
+// single reader would call it, and against a partition that is left out meanwhile.
+TEST(OperatorCopies, AStoreThatIsDownIsCalledInTurns)
+{
+    Store store;
+    store.isDown = true;
+    Fleet fleet(1, store);
+    fleet.run(10s);
+    int reads = 0;
+    for (const Store::Partition &it : store.partitions) {
+        EXPECT_GE(it.reads, 8);
+        reads += it.reads;
+    }
+    EXPECT_LE(reads, 45) << "a reader alone retries every 300 ms on average";
+    store.isDown = false;
+    store.partitions[0].isSilent = true;
+    store.partitions[2].records = {encodeCopy({snapshotOf(7), 0})};
+    fleet.run(1200ms);
+    EXPECT_EQ(fleet.entry(0).records.configVersion(), 7u);
+}
+
 } // namespace cactuscove
