--- a/tests/operatorcopies_test.cpp
+++ b/tests/operatorcopies_test.cpp
@@ -324,6 +324,22 @@
     EXPECT_EQ(store.partitions[0].reads, 1);
 }
 
+// Guards against appends at the same offset without end when another entry was faster.
+TEST(OperatorCopies, AConflictIsFollowedByARead)
+{
+    Store store;
+    store.delay = 100ms;
+    Fleet fleet(1, store);
+    fleet.readTopic();
+    fleet.apply(0, 7);
+    fleet.run(100ms); // the reads are under way
+    store.partitions[0].records.push_back(encodeCopy({snapshotOf(5), 0}));
+    fleet.run(800ms);
+    EXPECT_EQ(store.versionIn(0), 7u);
+    EXPECT_EQ(store.partitions[0].appends, 2);
+    EXPECT_EQ(store.partitions[0].reads, 2);
+}
+
 // Guards against an older state that replaces a newer copy, and against an evacuation that is lost
 // when an entry that does not know it writes a newer configuration.
 TEST(OperatorCopies, AWriterKeepsWhatIsNewer)
