Test: the fleet keeps its guarantees whenever it is lost and started again

Cause: agents now know their workers within milliseconds after a start, while starts of the lost processes may still be carried out. The random faults of the simulated fleet had no call that a worker carries out late but in time.

Change: an option of the simulated fleet for such calls, and a test that loses all processes twice, for 1 ms to 1.5 s, while workers are replaced.

--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -31,6 +31,7 @@
 constexpr Duration ResubmitPause = 1300ms;
 constexpr double LateValueShare = 0.2; // of a job's value, for a late answer
 constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr double MaxCallDelayMs = 240; // in which a start is still accepted
 constexpr Duration MinConnectTime = 20ms;
 constexpr Duration MaxRecordReadTime = 30ms; // of a worker record in the store
 
@@ -585,7 +586,10 @@
     {
         const std::uint64_t agentIncarnation = agents[i].incarnation;
         const bool isLost = uniform() < options.lostReplyRate;
-        const Duration delay = isLost ? fromMs(2000 + 10000 * uniform()) : WorkerDelay;
+        const bool isSlow = options.slowCallRate > 0 && uniform() < options.slowCallRate;
+        const Duration delay = isLost
+                                   ? fromMs(2000 + 10000 * uniform())
+                                   : WorkerDelay + fromMs(isSlow ? MaxCallDelayMs * uniform() : 0);
         if (isLost)
             post(now + order.timeout, [this, i, agentIncarnation, order] {
                 deliverNoReply(i, agentIncarnation, order);
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -59,6 +59,7 @@
     std::function<double(const JobKind &kind, Duration at)> rateFactor;
     // Share of the calls to workers that are executed 2 to 12 s late and never answered.
     double lostReplyRate = 0;
+    double slowCallRate = 0; // share of the calls to workers that are executed up to 240 ms late
     bool checksDeadlines = true; // workers refuse a start after its deadline
     // A worker that is down refuses connections; otherwise its calls are not answered.
     bool refusesWhenDown = false;
--- a/tests/fleetstart_test.cpp
+++ b/tests/fleetstart_test.cpp
@@ -9,6 +9,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <random>
 
 namespace cactuscove {
 
@@ -123,6 +124,12 @@
     std::vector<FleetMoment> timeline;
 };
 
+std::uint64_t environmentNumber(const char *variable, std::uint64_t defaultValue)
+{
+    const char *text = std::getenv(variable);
+    return text ? std::strtoull(text, nullptr, 10) : defaultValue;
+}
+
 // The effects of this type, in order.
 template <typename T, typename Effects>
 std::vector<T> effectsOf(const std::vector<Effects> &out)
@@ -224,4 +231,37 @@
     EXPECT_GT(onTimeShare(1600ms, 2s), 0.99) << describe();
 }
 
+// Guards against two runs of a task at the same time, a worker over its capacity and a refused job
+// that ran, when the fleet is lost twice and starts again while runs and starts of the lost
+// processes are still under way, and workers are replaced meanwhile. The environment variables
+// DISPATCH_SEED and DISPATCH_RUNS choose other schedules.
+TEST(FleetStartPromises, HoldWhateverTheTimeWithoutProcesses)
+{
+    const std::uint64_t first = environmentNumber("DISPATCH_SEED", 1);
+    const std::uint64_t runs = environmentNumber("DISPATCH_RUNS", 20);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+        DispatchFleetOptions options = fleetOptions(seed, 0.7);
+        options.entries = 3;
+        options.workers = 5;
+        for (JobKind &it : options.kinds)
+            it.jobsPerSecond /= 10;
+        options.length = 4s;
+        options.lostReplyRate = seed % 3 == 0 ? 0.08 : 0;
+        options.slowCallRate = 0.2;
+        DispatchFleet fleet(options);
+        std::mt19937_64 random(seed);
+        const auto pick = [&](int n) { return std::chrono::milliseconds(random() % n); };
+        for (const Duration at : {1000ms, 2500ms}) {
+            const Duration down = 1ms + pick(random() % 2 ? 300 : 1500);
+            fleet.schedule(at, [&fleet, down] { fleet.killAll(down, StartSpread); });
+            fleet.schedule(at + pick(400),
+                           [&fleet, seed] { fleet.crashWorker(static_cast<int>(seed % 5), 50ms); });
+        }
+        fleet.run();
+        ASSERT_TRUE(fleet.violations().empty())
+            << "DISPATCH_SEED=" << seed << " DISPATCH_RUNS=1: " << fleet.violations().front();
+        ASSERT_GT(fleet.startCount(), 100u) << "DISPATCH_SEED=" << seed;
+    }
+}
+
 } // namespace cactuscove
