Demand reports and quotas: jobs that do not fit are refused on arrival

The rest is refused as over_quota. The expected wait uses the entry's part of the fleet's demand instead of an equal share, and a job that would only miss its objective is taken while the fleet has spare cores. The arrival of jobs moves from jobdispatcher.cpp to jobdispatcherarrivals.cpp.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -5,6 +5,7 @@
 #include "dispatchagent.h"
 
 #include "decisionloop.h"
+#include "demandtable.h"
 #include "dispatchprocess.h"
 #include "taskrunner.h"
 
@@ -79,6 +80,7 @@
         std::optional<PeerHello> entry;       // its hello; none until that arrives
         std::vector<std::string> orphanFreeWorkers; // as sent last
         std::uint64_t loadVersion = 0;              // TaskRunner::loadVersion() as sent last
+        std::vector<DemandReport> sentDemand;       // in the newest heartbeat
     };
 
     // Shortens the silence of an entry after which its tasks are stopped, and the lease, where
@@ -211,9 +213,7 @@
 
     void dial(const std::string &address, EntryConnection &it)
     {
-        it.entry.reset();
-        it.link.reset();
-        it.releasingSince = NeverTime;
+        forgetEntry(it);
         it.dialledAt = it.lastMessageAt = bootNow();
         m_selection.onDialled(address, it.dialledAt);
         auto link = FramedLink::dial(
@@ -247,11 +247,18 @@
                   {"address", address},
                   {"reason", std::string(reason)},
                   {"heard_ms", std::to_string((bootNow() - it.lastMessageAt) / 1ms)}}});
+        forgetEntry(it);
+        m_selection.onClosed(address, bootNow());
+        connectEntries();
+    }
+
+    void forgetEntry(EntryConnection &it)
+    {
+        if (it.entry)
+            m_demand.disconnected(it.entry->instance);
         it.entry.reset();
         it.link.reset();
         it.releasingSince = NeverTime;
-        m_selection.onClosed(address, bootNow());
-        connectEntries();
     }
 
     // Closes surplus connections. First reports to the entry that the workers are gone, so that it
@@ -304,7 +311,9 @@
             return onHello(address, it, *hello, now, out);
         if (!it.entry)
             return;
-        if (const auto *assign = std::get_if<AssignTask>(&message))
+        if (const auto *heartbeat = std::get_if<PeerHeartbeat>(&message))
+            onHeartbeat(it.entry->instance, *heartbeat, now);
+        else if (const auto *assign = std::get_if<AssignTask>(&message))
             m_runner.onAssign(it.entry->instance, *assign, now, out);
         else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
             m_runner.onWithdraw(it.entry->instance, *withdraw, now, out);
@@ -329,11 +338,24 @@
              "entry_connected",
              {{"entry", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
         m_runner.onEntryHello(hello.instance, hello.name, now, out);
-        it.link->send(makeHeartbeat());
+        m_demand.connected(hello.instance);
+        sendHeartbeat(it, demandSums(now));
         sendInventory(it);
         sendWorkers(it);
     }
 
+    // An entry reports the demand for all upstreams of its configuration.
+    void onHeartbeat(Incarnation entry, PeerHeartbeat heartbeat, TimePoint now)
+    {
+        DemandTable::Upstreams upstreams;
+        for (const WorkerUpdate &it : m_runner.workers())
+            upstreams.insert(it.worker.upstream);
+        std::erase_if(heartbeat.demand,
+                      [&](const DemandReport &it) { return upstreams.count(it.upstream) == 0; });
+        if (const auto event = m_demand.update(entry, heartbeat, upstreams, now))
+            log(*event);
+    }
+
     void sendInventory(EntryConnection &it)
     {
         TaskInventory inventory = m_runner.inventoryOf(it.entry->instance);
@@ -366,13 +388,21 @@
         }
     }
 
-    PeerHeartbeat makeHeartbeat() const
+    // What the entries ask of the workers together.
+    std::vector<DemandReport> demandSums(TimePoint now) const
+    {
+        return m_features.hasScarcityControl ? m_demand.sum(now) : std::vector<DemandReport>();
+    }
+
+    void sendHeartbeat(EntryConnection &it, const std::vector<DemandReport> &demand)
     {
         const auto connectedEntries
             = std::count_if(m_connections.begin(), m_connections.end(), [](const auto &connection) {
                   return connection.second.entry && !isReleasing(connection.second);
               });
-        return {bootNow(), static_cast<std::uint32_t>(connectedEntries)};
+        it.link->send(
+            PeerHeartbeat{bootNow(), static_cast<std::uint32_t>(connectedEntries), demand});
+        it.sentDemand = demand;
     }
 
     void onHeartbeatTick()
@@ -380,6 +410,7 @@
         m_heartbeatTimer.startIn(LinkHeartbeatInterval);
         ++m_heartbeatTicks;
         const TimePoint now = bootNow();
+        const std::vector<DemandReport> demand = demandSums(now);
         for (auto &[address, it] : m_connections) {
             if (!it.link)
                 continue;
@@ -387,8 +418,9 @@
                 onClosed(address, it, "silent");
             else if (!it.entry && now - it.dialledAt > DialTimeout)
                 onClosed(address, it, "not open in time");
-            else if (it.entry && isHeartbeatDue(*it.link))
-                it.link->send(makeHeartbeat());
+            else if (it.entry
+                     && (isHeartbeatDue(*it.link) || differsNoticeably(it.sentDemand, demand)))
+                sendHeartbeat(it, demand);
         }
         const EntrySelection::Plan plan = m_selection.plan(now);
         for (const std::string &address : plan.dial)
@@ -413,6 +445,7 @@
 
     FeatureFlags m_features;
     TaskRunner m_runner;
+    DemandTable m_demand; // of the connected entries; used only with scarcity control
     DecisionLoop<TaskRunner, RunnerEffect, DispatchAgent> m_decisions;
     Timer m_heartbeatTimer;
     Timer m_loadTimer;
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -101,7 +101,8 @@
         std::unique_ptr<FramedLink> link;
         std::string dialled;       // address; empty for an accepted connection
         TimePoint lastMessageAt{}; // newest message; before the first, when the link was created
-        std::optional<PeerHello> peer; // none until the peer's hello arrives
+        std::optional<PeerHello> peer;        // none until the peer's hello arrives
+        std::vector<DemandReport> sentDemand; // in the newest heartbeat
     };
 
     using LinkId = std::uint64_t;
@@ -423,14 +424,19 @@
         const TimePoint now = bootNow();
         const bool isEntryHeartbeatDue
             = m_heartbeatTicks % (EntryHeartbeatInterval / LinkHeartbeatInterval) == 0;
+        const std::vector<DemandReport> demand = m_dispatcher.demandReports(now);
         std::vector<LinkId> silent;
         for (auto &[id, it] : m_links) {
             const bool isEntry = it.peer && it.peer->role == Role::Entry;
             if (now - it.lastMessageAt > (isEntry ? EntryLinkTimeout : LinkTimeout))
                 silent.push_back(id);
-            else if (it.link->isOpen()
-                     && (isEntry ? isEntryHeartbeatDue : isHeartbeatDue(*it.link)))
+            else if (it.link->isOpen() && isEntry && isEntryHeartbeatDue)
                 it.link->send(PeerHeartbeat{now, 0});
+            else if (it.link->isOpen() && !isEntry
+                     && (isHeartbeatDue(*it.link) || differsNoticeably(it.sentDemand, demand))) {
+                it.link->send(PeerHeartbeat{now, 0, demand});
+                it.sentDemand = demand;
+            }
         }
         for (const LinkId id : silent)
             closeLink(id, "silent");
@@ -477,9 +483,26 @@
                       static_cast<double>(m_dispatcher.workers().connectedAgents()));
         m_metrics.set("cactuscove_open_requests", {},
                       static_cast<double>(m_callerServer->openRequests()));
+        if (m_features.hasScarcityControl)
+            setDemandMetrics();
         return m_metrics.text();
     }
 
+    void setDemandMetrics()
+    {
+        std::set<std::string> upstreams;
+        for (const QueueSettings &it : m_dispatcher.config().queues)
+            upstreams.insert(it.upstream);
+        for (const std::string &upstream : upstreams)
+            if (const auto fleet = m_dispatcher.fleetUtilisation(upstream, bootNow()))
+                for (const auto &[priority, utilisation] : fleet->byPriority)
+                    m_metrics.set("cactuscove_demand_utilisation",
+                                  {{"upstream", upstream}, {"priority", std::to_string(priority)}},
+                                  utilisation);
+        for (const auto &[queue, part] : m_dispatcher.acceptedParts())
+            m_metrics.set("cactuscove_accepted_part", {{"queue", queue}}, part);
+    }
+
     FeatureFlags m_features;
     std::string m_linkListen; // "ip:port" on which links of agents and entries are accepted
     JobDispatcher m_dispatcher;
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -35,7 +35,8 @@
 {
     std::string upstream;
     int priority = 0; // of the queues; 0 is the most urgent
-    // Cores that new jobs ask for / cores of the usable workers that the entry is connected to.
+    // Cores that new jobs ask for, refused ones included, and that accepted jobs wait for / cores
+    // of the usable workers that the entry is connected to.
     // From an agent: the sum over the entries that are connected to it, which is the utilisation
     // to expect of its workers if no job is refused.
     double utilisation = 0;
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -1,4 +1,4 @@
-// Inputs of the dispatcher from callers, the assignment of tasks, and timeouts.
+// State of jobs, the assignment of tasks, and timeouts.
 
 #include "jobdispatcher.h"
 
@@ -17,27 +17,14 @@
 // A task that has not started this long after it was assigned is refused by its agent and assigned
 // again, maybe to another worker.
 constexpr Duration MaxWaitAtAgent = 150ms;
-// The expected wait of a new job is multiplied by this before it is compared with the time that the
-// job may wait: half of the waits are longer than expected, and a job that ends too late has used
-// capacity for nothing.
-constexpr double WaitSafetyFactor = 1.4;
 // Agents confirm within this time that withdrawn tasks do not run; without that the outcome is
 // unknown.
 constexpr Duration CloseTimeout = 200ms;
-// The answer must be sent this long before the caller's timeout or the objective, to arrive in
-// time.
-constexpr Duration AnswerMargin = 8ms;
 // In multiples of the expected run time. Workers up to this slow are used even if the objective is
 // then missed, as faster ones may be busy.
 constexpr double AcceptableSlowness = 1.6;
-// In this time after its start the entry lets jobs wait for agents to connect.
-constexpr Duration StartupPeriod = 1500ms;
-// Added to the latest start of a job for each step of its queue's priority.
-constexpr Duration PriorityDelay = 100ms;
 // Messages about a job may still come this long after its answer.
 constexpr Duration EndedJobRetention = 10s;
-constexpr Duration MinRetryAfter = 200ms;
-constexpr Duration NoWorkerRetryAfter = 1s;
 // The longest of several tasks takes longer than the mean one. Each time the number of tasks
 // doubles, the job's expected run time grows by this fraction of the run time of one task.
 constexpr double MakespanPerDoubling = 0.06;
@@ -63,6 +50,7 @@
     : m_settings(settings)
     , m_startedAt(startedAt)
     , m_directory(m_settings.seed)
+    , m_demand(startedAt)
 {}
 
 const QueueSettings *JobDispatcher::findQueue(std::string_view name) const
@@ -111,6 +99,30 @@
                                                 * (1 + MakespanPerDoubling * doublings));
 }
 
+TimePoint JobDispatcher::usefulEnd(const Job &job)
+{
+    return job.mayBeLate ? job.deadline : std::min(job.objectiveAt, job.deadline);
+}
+
+std::vector<DemandReport> JobDispatcher::demandReports(TimePoint now) const
+{
+    if (!m_settings.hasScarcityControl)
+        return {};
+    DemandControl::WaitingWork waiting;
+    for (const auto &[number, job] : m_jobs)
+        if (!job.closingAnswer)
+            waiting[{job.upstream, job.priority}] += workOf(job, job.waitingCount).coreMs;
+    return m_demand.reports(m_config, m_directory, waiting, now);
+}
+
+std::optional<FleetUtilisation> JobDispatcher::fleetUtilisation(std::string_view upstream,
+                                                                TimePoint now) const
+{
+    if (!m_settings.hasScarcityControl)
+        return std::nullopt;
+    return m_demand.utilisation(upstream, m_directory.usableCapacity(upstream, now), now);
+}
+
 void JobDispatcher::setState(JobNumber number, Job &job, Task &task, State state)
 {
     if (task.state == state)
@@ -134,126 +146,6 @@
         m_ready.insert(rankOf(number, job));
 }
 
-void JobDispatcher::refuse(CallerId caller, const BestEffortJob &job, std::string reason,
-                           Duration retryAfter, DispatcherOutbox &out)
-{
-    const DispatchAnswer answer{JobOutcome::Refused, std::move(reason),
-                                std::max(retryAfter, MinRetryAfter)};
-    out.emplace_back(LogEvent{Severity::Info,
-                              "job_refused",
-                              {{"job", job.id},
-                               {"queue", job.queue},
-                               {"reason", answer.reason},
-                               {"config", std::to_string(m_config.version)},
-                               {"agents", std::to_string(m_directory.connectedAgents())},
-                               {"retry_ms", toMsString(answer.retryAfter)}}});
-    out.emplace_back(AnswerJob{caller, answer});
-}
-
-void JobDispatcher::submit(CallerId caller, BestEffortJob spec, Duration callerTimeout,
-                           TimePoint now, DispatcherOutbox &out)
-{
-    expireAfterSuspension(now, out);
-    const QueueSettings *queue = findQueue(spec.queue);
-    if (m_shuttingDown || !queue)
-        return refuse(caller, spec, m_shuttingDown ? "shutting_down" : "no_queue", {}, out);
-    if (const auto open = m_jobsById.find(spec.id); open != m_jobsById.end()) {
-        Job &job = m_jobs.at(open->second);
-        if (!job.closingAnswer) {
-            job.callers.push_back(caller);
-            m_jobsByCaller[caller] = open->second;
-            return;
-        }
-        out.emplace_back(AnswerJob{caller, {JobOutcome::Unknown, "previous_closing", {}}});
-        return;
-    }
-    if (spec.taskCount == 0) {
-        out.emplace_back(AnswerJob{caller, {JobOutcome::Completed, {}, {}}});
-        return;
-    }
-    if (!m_directory.fitsSomeWorker(
-            {queue->upstream, spec.needs, 0, {}, spec.requiredLabel, spec.preferredLabel}))
-        return refuse(caller, spec, "cannot_run", {}, out);
-    const WorkerDirectory::UsableCapacity usable = m_directory.usableCapacity(queue->upstream, now);
-    // When a whole fleet starts, agents connect within moments; jobs may wait for them.
-    const bool isStarting = now - m_startedAt < StartupPeriod;
-    if (!spec.needs.fitsIn(usable.total) && !isStarting)
-        return refuse(caller, spec, "no_upstream", NoWorkerRetryAfter, out);
-
-    Job job;
-    job.callers.push_back(caller);
-    job.priority = queue->priority;
-    job.maxAttempts = std::max(queue->maxAttempts, 1);
-    job.upstream = queue->upstream;
-    job.arrivedAt = now;
-    job.deadline = now + callerTimeout - AnswerMargin;
-    job.expectedRun = m_runTimes.expect(spec.queue, spec.declaredRunTime);
-    job.spec = std::move(spec);
-    const Duration makespan = expectedMakespan(job);
-    job.objectiveAt = now + queue->targetLatency - AnswerMargin
-                      + std::chrono::duration_cast<Duration>(makespan * queue->slackFactor);
-    job.latestStart = job.objectiveAt - makespan + PriorityDelay * job.priority;
-
-    const AvailableCores available{usable.freeCores, shareOfCores(usable.total)};
-    const bool mayWait = isStarting && available.shareCores == 0;
-    if (!mayWait && refuseIfOverloaded(caller, job, available, now, out))
-        return;
-    accept(caller, std::move(job));
-}
-
-double JobDispatcher::shareOfCores(const Resources &capacity) const
-{
-    std::uint32_t entries = 1;
-    for (const auto &[agent, entryCount] : m_entryCounts)
-        entries = std::max(entries, entryCount);
-    return static_cast<double>(capacity.cpuMillis) / 1000 / entries;
-}
-
-bool JobDispatcher::refuseIfOverloaded(CallerId caller, const Job &job,
-                                       const AvailableCores &available, TimePoint now,
-                                       DispatcherOutbox &out) const
-{
-    const Duration allowed = std::min(job.objectiveAt, job.deadline) - now - expectedMakespan(job);
-    const Duration wait
-        = m_loadControl.expectedWait(job.priority, workOf(job, job.spec.taskCount), available, now);
-    if (wait * WaitSafetyFactor <= allowed)
-        return false;
-    const DispatchAnswer answer{JobOutcome::Refused, "overloaded",
-                                std::max(wait - allowed, MinRetryAfter)};
-    out.emplace_back(
-        LogEvent{Severity::Info,
-                 "job_refused",
-                 {{"job", job.spec.id},
-                  {"queue", job.spec.queue},
-                  {"reason", answer.reason},
-                  {"wait_ms", toMsString(wait)},
-                  {"allowed_ms", toMsString(allowed)},
-                  {"waiting_core_ms", std::to_string(static_cast<std::int64_t>(
-                                          m_loadControl.waitingWork(job.priority).coreMs))},
-                  {"free_cores", std::to_string(static_cast<std::int64_t>(available.freeCores))},
-                  {"cores", std::to_string(static_cast<std::int64_t>(available.shareCores))},
-                  {"config", std::to_string(m_config.version)}}});
-    out.emplace_back(AnswerJob{caller, answer});
-    return true;
-}
-
-void JobDispatcher::accept(CallerId caller, Job job)
-{
-    std::uint32_t attempt = 0;
-    if (const auto endedJob = m_endedJobs.find(job.spec.id); endedJob != m_endedJobs.end())
-        attempt = endedJob->second.lastAttempt;
-    const JobNumber number = ++m_lastJob;
-    m_jobsById[job.spec.id] = number;
-    m_jobsByCaller[caller] = number;
-    Job &it = m_jobs.emplace(number, std::move(job)).first->second;
-    it.tasks.resize(it.spec.taskCount);
-    for (Task &task : it.tasks)
-        task.attempt = attempt;
-    it.waitingCount = it.tasks.size();
-    m_loadControl.addWaiting(it.priority, workOf(it, it.waitingCount));
-    m_ready.insert(rankOf(number, it));
-}
-
 void JobDispatcher::callerDisconnected(CallerId caller, TimePoint now, DispatcherOutbox &out)
 {
     expireAfterSuspension(now, out);
@@ -456,8 +348,7 @@
         const bool isUnassigned = job.waitingCount == job.tasks.size() && !job.mayHaveStarted;
         if (now >= job.deadline)
             beginClosing(number, job, {JobOutcome::Unknown, "deadline", {}}, now, out);
-        else if (isUnassigned
-                 && now + expectedMakespan(job) > std::min(job.objectiveAt, job.deadline))
+        else if (isUnassigned && now + expectedMakespan(job) > usefulEnd(job))
             finish(number, {JobOutcome::Refused, "overloaded", MinRetryAfter}, now, out);
     }
 }
@@ -495,8 +386,7 @@
         }
         next = std::min(next, job.deadline);
         if (job.waitingCount == job.tasks.size() && !job.mayHaveStarted)
-            next = std::min(next, std::min(job.objectiveAt, job.deadline) - expectedMakespan(job)
-                                      + Duration(1));
+            next = std::min(next, usefulEnd(job) - expectedMakespan(job) + Duration(1));
     }
     if (m_agentLostTasks > 0)
         for (const auto &[number, job] : m_jobs)
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -14,6 +14,7 @@
 
 #pragma once
 
+#include "demandcontrol.h"
 #include "dispatchmessages.h"
 #include "loadcontrol.h"
 #include "outbox.h"
@@ -124,11 +125,21 @@
     // Open jobs of the queue of which no task has started.
     std::size_t waitingJobs(std::string_view queue) const;
     const WorkerDirectory &workers() const { return m_directory; }
+    // Demand of this entry's callers, to be sent in heartbeats to agents; empty without scarcity
+    // control.
+    std::vector<DemandReport> demandReports(TimePoint now) const;
+    // As the agents report it; none without scarcity control or if too few agents report.
+    std::optional<FleetUtilisation> fleetUtilisation(std::string_view upstream,
+                                                     TimePoint now) const;
+    // Part of the work of each queue that is accepted; without queues that had no job.
+    std::map<std::string, double> acceptedParts() const { return m_demand.parts(); }
     // Time of the next timeout of a job or of an attempt at a lost agent, as of the newest
     // processPending(); NeverTime if there is none.
     TimePoint nextTimer() const { return m_nextExpiry; }
 
 private:
+    static constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
+
     // State of a task.
     enum class State {
         Waiting,  // for a worker with free capacity
@@ -171,6 +182,8 @@
         Duration expectedRun{};  // of one task
         // Latest start that meets the objective, with a delay for less urgent queues.
         TimePoint latestStart{};
+        // Accepted although it is expected to miss its objective; ordered by its deadline instead.
+        bool mayBeLate = false;
         // Some task may have started. As long as this is false, the job may be refused.
         bool mayHaveStarted = false;
         // Set while the tasks are being withdrawn; sent when none of them may run any more.
@@ -230,9 +243,15 @@
     // The part of the cores in `capacity` that this entry may count on; the other entries use the
     // rest.
     double shareOfCores(const Resources &capacity) const;
-    // Answers the caller and returns true if the job would wait too long for its objective.
-    bool refuseIfOverloaded(CallerId caller, const Job &job, const AvailableCores &available,
-                            TimePoint now, DispatcherOutbox &out) const;
+    // Answers the caller and returns true if the job is in the part of its queue's work that does
+    // not fit.
+    bool refuseOverQuota(CallerId caller, const Job &job, const QueueSettings &queue,
+                         const std::optional<FleetUtilisation> &utilisation, TimePoint now,
+                         DispatcherOutbox &out);
+    // Answers the caller and returns true if the job would wait too long for its objective. With
+    // spare cores in the fleet, a job that meets its deadline is accepted to be late.
+    bool refuseIfOverloaded(CallerId caller, Job &job, const AvailableCores &available,
+                            bool hasSpareCores, TimePoint now, DispatcherOutbox &out) const;
     void accept(CallerId caller, Job job);
     // Answers the caller of a job that is not accepted.
     void refuse(CallerId caller, const BestEffortJob &job, std::string reason, Duration retryAfter,
@@ -262,6 +281,8 @@
     // Stops a run that belongs to no open job.
     void withdrawUnknownTask(Incarnation agent, const TaskStarted &task,
                              DispatcherOutbox &out) const;
+    // An answer after this time is of no use.
+    static TimePoint usefulEnd(const Job &job);
     // Run time of the job from its first start if all tasks run at once.
     Duration expectedMakespan(const Job &job) const;
 
@@ -270,6 +291,7 @@
     DispatchConfig m_config;
     WorkerDirectory m_directory;
     LoadControl m_loadControl;
+    DemandControl m_demand; // used only with scarcity control
     RunTimeModel m_runTimes;
     std::map<JobNumber, Job> m_jobs;
     std::map<std::string, JobNumber, std::less<>> m_jobsById;
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -34,6 +34,7 @@
     expireAfterSuspension(now, out);
     m_agents[agent.instance] = agent;
     m_directory.agentConnected(agent.instance, agent.name, agent.dataCentre, now);
+    m_demand.agentConnected(agent.instance);
     // While messages from this entry reach the agent, the agent does not stop the tasks, so they
     // may run beyond attemptEndsBy. The agent's inventory will show which of them it knows.
     for (auto &[number, job] : m_jobs)
@@ -46,6 +47,7 @@
 {
     expireAfterSuspension(now, out);
     m_directory.agentDisconnected(agent);
+    m_demand.agentDisconnected(agent);
     m_agents.erase(agent);
     m_entryCounts.erase(agent);
     for (auto &[number, job] : m_jobs) {
@@ -80,6 +82,10 @@
     if (const auto *heartbeat = std::get_if<PeerHeartbeat>(&message)) {
         m_directory.updateAgentClock(agent, heartbeat->sentAt, now);
         m_entryCounts[agent] = heartbeat->connectedEntries;
+        if (!m_settings.hasScarcityControl)
+            return;
+        if (auto event = m_demand.onHeartbeat(agent, *heartbeat, m_config, now))
+            out.emplace_back(std::move(*event));
     } else if (const auto *update = std::get_if<WorkerUpdate>(&message)) {
         m_directory.updateWorker(agent, *update);
     } else if (const auto *load = std::get_if<WorkerLoad>(&message)) {
--- /dev/null
+++ b/src/jobdispatcherarrivals.cpp
@@ -0,0 +1,180 @@
+// Arrival of jobs at the dispatcher: whether a new job is accepted, and the answer if it is not.
+
+#include "durations.h"
+#include "jobdispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The expected wait of a new job is multiplied by this before it is compared with the time that the
+// job may wait: half of the waits are longer than expected, and a job that ends too late has used
+// capacity for nothing.
+constexpr double WaitSafetyFactor = 1.4;
+// The answer must be sent this long before the caller's timeout or the objective, to arrive in
+// time.
+constexpr Duration AnswerMargin = 8ms;
+// In this time after its start the entry lets jobs wait for agents to connect.
+constexpr Duration StartupPeriod = 1500ms;
+// Added to the latest start of a job for each step of its queue's priority.
+constexpr Duration PriorityDelay = 100ms;
+constexpr Duration NoWorkerRetryAfter = 1s;
+
+} // namespace
+
+void JobDispatcher::refuse(CallerId caller, const BestEffortJob &job, std::string reason,
+                           Duration retryAfter, DispatcherOutbox &out)
+{
+    const DispatchAnswer answer{JobOutcome::Refused, std::move(reason),
+                                std::max(retryAfter, MinRetryAfter)};
+    out.emplace_back(LogEvent{Severity::Info,
+                              "job_refused",
+                              {{"job", job.id},
+                               {"queue", job.queue},
+                               {"reason", answer.reason},
+                               {"config", std::to_string(m_config.version)},
+                               {"agents", std::to_string(m_directory.connectedAgents())},
+                               {"retry_ms", toMsString(answer.retryAfter)}}});
+    out.emplace_back(AnswerJob{caller, answer});
+}
+
+void JobDispatcher::submit(CallerId caller, BestEffortJob spec, Duration callerTimeout,
+                           TimePoint now, DispatcherOutbox &out)
+{
+    expireAfterSuspension(now, out);
+    const QueueSettings *queue = findQueue(spec.queue);
+    if (m_shuttingDown || !queue)
+        return refuse(caller, spec, m_shuttingDown ? "shutting_down" : "no_queue", {}, out);
+    if (const auto open = m_jobsById.find(spec.id); open != m_jobsById.end()) {
+        Job &job = m_jobs.at(open->second);
+        if (!job.closingAnswer) {
+            job.callers.push_back(caller);
+            m_jobsByCaller[caller] = open->second;
+            return;
+        }
+        out.emplace_back(AnswerJob{caller, {JobOutcome::Unknown, "previous_closing", {}}});
+        return;
+    }
+    if (spec.taskCount == 0) {
+        out.emplace_back(AnswerJob{caller, {JobOutcome::Completed, {}, {}}});
+        return;
+    }
+    if (!m_directory.fitsSomeWorker(
+            {queue->upstream, spec.needs, 0, {}, spec.requiredLabel, spec.preferredLabel}))
+        return refuse(caller, spec, "cannot_run", {}, out);
+    const WorkerDirectory::UsableCapacity usable = m_directory.usableCapacity(queue->upstream, now);
+    // When a whole fleet starts, agents connect within moments; jobs may wait for them.
+    const bool isStarting = now - m_startedAt < StartupPeriod;
+    if (!spec.needs.fitsIn(usable.total) && !isStarting)
+        return refuse(caller, spec, "no_upstream", NoWorkerRetryAfter, out);
+
+    Job job;
+    job.callers.push_back(caller);
+    job.priority = queue->priority;
+    job.maxAttempts = std::max(queue->maxAttempts, 1);
+    job.upstream = queue->upstream;
+    job.arrivedAt = now;
+    job.deadline = now + callerTimeout - AnswerMargin;
+    job.expectedRun = m_runTimes.expect(spec.queue, spec.declaredRunTime);
+    job.spec = std::move(spec);
+    const Duration makespan = expectedMakespan(job);
+    job.objectiveAt = now + queue->targetLatency - AnswerMargin
+                      + std::chrono::duration_cast<Duration>(makespan * queue->slackFactor);
+    job.latestStart = job.objectiveAt - makespan + PriorityDelay * job.priority;
+
+    std::optional<FleetUtilisation> utilisation;
+    if (m_settings.hasScarcityControl)
+        utilisation = m_demand.utilisation(queue->upstream, usable, now);
+    if (m_settings.hasScarcityControl
+        && refuseOverQuota(caller, job, *queue, utilisation, now, out))
+        return;
+    AvailableCores available{usable.freeCores, shareOfCores(usable.total)};
+    if (utilisation)
+        available.shareCores
+            = m_demand.shareOfCores(queue->upstream, *utilisation, available.shareCores, now);
+    const bool hasSpareCores = utilisation && utilisation->total() < TargetUtilisation;
+    const bool mayWait = isStarting && available.shareCores == 0;
+    if (!mayWait && refuseIfOverloaded(caller, job, available, hasSpareCores, now, out))
+        return;
+    accept(caller, std::move(job));
+}
+
+double JobDispatcher::shareOfCores(const Resources &capacity) const
+{
+    std::uint32_t entries = 1;
+    for (const auto &[agent, entryCount] : m_entryCounts)
+        entries = std::max(entries, entryCount);
+    return static_cast<double>(capacity.cpuMillis) / 1000 / entries;
+}
+
+bool JobDispatcher::refuseOverQuota(CallerId caller, const Job &job, const QueueSettings &queue,
+                                    const std::optional<FleetUtilisation> &utilisation,
+                                    TimePoint now, DispatcherOutbox &out)
+{
+    const Work work = workOf(job, job.spec.taskCount);
+    DemandControl::Decision decision = m_demand.onJob(queue, work.coreMs, utilisation, now);
+    if (decision.partChange)
+        out.emplace_back(std::move(*decision.partChange));
+    if (!decision.isAccepted)
+        refuse(caller, job.spec, "over_quota", decision.retryAfter, out);
+    return !decision.isAccepted;
+}
+
+bool JobDispatcher::refuseIfOverloaded(CallerId caller, Job &job, const AvailableCores &available,
+                                       bool hasSpareCores, TimePoint now,
+                                       DispatcherOutbox &out) const
+{
+    const Duration makespan = expectedMakespan(job);
+    const Duration allowed = usefulEnd(job) - now - makespan;
+    const Duration wait
+        = m_loadControl.expectedWait(job.priority, workOf(job, job.spec.taskCount), available, now);
+    if (wait * WaitSafetyFactor <= allowed)
+        return false;
+    if (hasSpareCores && wait * WaitSafetyFactor <= job.deadline - now - makespan) {
+        // It starts after the jobs that can meet their objectives.
+        job.mayBeLate = true;
+        job.latestStart = job.deadline - makespan + PriorityDelay * job.priority;
+        return false;
+    }
+    const DispatchAnswer answer{JobOutcome::Refused, "overloaded",
+                                std::max(wait - allowed, MinRetryAfter)};
+    out.emplace_back(
+        LogEvent{Severity::Info,
+                 "job_refused",
+                 {{"job", job.spec.id},
+                  {"queue", job.spec.queue},
+                  {"reason", answer.reason},
+                  {"wait_ms", toMsString(wait)},
+                  {"allowed_ms", toMsString(allowed)},
+                  {"waiting_core_ms", std::to_string(static_cast<std::int64_t>(
+                                          m_loadControl.waitingWork(job.priority).coreMs))},
+                  {"free_cores", std::to_string(static_cast<std::int64_t>(available.freeCores))},
+                  {"cores", std::to_string(static_cast<std::int64_t>(available.shareCores))},
+                  {"config", std::to_string(m_config.version)}}});
+    out.emplace_back(AnswerJob{caller, answer});
+    return true;
+}
+
+void JobDispatcher::accept(CallerId caller, Job job)
+{
+    std::uint32_t attempt = 0;
+    if (const auto endedJob = m_endedJobs.find(job.spec.id); endedJob != m_endedJobs.end())
+        attempt = endedJob->second.lastAttempt;
+    const JobNumber number = ++m_lastJob;
+    m_jobsById[job.spec.id] = number;
+    m_jobsByCaller[caller] = number;
+    Job &it = m_jobs.emplace(number, std::move(job)).first->second;
+    it.tasks.resize(it.spec.taskCount);
+    for (Task &task : it.tasks)
+        task.attempt = attempt;
+    it.waitingCount = it.tasks.size();
+    m_loadControl.addWaiting(it.priority, workOf(it, it.waitingCount));
+    m_ready.insert(rankOf(number, it));
+}
+
+} // namespace cactuscove
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -46,6 +46,9 @@
     {"cactuscove_tasks_queued", "Reservations that wait at this agent."},
     {"cactuscove_remembered_keys", "Job keys that this entry remembers."},
     {"cactuscove_open_jobs", "Best-effort jobs that this entry coordinates."},
+    {"cactuscove_demand_utilisation",
+     "Cores asked for at all entries / cores of the fleet, by upstream and priority."},
+    {"cactuscove_accepted_part", "Part of a queue's work that this entry accepts, by queue."},
     {"cactuscove_open_tasks", "Best-effort tasks queued or running beside this agent."},
     {"cactuscove_open_requests", "HTTP requests that are not yet answered."},
 };
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -251,6 +251,8 @@
             || worker.load.slowness > limits.maxSlowness)
             continue;
         usable.total += worker.info.capacity;
+        usable.coresByAgent[key.agent]
+            += static_cast<double>(worker.info.capacity.cpuMillis) / 1000;
         const Resources free = freeResources(worker, std::numeric_limits<int>::max());
         freeMillis += std::max<std::int64_t>(free.cpuMillis, 0);
     }
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -85,6 +85,7 @@
     {
         Resources total;
         double freeCores = 0;
+        std::map<Incarnation, double> coresByAgent; // sum of these is the cores in `total`
     };
     UsableCapacity usableCapacity(std::string_view upstream, TimePoint now) const;
     // What the agent's clock shows at time `at`, or a little less; none before the agent's first
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatchfleet.h"
 
+#include "demandtable.h"
 #include "durations.h"
 #include "entryselection.h"
 
@@ -86,6 +87,7 @@
         std::uint64_t sentLoadVersion = 0;
         TimePoint startedAt = Start;
         std::unique_ptr<EntrySelection> selection;
+        DemandTable demand; // of the connected entries
     };
 
     struct Entry : Process
@@ -277,6 +279,7 @@
             it.selection->add(addressOf(e));
         it.sentLoadVersion = 0;
         it.startedAt = now;
+        it.demand = {};
     }
 
     static std::string addressOf(std::size_t entry) { return "entry" + std::to_string(entry); }
@@ -372,7 +375,9 @@
                         return;
                     links[entry][a].agentHeardAt = now;
                     runner.onEntryActivity(from, now, out);
-                    if (const auto *assign = std::get_if<AssignTask>(&message))
+                    if (const auto *heartbeat = std::get_if<PeerHeartbeat>(&message))
+                        agents[a].demand.update(from, *heartbeat, {"upstream"}, now);
+                    else if (const auto *assign = std::get_if<AssignTask>(&message))
                         runner.onAssign(from, *assign, now, out);
                     else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
                         runner.onWithdraw(from, *withdraw, now, out);
@@ -411,14 +416,16 @@
         agents[a].selection->onOpened(addressOf(e));
         ++link.generation;
         link.agentHeardAt = link.entryHeardAt = now;
-        const PeerHello hello{"agent" + std::to_string(a), agentId(a), Role::Agent, "", ""};
+        const PeerHello hello{
+            "agent" + std::to_string(a), agentId(a), Role::Agent, "", "", ProtocolVersion};
         stepEntry(e, [this, hello](JobDispatcher &dispatcher, DispatcherOutbox &out) {
             dispatcher.onAgentConnected(hello, now, out);
         });
         const Incarnation entry = entryId(e);
         stepAgent(a, [this, e, a, entry](TaskRunner &runner, RunnerOutbox &out) {
             runner.onEntryHello(entry, "entry" + std::to_string(e), now, out);
-            sendToEntry(a, entry, PeerHeartbeat{now, connectedEntriesOf(a)});
+            agents[a].demand.connected(entry);
+            sendToEntry(a, entry, heartbeatOf(a));
             sendToEntry(a, entry, runner.inventoryOf(entry));
             for (const WorkerUpdate &update : runner.workers())
                 sendToEntry(a, entry, update);
@@ -433,6 +440,7 @@
             return;
         link.isUp = false;
         agents[a].selection->onClosed(addressOf(e), now);
+        agents[a].demand.disconnected(entryId(e));
         ++link.generation;
         const Incarnation agent = agentId(a);
         stepEntry(e, [this, agent](JobDispatcher &dispatcher, DispatcherOutbox &out) {
@@ -448,6 +456,13 @@
         return n;
     }
 
+    PeerHeartbeat heartbeatOf(std::size_t agent) const
+    {
+        return {now, connectedEntriesOf(agent),
+                options.hasScarcityControl ? agents[agent].demand.sum(now)
+                                           : std::vector<DemandReport>()};
+    }
+
     // Carries out the agent's choice of entries, as dispatchagent.cpp does.
     void selectEntries(std::size_t a)
     {
@@ -487,7 +502,8 @@
     {
         for (std::size_t a = 0; a < agents.size(); ++a)
             selectEntries(a);
-        for (std::size_t e = 0; e < entries.size(); ++e)
+        for (std::size_t e = 0; e < entries.size(); ++e) {
+            const PeerHeartbeat heartbeat{now, 0, entries[e].dispatcher->demandReports(now)};
             for (std::size_t a = 0; a < agents.size(); ++a) {
                 Link &link = links[e][a];
                 const bool isSilent
@@ -497,13 +513,14 @@
                 if (!link.isUp)
                     continue;
                 if (entries[e].isUp && entries[e].frozenUntil <= now)
-                    sendToAgent(e, agentId(a), PeerHeartbeat{now, 0});
+                    sendToAgent(e, agentId(a), heartbeat);
                 if (agents[a].isUp && agents[a].frozenUntil <= now) {
                     if (now - agents[a].startedAt < 5s)
                         sendToEntry(a, entryId(e), agents[a].runner->inventoryOf(entryId(e)));
-                    sendToEntry(a, entryId(e), PeerHeartbeat{now, connectedEntriesOf(a)});
+                    sendToEntry(a, entryId(e), heartbeatOf(a));
                 }
             }
+        }
         post(now + HeartbeatInterval, [this] { sendHeartbeats(); });
     }
 
@@ -988,6 +1005,18 @@
         return out;
     }
 
+    PlayedJob playedJobOf(const Job &job) const
+    {
+        PlayedJob out{job.kind->queue, job.firstSentAt - Start - 3s, 0, job.value};
+        for (const double workMs : job.workMs)
+            out.coreSeconds += workMs / 1000 * static_cast<double>(job.spec.needs.cpuMillis) / 1000;
+        const bool isDone = job.isAnswered && job.outcome == JobOutcome::Completed;
+        out.isOnTime = isDone && job.answeredAt <= job.objectiveAt;
+        out.isLate = isDone && !out.isOnTime;
+        out.isRefused = job.isAnswered && job.outcome == JobOutcome::Refused;
+        return out;
+    }
+
     void checkRefused()
     {
         for (const Job &job : jobs)
@@ -1058,8 +1087,10 @@
     const auto i = static_cast<std::size_t>(entry);
     Impl &it = *m_impl;
     for (std::size_t a = 0; a < it.agents.size(); ++a) {
-        if (it.links[i][a].isUp)
+        if (it.links[i][a].isUp) {
             it.agents[a].selection->onClosed(Impl::addressOf(i), it.now);
+            it.agents[a].demand.disconnected(it.entryId(i));
+        }
         it.links[i][a].isUp = false;
         ++it.links[i][a].generation;
     }
@@ -1138,6 +1169,14 @@
     return m_impl->results();
 }
 
+std::vector<PlayedJob> DispatchFleet::jobs() const
+{
+    std::vector<PlayedJob> jobs;
+    for (const Impl::Job &it : m_impl->jobs)
+        jobs.push_back(m_impl->playedJobOf(it));
+    return jobs;
+}
+
 double DispatchFleet::valueShare() const
 {
     double earned = 0;
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -74,6 +74,18 @@
     Duration slowestRefusal{}; // longest time from the first submission to a refusal
 };
 
+// One job of the load and its result.
+struct PlayedJob
+{
+    std::string queue;
+    Duration at{};          // of its first submission, since the start of the load
+    double coreSeconds = 0; // of all its tasks, at speed 1
+    double value = 0;
+    bool isOnTime = false;
+    bool isLate = false; // completed after its objective
+    bool isRefused = false;
+};
+
 // Runs once: plan the faults, call run(), then read the results.
 class DispatchFleet
 {
@@ -102,6 +114,7 @@
 
     // By queue.
     std::map<std::string, KindResult> results() const;
+    std::vector<PlayedJob> jobs() const;
     double valueShare() const; // the same as KindResult::valueShare, over all kinds
     // One text for each violated guarantee: two runs of a task at the same time, a worker over its
     // capacity, or a job that was refused although a task of it ran.
