System test of scarcity control with real processes

Cause: the unit tests call the decisions; nothing checked that demand gets from entries to agents and back over real connections, nor the metrics and log lines.

--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -7,15 +7,21 @@
 import signal
 import threading
 import unittest
+import unittest.mock
 
 from dispatchfleet import GRACE_S, Caller, DispatchFleet, in_threads, overlapping_runs, untrue_answers
 from fleet import http, metric, wait_until
 
 
-class DispatchTest(unittest.TestCase):
+class FleetTest(unittest.TestCase):
     """A fleet for each test. After each test, the runs are checked against the answers of all jobs."""
 
+    environment = {}  # of the processes, in addition to that of the test
+
     def setUp(self):
+        patch = unittest.mock.patch.dict(os.environ, self.environment)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.fleet = DispatchFleet()
         self.addCleanup(self.fleet.stop)
         self.fleet.wait_ready()
@@ -59,6 +65,10 @@
         before = answered()
         wait_until("answers", lambda: answered() >= before + count)
 
+
+class DispatchTest(FleetTest):
+    """The default flags."""
+
     # Guards against tasks that run twice or not at all without any fault: 20 jobs of 4 tasks at each
     # of the 2 entries give 160 runs.
     def test_the_whole_path(self):
@@ -185,5 +195,28 @@
         self.assertIn("cannot be read", self.fleet.log_of(entry))
 
 
+class ScarcityTest(FleetTest):
+    """Scarcity control."""
+
+    environment = {"CACTUSCOVE_SCARCITY": "on"}
+
+    # Guards against demand that does not get from entry to agents and back: callers ask both entries
+    # for more than the fleet has, and each entry must see that and refuse by it.
+    def test_jobs_over_the_capacity_are_refused(self):
+        stop = threading.Event()
+        threads = self.keep_submitting(16, stop, tasks=3, run_ms=300, cpu=2000)
+        for entry in self.fleet.entries:
+            wait_until("demand", lambda it=entry: metric(
+                it.metrics, "cactuscove_demand_utilisation") > 1)
+            wait_until("quota", lambda it=entry: 0 < metric(
+                it.metrics, "cactuscove_accepted_part") < 1)
+            wait_until("refusal", lambda it=entry: (
+                "reason=over_quota" in self.fleet.log_of(it)
+                and "event=quota_changed" in self.fleet.log_of(it)))
+        stop.set()
+        for it in threads:
+            it.join(20)
+
+
 if __name__ == "__main__":
     unittest.main()
