Quota: target of 0.9 and a floor of 0.8 of an equal share

Cause: at a target of 0.92 more of the accepted jobs ended late without more value, and a smaller floor left the least urgent queue little at 1.05 times the capacity.

Change: TargetUtilisation 0.9, FloorShare 0.8; a test of jobs that are accepted although they will be late; bounds for 2 and 60 entries and for a killed entry that fail without the control.

--- a/src/admissionquota.cpp
+++ b/src/admissionquota.cpp
@@ -12,7 +12,7 @@
 
 // Part of an equal share of the capacity that each priority keeps, as far as it asks for it. The
 // rest goes to the most urgent priorities first.
-constexpr double FloorShare = 0.75;
+constexpr double FloorShare = 0.8;
 constexpr std::size_t RememberedJobs = 100; // of each queue, to find the sizes of the classes
 constexpr double LargestShare = 0.1;        // of the jobs, the largest size class
 constexpr double LargeShare = 0.3;          // of the jobs, the two largest size classes
--- a/src/admissionquota.h
+++ b/src/admissionquota.h
@@ -20,9 +20,10 @@
 namespace cactuscove {
 
 // Utilisation of the fleet that the accepted work aims at. Tasks of several cores leave gaps on
-// workers, and run times are longer than expected about as often as shorter: above this, accepted
-// jobs wait longer than their objectives allow.
-inline constexpr double TargetUtilisation = 0.92;
+// workers, and run times are longer than expected about as often as shorter. In played loads with
+// tasks of a tenth of a worker, accepting 0.95 instead of 0.88 of the cores gains nothing: the
+// additional work ends late.
+inline constexpr double TargetUtilisation = 0.9;
 
 // The part of each priority's work that fits, from 0 to 1. All are 1 if the sum of `utilisation` is
 // not above TargetUtilisation.
--- a/tests/demandcontrol_test.cpp
+++ b/tests/demandcontrol_test.cpp
@@ -236,7 +236,7 @@
     for (const int entries : {2, 60}) {
         DispatchFleetOptions options = scarceFleet();
         options.entries = entries;
-        EXPECT_GT(earnedShare(play(options, load), load), 0.8) << entries << " entries";
+        EXPECT_GT(earnedShare(play(options, load), load), 0.83) << entries << " entries";
     }
 }
 
@@ -248,7 +248,7 @@
     const auto kill = [](DispatchFleet &fleet) {
         fleet.schedule(2500ms, [&fleet] { fleet.killEntry(0, 1s); });
     };
-    EXPECT_GT(earnedShare(play(scarceFleet(), load, kill), load), 0.75);
+    EXPECT_GT(earnedShare(play(scarceFleet(), load, kill), load), 0.8);
 }
 
 } // namespace cactuscove
--- a/tests/demandtable_test.cpp
+++ b/tests/demandtable_test.cpp
@@ -4,6 +4,7 @@
 #include "admissionquota.h"
 #include "demandmeter.h"
 #include "demandtable.h"
+#include "jobdispatcher.h"
 
 #include <gtest/gtest.h>
 
@@ -116,11 +117,55 @@
     const auto parts = acceptedParts({{0, 0.1}, {1, 1}, {2, 1}});
     EXPECT_EQ(parts.at(0), 1);
     EXPECT_GT(parts.at(1), 2 * parts.at(2));
-    EXPECT_NEAR(parts.at(2), 0.25 * TargetUtilisation, 1e-9);
+    EXPECT_NEAR(parts.at(2), 0.8 / 3 * TargetUtilisation, 1e-9);
     EXPECT_NEAR(0.1 + parts.at(1) + parts.at(2), TargetUtilisation, 1e-9);
     EXPECT_TRUE(acceptedParts({}).empty());
 }
 
+namespace {
+
+// Refusal reasons of a job that is expected to meet its deadline and not its objective, where the
+// agent reports this utilisation.
+std::vector<std::string> refusalsOfLateJob(bool hasScarcityControl, double utilisation)
+{
+    JobDispatcher dispatcher({1, 1800ms, hasScarcityControl}, Now - 1h);
+    DispatcherOutbox out;
+    DispatchConfig config;
+    config.version = 1;
+    config.queues.push_back({"q", "host", "/", "u", 0, 1, 1.6, 60ms, 30s});
+    dispatcher.configure(config, out);
+    dispatcher.onAgentConnected({"a", A, Role::Agent, "dc", {}, ProtocolVersion}, Now, out);
+    dispatcher.onAgentMessage(A, PeerHeartbeat{Now, 1, {{"u", 0, utilisation}}}, Now, out);
+    WorkerUpdate worker;
+    worker.worker.id = "w";
+    worker.worker.upstream = "u";
+    worker.worker.capacity = {10000, 1000, 0};
+    dispatcher.onAgentMessage(A, worker, Now, out);
+    WorkerLoad load; // nothing is free
+    load.workerId = "w";
+    load.isUsable = true;
+    dispatcher.onAgentMessage(A, load, Now, out);
+    BestEffortJob job{"j", "q", {}, {1000, 1, 0}, 10, 200ms, {}, {}};
+    dispatcher.submit(CallerId{1}, job, 1500ms, Now, out);
+    std::vector<std::string> reasons;
+    for (const DispatcherEffect &it : out)
+        if (const auto *answer = std::get_if<AnswerJob>(&it))
+            reasons.push_back(answer->answer.reason);
+    return reasons;
+}
+
+} // namespace
+
+// Guards against late jobs that take the capacity of others, and against refusing them where there
+// is capacity for them later.
+TEST(JobDispatcher, AcceptsAJobThatWillBeLateOnlyWithSpareCores)
+{
+    using Reasons = std::vector<std::string>;
+    EXPECT_EQ(refusalsOfLateJob(true, 0.5), Reasons{});
+    EXPECT_EQ(refusalsOfLateJob(true, 1.2), Reasons{"overloaded"});
+    EXPECT_EQ(refusalsOfLateJob(false, 0.5), Reasons{"overloaded"});
+}
+
 // Guards against size classes of which none is ever accepted, and against an accepted part that
 // depends on chance.
 TEST(AdmissionQuota, AcceptsThePartOfEachSizeClass)
