--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -18,8 +18,12 @@
     """A fleet for each test. After each test, the runs are checked against the answers of all jobs."""
 
     ZONES = 1
+    environment = {}  # of the processes, in addition to that of the test
 
     def setUp(self):
+        patch = unittest.mock.patch.dict(os.environ, self.environment)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.fleet = DispatchFleet(zones=self.ZONES)
         self.addCleanup(self.fleet.stop)
         self.fleet.wait_ready()
@@ -65,7 +69,7 @@
 
 
 class DispatchTest(DispatchCase):
-    """One data centre."""
+    """One data centre, the default flags."""
 
     # Guards against tasks that run twice or not at all without any fault: 20 jobs of 4 tasks at each
     # of the 2 entries give 160 runs.
@@ -271,5 +275,28 @@
         wait_until("room", lambda: self.submit(1)[0].state == "completed", limit=2)
 
 
+class ScarcityTest(DispatchCase):
+    """Scarcity control."""
+
+    environment = {"CACTUSCOVE_SCARCITY": "on"}
+
+    # Guards against demand that does not get from entry to agents and back: callers ask both entries
+    # for more than the fleet has, and each entry must see that and refuse by it.
+    def test_jobs_over_the_capacity_are_refused(self):
+        stop = threading.Event()
+        threads = self.keep_submitting(16, stop, tasks=3, run_ms=300, cpu=2000)
+        for entry in self.fleet.entries:
+            wait_until("demand", lambda it=entry: metric(
+                it.metrics, "cactuscove_demand_utilisation") > 1)
+            wait_until("quota", lambda it=entry: 0 < metric(
+                it.metrics, "cactuscove_accepted_part") < 1)
+            wait_until("refusal", lambda it=entry: (
+                "reason=over_quota" in self.fleet.log_of(it)
+                and "event=quota_changed" in self.fleet.log_of(it)))
+        stop.set()
+        for it in threads:
+            it.join(20)
+
+
 if __name__ == "__main__":
     unittest.main()
