simulated loads: wait and share in time by size of job

Results by queue do not show that large jobs wait longer than small ones. KindResult now has them for the largest tenth, the fifth below it and the rest, and the speed of each worker can be set.

--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -116,6 +116,8 @@
         bool isAnswered = false;
         bool wasOnlyRefused = true; // no submission was given up, lost or answered as Unknown
         bool hasRun = false;        // a worker started one of its tasks
+        std::set<std::uint32_t> startedTasks; // that a worker started
+        TimePoint lastStartAt;                // of a task, at a worker
         JobOutcome outcome = JobOutcome::Unknown;
         TimePoint answeredAt;
         std::uint64_t caller = 0; // number of the newest submission; 0: none is open
@@ -146,6 +148,8 @@
             it.index = static_cast<int>(i);
             const bool isThird = i % 3 == 2;
             it.speed = isThird ? options.fastWorkerSpeed : 1;
+            if (!options.workerSpeeds.empty())
+                it.speed = options.workerSpeeds[i % options.workerSpeeds.size()];
             const double size = isThird && options.largeShare > 0 ? 1.5 : 1;
             it.capacity
                 = {static_cast<std::int64_t>(static_cast<double>(options.workerCpuMillis) * size),
@@ -670,6 +674,8 @@
         const auto found = jobsById.find(order.task.jobId);
         Job &job = jobs[found->second];
         job.hasRun = true;
+        job.startedTasks.insert(order.task.index);
+        job.lastStartAt = now;
         ++startCount;
         trace("worker" + std::to_string(it.index), {Severity::Info,
                                                     "run_started",
@@ -983,11 +989,36 @@
             values[job.kind->queue].first += job.value * (onTime ? 1 : isDone ? LateValueShare : 0);
             values[job.kind->queue].second += job.value;
         }
-        for (auto &[queue, it] : out)
+        for (auto &[queue, it] : out) {
             it.valueShare = values[queue].first / values[queue].second;
+            it.sizes = sizeResults(queue);
+        }
         return out;
     }
 
+    std::array<SizeResult, 3> sizeResults(const std::string &queue) const
+    {
+        std::vector<std::pair<std::int64_t, const Job *>> bySize;
+        for (const Job &job : jobs)
+            if (job.kind->queue == queue)
+                bySize.emplace_back(-job.spec.needs.cpuMillis * job.spec.taskCount, &job);
+        std::sort(bySize.begin(), bySize.end());
+        std::array<SizeResult, 3> sizes;
+        for (std::size_t i = 0; i < bySize.size(); ++i) {
+            const Job &job = *bySize[i].second;
+            const std::size_t tenth = i * 10 / bySize.size();
+            SizeResult &it = sizes[tenth < 1 ? 0 : tenth < 3 ? 1 : 2];
+            ++it.submitted;
+            it.onTime += job.isAnswered && job.outcome == JobOutcome::Completed
+                         && job.answeredAt <= job.objectiveAt;
+            if (job.startedTasks.size() < job.spec.taskCount)
+                continue;
+            ++it.started;
+            it.meanWaitMs += (toMs(job.lastStartAt - job.firstSentAt) - it.meanWaitMs) / it.started;
+        }
+        return sizes;
+    }
+
     void checkRefused()
     {
         for (const Job &job : jobs)
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -7,6 +7,7 @@
 #include "jobdispatcher.h"
 #include "taskrunner.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,7 +48,9 @@
     std::int64_t workerCpuMillis = 32000; // capacity of a worker, in thousandths of a core
     double largeShare = 0;                // above 0, every third worker has 1.5 times the capacity
     double fastWorkerSpeed = 1;           // speed of every third worker; the others have 1
-    std::vector<JobKind> kinds;           // all kinds of jobs
+    // Speed of worker i in element i modulo the size; empty: by fastWorkerSpeed.
+    std::vector<double> workerSpeeds;
+    std::vector<JobKind> kinds;                 // all kinds of jobs
     Duration length = std::chrono::seconds(20); // jobs are submitted during this time
     // Factor on the rate of a kind, by the time since the start of the load; empty: always 1.
     std::function<double(const JobKind &kind, Duration at)> rateFactor;
@@ -62,9 +65,24 @@
     std::uint64_t seed = 1;
 };
 
+// What became of the jobs of one kind and size.
+struct SizeResult
+{
+    int submitted = 0;
+    int onTime = 0;  // completed within the objective
+    int started = 0; // all tasks were started by workers
+    // Mean time from the first submission to the last start of a task, over the started jobs.
+    double meanWaitMs = 0;
+
+    double onTimeShare() const { return submitted > 0 ? 1.0 * onTime / submitted : 1; }
+};
+
 // What became of the jobs of one kind, as numbers of jobs.
 struct KindResult
 {
+    // By the cores that all tasks of a job need together: the largest tenth, the fifth below it,
+    // the rest.
+    std::array<SizeResult, 3> sizes;
     int submitted = 0;
     int onTime = 0; // completed within the objective
     int late = 0;   // completed after the objective
