--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -359,6 +359,10 @@
     // To be called with the clock in each reply of the worker.
     void updateClock(Worker &worker, WorkerClock clock, TimePoint now);
     bool isEntrySilent(Incarnation entry, TimePoint now) const;
+    bool isNearlyFull(const Worker &worker) const; // more than NearlyFullShare of its cores in use
+    // Remaining run time of a task that is not queued, by the worker's slowness and its progress.
+    Duration expectedRemaining(const Worker &worker, const Task &task, TimePoint now) const;
+    std::vector<ExpectedRelease> expectedReleases(const Worker &worker, TimePoint now) const;
     // Needs of all tasks that are not queued.
     Resources usedResources(const Worker &worker) const;
     // The worker's clock at time `at`, or a little less: the reply that contained the clock took
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -20,8 +20,53 @@
     return cores / std::max(toMs(task.expectedRun), 1.0);
 }
 
+constexpr std::size_t MaxReleases = 8; // in one report
+// A task that has run for longer than expected is expected to take this share of its run time more.
+constexpr double OverdueShare = 0.15;
+
+// Merges neighbours, so that at most MaxReleases remain. Each counts from its last end, as a
+// release that is expected too early would start tasks that then wait.
+std::vector<ExpectedRelease> mergeReleases(std::vector<ExpectedRelease> ends)
+{
+    std::sort(ends.begin(), ends.end(),
+              [](const auto &a, const auto &b) { return a.after < b.after; });
+    const std::size_t each = (ends.size() + MaxReleases - 1) / MaxReleases;
+    std::vector<ExpectedRelease> merged;
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+        if (i % each == 0)
+            merged.emplace_back();
+        merged.back().after = ends[i].after;
+        merged.back().resources += ends[i].resources;
+    }
+    return merged;
+}
+
 } // namespace
 
+Duration TaskRunner::expectedRemaining(const Worker &worker, const Task &task, TimePoint now) const
+{
+    if (task.state == State::Stopping)
+        return {};
+    const double slowness = worker.performance.slowness(now);
+    const double expectedMs = std::max(toMs(task.assignment.expectedRun) * slowness, 1.0);
+    const double elapsedMs = toMs(now - task.firstSentAt);
+    // The more of the work is done, the more its progress counts against the expectation.
+    const double done = task.percentDone / 100.0;
+    double totalMs = expectedMs;
+    if (done > 0)
+        totalMs = (1 - done) * expectedMs + toMs(task.percentDoneAt - task.firstSentAt);
+    return fromMs(std::max(totalMs - elapsedMs, OverdueShare * expectedMs));
+}
+
+std::vector<ExpectedRelease> TaskRunner::expectedReleases(const Worker &worker, TimePoint now) const
+{
+    std::vector<ExpectedRelease> ends;
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state != State::Queued)
+            ends.push_back({expectedRemaining(worker, task, now), task.assignment.needs});
+    return mergeReleases(std::move(ends));
+}
+
 std::vector<std::string> TaskRunner::orphanFreeWorkers() const
 {
     std::vector<std::string> orphanFree;
@@ -83,18 +128,23 @@
         load.coreReleaseRate /= std::max(1.0, worker.performance.meanSlowness());
         load.slowness = worker.performance.slowness(now);
         load.failureRate = worker.performance.failureRate(now);
+        if (m_settings.hasScarcityControl && isNearlyFull(worker))
+            load.releases = expectedReleases(worker, now);
         loads.push_back(std::move(load));
     }
     return loads;
 }
 
+bool TaskRunner::isNearlyFull(const Worker &worker) const
+{
+    return static_cast<double>(usedResources(worker).cpuMillis)
+           > NearlyFullShare * static_cast<double>(worker.info.capacity.cpuMillis);
+}
+
 bool TaskRunner::isNearlyFull() const
 {
-    return std::any_of(m_workers.begin(), m_workers.end(), [this](const auto &it) {
-        const Worker &worker = it.second;
-        return static_cast<double>(usedResources(worker).cpuMillis)
-               > NearlyFullShare * static_cast<double>(worker.info.capacity.cpuMillis);
-    });
+    return std::any_of(m_workers.begin(), m_workers.end(),
+                       [this](const auto &it) { return isNearlyFull(it.second); });
 }
 
 std::size_t TaskRunner::openTasks() const
