--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -50,9 +50,9 @@
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
         , m_features(loaded.features)
         , m_linkListen(std::move(loaded.linkListen))
-        , m_dispatcher(
-              {m_incarnation.value, lostAgentTimeout(m_settings), m_features.hasScarcityControl},
-              bootNow())
+        , m_dispatcher({m_incarnation.value, lostAgentTimeout(m_settings),
+                        m_features.hasScarcityControl, m_settings.remoteSlowness},
+                       bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_entryUpdateTimer(m_loop, [this] { sendEntryUpdates(); })
@@ -140,7 +140,19 @@
 
     void perform(LogEvent &effect) { log(effect); }
 
-    void onPendingProcessed(TimePoint) {}
+    void onPendingProcessed(TimePoint)
+    {
+        const PlacementCounts &counts = m_dispatcher.placementCounts();
+        const auto add = [this](const char *kind, std::uint64_t count, std::uint64_t &reported) {
+            if (count > reported)
+                m_metrics.add("cactuscove_placement_total", {{"kind", kind}},
+                              static_cast<double>(count - std::exchange(reported, count)));
+        };
+        add("reserved", counts.reservations, m_reportedCounts.reservations);
+        add("moved", counts.movedReservations, m_reportedCounts.movedReservations);
+        add("whole", counts.wholeStarts, m_reportedCounts.wholeStarts);
+        add("backfilled", counts.backfills, m_reportedCounts.backfills);
+    }
 
     // Callers
 
@@ -481,7 +493,8 @@
     }
 
     FeatureFlags m_features;
-    std::string m_linkListen; // "ip:port" on which links of agents and entries are accepted
+    PlacementCounts m_reportedCounts; // added to the metrics
+    std::string m_linkListen;         // "ip:port" on which links of agents and entries are accepted
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_heartbeatTimer;
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -57,6 +57,7 @@
     : m_settings(settings)
     , m_startedAt(startedAt)
     , m_directory(m_settings.seed)
+    , m_random(m_settings.seed)
 {}
 
 const QueueSettings *JobDispatcher::findQueue(std::string_view name) const
@@ -116,6 +117,7 @@
     }
     if (state == State::Waiting) {
         ++job.waitingCount;
+        ++m_readyVersion;
         m_loadControl.addWaiting(job.priority, workOf(job, 1));
     }
     m_agentLostTasks += (state == State::AgentLost) - (task.state == State::AgentLost);
@@ -187,6 +189,8 @@
     job.objectiveAt = now + queue->targetLatency - AnswerMargin
                       + std::chrono::duration_cast<Duration>(makespan * queue->slackFactor);
     job.latestStart = job.objectiveAt - makespan + PriorityDelay * job.priority;
+    if (m_settings.hasScarcityControl)
+        job.latestStart -= sizeLead(job, job.objectiveAt - now - makespan);
 
     const AvailableCores available{usable.freeCores, shareOfCores(usable.total)};
     const bool mayWait = isStarting && available.shareCores == 0;
@@ -246,6 +250,7 @@
     it.waitingCount = it.tasks.size();
     m_loadControl.addWaiting(it.priority, workOf(it, it.waitingCount));
     m_ready.insert(rankOf(number, it));
+    ++m_readyVersion;
 }
 
 void JobDispatcher::callerDisconnected(CallerId caller, TimePoint now, DispatcherOutbox &out)
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -17,12 +17,15 @@
 #include "dispatchmessages.h"
 #include "loadcontrol.h"
 #include "outbox.h"
+#include "placementplan.h"
 #include "runtimemodel.h"
 #include "workerdirectory.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -77,6 +80,17 @@
     // dispatcher counts from the end of the connection, which is later than that message.
     Duration lostAgentTimeout = std::chrono::milliseconds(1800);
     bool hasScarcityControl = false; // see FeatureFlags
+    // Run times on workers without a task's preferred label, as a multiple of those with it.
+    double remoteSlowness = 1.5;
+};
+
+// Decisions of PlacementPlan so far; all 0 without hasScarcityControl.
+struct PlacementCounts
+{
+    std::uint64_t reservations = 0;      // jobs that got a reservation
+    std::uint64_t movedReservations = 0; // noticeable moves of a reservation
+    std::uint64_t wholeStarts = 0;       // jobs of several tasks that were placed at once
+    std::uint64_t backfills = 0;         // jobs that went before a job with a reservation
 };
 
 // The best-effort jobs of one entry process, which calls it from its event loop.
@@ -124,9 +138,10 @@
     // Open jobs of the queue of which no task has started.
     std::size_t waitingJobs(std::string_view queue) const;
     const WorkerDirectory &workers() const { return m_directory; }
-    // Time of the next timeout of a job or of an attempt at a lost agent, as of the newest
-    // processPending(); NeverTime if there is none.
-    TimePoint nextTimer() const { return m_nextExpiry; }
+    const PlacementCounts &placementCounts() const { return m_placementCounts; }
+    // Time of the next plan, timeout of a job or timeout of an attempt at a lost agent, as of the
+    // newest processPending(); NeverTime if there is none.
+    TimePoint nextTimer() const { return std::min(m_nextExpiry, m_nextPlanAt); }
 
 private:
     // State of a task.
@@ -183,6 +198,8 @@
         // When the first start was reported; TimePoint{} if none was reported or if mayHaveStarted
         // was set for another reason before.
         TimePoint firstStartAt{};
+        // Expected start of its last task in its newest logged reservation; NeverTime: none yet.
+        TimePoint reservedAt = NeverTime;
     };
 
     // An answered job. If its id is submitted again, the new attempts must have higher numbers than
@@ -212,6 +229,20 @@
     // Sends the task to a worker; false if none has capacity for it.
     bool placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
                    DispatcherOutbox &out);
+    // A task that has not started this long after it was sent is refused by its agent.
+    Duration maxWaitAtAgent(const Job &job, TimePoint now) const;
+    // The same on this worker; false if its agent cannot be sent tasks.
+    bool sendTask(JobNumber number, Job &job, std::uint32_t index, const WorkerKey &worker,
+                  TimePoint now, DispatcherOutbox &out);
+    // Places the waiting jobs as PlacementPlan says.
+    void planWaitingJobs(TimePoint now, DispatcherOutbox &out);
+    std::vector<JobNumber> planOrder() const;
+    static bool isBegun(const Job &job); // some task was placed
+    void carryOut(PlacementPlan &plan, JobNumber number, Job &job, TimePoint now,
+                  DispatcherOutbox &out);
+    void recordReservation(JobNumber number, Job &job, const PlanReservation &reservation,
+                           TimePoint now, DispatcherOutbox &out);
+    double maxSlownessOf(const Job &job, TimePoint now) const;
     WorkerDirectory::Request requestOf(const Job &job, const Task &task, TimePoint now) const;
     // Handles the timeouts that passed while the process was suspended. Each input that carries the
     // time calls it first.
@@ -227,6 +258,8 @@
     void finish(JobNumber number, DispatchAnswer answer, TimePoint now, DispatcherOutbox &out);
     // Asks the agent to cancel the newest attempt of the task.
     void withdraw(const Job &job, std::uint32_t index, DispatcherOutbox &out) const;
+    // How much earlier than others a job that is larger than the mean of its queue gets capacity.
+    Duration sizeLead(const Job &job, Duration slack);
     // The part of the cores in `capacity` that this entry may count on; the other entries use the
     // rest.
     double shareOfCores(const Resources &capacity) const;
@@ -279,6 +312,16 @@
     std::map<CallerId, JobNumber> m_jobsByCaller;
     // Jobs with waiting tasks, without those that are closing.
     std::set<Rank> m_ready;
+    // Mean cores of a job with all its tasks, by queue; exponentially weighted.
+    std::map<std::string, double, std::less<>> m_meanJobCores;
+    std::uint64_t m_readyVersion = 0; // increases when tasks begin to wait
+    // State of the newest plan.
+    TimePoint m_plannedAt{};
+    std::uint64_t m_plannedReadyVersion = 0;
+    std::uint64_t m_plannedCapacityVersion = 0;
+    TimePoint m_nextPlanAt = NeverTime; // NeverTime: no job waits
+    std::mt19937_64 m_random;           // for PlacementPlan
+    PlacementCounts m_placementCounts;
     std::map<Incarnation, PeerHello> m_agents; // connected agents
     JobNumber m_lastJob = 0;
     std::int64_t m_agentLostTasks = 0;  // tasks in state AgentLost
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -188,6 +188,7 @@
     Task &task = job->tasks[message.task.index];
     if (message.end == TaskEnd::Done) {
         m_runTimes.learn(job->spec.queue, message.runTime, job->spec.declaredRunTime);
+        m_directory.recordSuccess(task.worker);
         setState(number, *job, task, State::Done);
         if (job->doneCount == job->tasks.size())
             finish(number, {JobOutcome::Completed, {}, {}}, now, out);
@@ -195,6 +196,10 @@
             finishIfClosed(number, now, out);
         return;
     }
+    if (message.end == TaskEnd::Stopped)
+        m_directory.recordRefusal(task.worker);
+    else
+        m_directory.recordFault(task.worker, message.end == TaskEnd::Lost, now);
     avoidCurrentWorker(task);
     if (message.end == TaskEnd::Failed && ++task.failureCount >= job->maxAttempts) {
         setState(number, *job, task, State::Waiting);
@@ -224,9 +229,16 @@
     const bool isWorkerUnavailable = message.reason == StartRefusal::Unhealthy
                                      || message.reason == StartRefusal::NoWorker
                                      || message.reason == StartRefusal::Draining;
-    if (message.reason != StartRefusal::OldAttempt && message.reason != StartRefusal::Withdrawn)
+    // With the plan, tasks are sent to full workers on purpose.
+    const bool isOverdue = m_settings.hasScarcityControl && message.reason == StartRefusal::Expired;
+    if (message.reason != StartRefusal::OldAttempt && message.reason != StartRefusal::Withdrawn
+        && !isOverdue)
         m_directory.pauseWorker(task.worker,
                                 now + (isWorkerUnavailable ? UnhealthyPause : RefusalPause));
+    if (message.reason == StartRefusal::Unhealthy || message.reason == StartRefusal::NoWorker)
+        m_directory.recordFault(task.worker, true, now);
+    else
+        m_directory.recordRefusal(task.worker);
     avoidCurrentWorker(task);
     requeueTask(number, *job, message.task.index, now, out);
 }
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -29,6 +29,8 @@
     {"cactuscove_peer_bytes_total", "Bytes of envelopes, by direction (sent, received)."},
     {"cactuscove_peer_calls_total", "Calls to other processes, by result."},
     {"cactuscove_jobs_answered_total", "Answers given to callers, by outcome and reason."},
+    {"cactuscove_placement_total",
+     "Decisions of the plan that looks ahead, by kind: reserved, moved, whole, backfilled."},
     {"cactuscove_upstream_starts_total", "Tasks started on the upstream, by result."},
     {"cactuscove_worker_calls_total", "Calls to workers, by kind (start, stop, hold)."},
     {"cactuscove_log_appends_total", "Appends to the log, by result."},
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -27,7 +27,12 @@
 // worker's agent then starts the most urgent task first. This hides the delay of the report that
 // capacity has become free.
 constexpr double MaxQueueWaitMs = 8;
+constexpr int LeastUrgent = std::numeric_limits<int>::max(); // counts tasks of all priorities
 constexpr double PreferredLabelWeight = 4; // factor for a worker with the preferred label
+// A worker is on trial for at most this long after a fault.
+constexpr Duration TrialTime = 2s;
+// One failed task may be the task's fault; with so many in a row the worker is on trial.
+constexpr int MaxFaultsInARow = 2;
 
 bool hasLabel(const WorkerInfo &worker, std::string_view label)
 {
@@ -81,6 +86,7 @@
         m_workers.erase(key);
     else
         m_workers[key].info = update.worker;
+    ++m_capacityVersion;
 }
 
 void WorkerDirectory::updateLoad(Incarnation agent, const WorkerLoad &load)
@@ -89,19 +95,50 @@
     if (it == m_workers.end())
         return;
     Worker &worker = it->second;
+    const Resources freeBefore = freeResources(worker, LeastUrgent);
+    const bool wasUsable = worker.hasLoad && worker.load.isUsable;
+    const auto reporter = m_agents.find(agent);
+    if (reporter != m_agents.end())
+        worker.loadAt = reporter->second.heardAt;
     worker.load = load;
     worker.hasLoad = true;
     worker.unreported.erase(worker.unreported.begin(),
                             worker.unreported.upper_bound(load.lastAssignmentNumber));
+    if ((load.isUsable && !wasUsable) || !freeResources(worker, LeastUrgent).fitsIn(freeBefore))
+        ++m_capacityVersion;
 }
 
 std::uint64_t WorkerDirectory::reserve(const WorkerKey &key, int priority, const Resources &needs)
 {
     const std::uint64_t number = ++m_agents[key.agent].lastAssignment;
     m_workers[key].unreported[number] = {priority, needs};
+    if (const auto trial = m_trials.find(key.workerId); trial != m_trials.end())
+        trial->second.isBusy = true;
     return number;
 }
 
+void WorkerDirectory::recordFault(const WorkerKey &key, bool isCertain, TimePoint now)
+{
+    std::erase_if(m_trials, [&](const auto &it) { return now > it.second.until + TrialTime; });
+    Trial &trial = m_trials[key.workerId];
+    trial.isBusy = false;
+    trial.until = std::max(trial.until, now);
+    if (++trial.faults >= MaxFaultsInARow || isCertain)
+        trial.until = now + TrialTime;
+}
+
+void WorkerDirectory::recordSuccess(const WorkerKey &key)
+{
+    m_trials.erase(key.workerId);
+}
+
+void WorkerDirectory::recordRefusal(const WorkerKey &key)
+{
+    const auto trial = m_trials.find(key.workerId);
+    if (trial != m_trials.end())
+        trial->second.isBusy = false;
+}
+
 void WorkerDirectory::pauseWorker(const WorkerKey &key, TimePoint until)
 {
     const auto it = m_workers.find(key);
@@ -258,6 +295,31 @@
     return usable;
 }
 
+std::vector<PlanWorker> WorkerDirectory::planWorkers(std::string_view upstream, TimePoint now) const
+{
+    const Limits limits = limitsOf(upstream, std::numeric_limits<double>::infinity());
+    std::vector<PlanWorker> out;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker.info.upstream != upstream || !isUsable(key, worker, now)
+            || worker.load.failureRate > limits.maxFailureRate)
+            continue;
+        PlanWorker &it = out.emplace_back();
+        it.key = key;
+        it.free = freeResources(worker, LeastUrgent);
+        for (const ExpectedRelease &release : worker.load.releases)
+            it.releases.push_back({worker.loadAt + release.after, release.resources});
+        it.coreReleaseRate = worker.load.coreReleaseRate;
+        it.slowness = std::max(worker.load.slowness, MinSlowness);
+        it.labels = worker.info.labels;
+        it.loadAt = worker.loadAt;
+        it.maxTasks = std::numeric_limits<std::size_t>::max();
+        const auto trial = m_trials.find(key.workerId);
+        if (trial != m_trials.end() && now < trial->second.until)
+            it.maxTasks = trial->second.isBusy ? 0 : 1;
+    }
+    return out;
+}
+
 std::optional<TimePoint> WorkerDirectory::agentClockAt(Incarnation agent, TimePoint at) const
 {
     const auto it = m_agents.find(agent);
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -26,6 +26,26 @@
     auto operator<=>(const WorkerKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+// A usable worker, as PlacementPlan sees it.
+struct PlanWorker
+{
+    // Resources that are expected to become free.
+    struct Release
+    {
+        TimePoint at{};
+        Resources resources;
+    };
+
+    WorkerKey key;
+    Resources free; // less the needs of all waiting and unreported tasks; may be negative
+    std::vector<Release> releases; // the earliest first; empty if the agent reports none
+    double coreReleaseRate = 0;    // as in WorkerLoad
+    double slowness = 1;           // as in WorkerLoad
+    std::span<const std::string> labels;
+    std::size_t maxTasks = 0; // that it may be sent now
+    TimePoint loadAt{};       // when its load was received
+};
+
 // Used by JobDispatcher, one object per entry process.
 class WorkerDirectory
 {
@@ -55,6 +75,15 @@
     std::uint64_t reserve(const WorkerKey &key, int priority, const Resources &needs);
     // Sends the worker no task before `until`; to be called when it has refused one.
     void pauseWorker(const WorkerKey &key, TimePoint until);
+    // An attempt at the worker did not end as done, or was refused because the worker is gone or
+    // refuses all starts. `isCertain`: the worker is at fault, rather than the task. The worker is
+    // then on trial: planWorkers() offers it for one task at a time until a task has ended as done
+    // there, for at most 2 s.
+    void recordFault(const WorkerKey &key, bool isCertain, TimePoint now);
+    // A task has ended as done at the worker.
+    void recordSuccess(const WorkerKey &key);
+    // A task was refused for another reason.
+    void recordRefusal(const WorkerKey &key);
 
     // Queries
 
@@ -87,6 +116,10 @@
         double freeCores = 0;
     };
     UsableCapacity usableCapacity(std::string_view upstream, TimePoint now) const;
+    // The workers of the upstream that take tasks and do not fail them.
+    std::vector<PlanWorker> planWorkers(std::string_view upstream, TimePoint now) const;
+    // Increases when a worker may have more free capacity than before.
+    std::uint64_t capacityVersion() const { return m_capacityVersion; }
     // What the agent's clock shows at time `at`, or a little less; none before the agent's first
     // heartbeat. A little less because the heartbeat was under way for some time.
     std::optional<TimePoint> agentClockAt(Incarnation agent, TimePoint at) const;
@@ -111,6 +144,15 @@
         // Assignments that `load` does not include yet, by number.
         std::map<std::uint64_t, QueuedDemand> unreported;
         TimePoint pausedUntil{}; // chosen for no task before this time
+        TimePoint loadAt{};      // when `load` was received
+    };
+
+    // A worker that failed, hung or went away lately. Kept while the worker is unknown.
+    struct Trial
+    {
+        int faults = 0;      // since the newest success
+        TimePoint until{};   // on trial until then; in the past: not on trial
+        bool isBusy = false; // a task was sent, and is not known to have ended
     };
 
     // The worker takes tasks and its agent is in contact with this entry.
@@ -134,6 +176,10 @@
     std::mt19937_64 m_random;
     std::map<Incarnation, Agent> m_agents; // connected agents
     std::map<WorkerKey, Worker> m_workers; // workers of connected agents
+    // By worker id, so that they outlive the agent's process. Of workers with a fault since their
+    // newest success.
+    std::map<std::string, Trial, std::less<>> m_trials;
+    std::uint64_t m_capacityVersion = 0;
 };
 
 } // namespace cactuscove
