placement: workers of a lost agent are on trial

A worker whose agent was lost got whole jobs as soon as the agent was back. Now it gets single tasks until one has ended there.

--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -56,6 +56,7 @@
                 continue;
             if (task.state != State::AgentLost) {
                 task.agentLostAt = now;
+                m_directory.recordFault(task.worker, true, now);
                 out.emplace_back(
                     LogEvent{Severity::Warning,
                              "task_unproven",
--- a/tests/dispatchfleet_test.cpp
+++ b/tests/dispatchfleet_test.cpp
@@ -191,7 +191,8 @@
 // Guards against two runs of a task at the same time, a worker over its capacity and a refused job
 // that ran, under all faults together. The environment variables DISPATCH_SEED and DISPATCH_RUNS
 // choose other schedules.
-void expectGuaranteesUnderRandomFaults(int entries, std::size_t linksPerAgent)
+void expectGuaranteesUnderRandomFaults(int entries, std::size_t linksPerAgent,
+                                       bool hasScarcityControl = false)
 {
     const std::uint64_t first = environmentNumber("DISPATCH_SEED", 1);
     const std::uint64_t runs = environmentNumber("DISPATCH_RUNS", 25);
@@ -199,6 +200,7 @@
         DispatchFleetOptions options = smallFleet(seed);
         options.entries = entries;
         options.linksPerAgent = linksPerAgent;
+        options.hasScarcityControl = hasScarcityControl;
         DispatchFleet fleet(options);
         planFaults(fleet, options);
         fleet.run();
@@ -220,6 +222,12 @@
     expectGuaranteesUnderRandomFaults(6, 2);
 }
 
+// The same with the plan of --scarcity, which sends tasks to full workers and takes them back.
+TEST(DispatchFleet, KeepsItsPromisesWhilePlacementLooksAhead)
+{
+    expectGuaranteesUnderRandomFaults(4, 3, true);
+}
+
 // One of the bounds that the guarantees depend on, and a load that needs it.
 struct Bound
 {
