--- a/tests/placementplan_test.cpp
+++ b/tests/placementplan_test.cpp
@@ -78,6 +78,18 @@
         EXPECT_GT(kind.sizes[0].onTimeShare(), 0.5 * kind.sizes[2].onTimeShare()) << queue;
 }
 
+KindResult resultOf(const DispatchFleetOptions &options, const std::string &queue)
+{
+    DispatchFleet fleet(options);
+    fleet.run();
+    const KindResult it = fleet.results().at(queue);
+    std::cout << describe(fleet) << "; " << queue << ": value share " << it.valueShare
+              << ", largest on time " << it.sizes[0].onTimeShare() << ", wait "
+              << it.sizes[0].meanWaitMs << " ms, rest on time " << it.sizes[2].onTimeShare()
+              << ", wait " << it.sizes[2].meanWaitMs << " ms\n";
+    return it;
+}
+
 // A plan for workers of 10 cores. Tasks need 4 cores and take 100 ms on a worker of slowness 1.
 class PlacementPlanTest : public testing::Test
 {
@@ -244,6 +256,65 @@
     EXPECT_GT(maxTasks(), 100u);
 }
 
+// An agent with one worker of 10 cores on which `tasks` tasks of 1 core were started, the first
+// with an expected run time of 50 ms and each other one with 10 ms more.
+std::vector<ExpectedRelease> releasesOf(std::size_t tasks, bool hasScarcityControl, Duration later)
+{
+    TimePoint now{std::chrono::hours(1)};
+    TaskRunnerSettings settings;
+    settings.hasScarcityControl = hasScarcityControl;
+    TaskRunner runner(settings, now);
+    RunnerOutbox out;
+    const auto answer = [&] {
+        for (const RunnerEffect &effect : std::exchange(out, {})) {
+            PollReply list;
+            list.answer = CallAnswer::Ok;
+            if (const auto *poll = std::get_if<PollRuns>(&effect))
+                runner.onPollReply(poll->call, list, now, out);
+            if (const auto *start = std::get_if<StartRun>(&effect))
+                runner.onStartReply(start->call, {StartAnswer::Accepted, std::nullopt}, now, out);
+        }
+    };
+    WorkerInfo info;
+    info.id = "w";
+    info.capacity = {10000, 1000, 0};
+    runner.onWorkerInfo(info, now, out);
+    now += 1s;
+    runner.onWorkerInfo(info, now, out);
+    runner.processPending(now, out);
+    answer();
+    runner.onEntryHello(Incarnation{5}, "entry", now, out);
+    for (std::size_t i = 0; i < tasks; ++i) {
+        AssignTask task;
+        task.task = {"job", static_cast<std::uint32_t>(i)};
+        task.workerId = "w";
+        task.needs = {1000, 10, 0};
+        task.expectedRun = 50ms + 10ms * static_cast<int>(i);
+        task.startDeadline = task.endDeadline = now + 10s;
+        runner.onAssign(Incarnation{5}, task, now, out);
+    }
+    runner.processPending(now, out);
+    answer();
+    return runner.loads(now + later).at(0).releases;
+}
+
+// Guards against reservations for times that have passed, and against large load messages.
+TEST(PlacementReleases, AreReportedByNearlyFullWorkers)
+{
+    EXPECT_TRUE(releasesOf(7, true, 0ms).empty()) << "there is room";
+    EXPECT_TRUE(releasesOf(8, false, 0ms).empty());
+    const std::vector<ExpectedRelease> eight = releasesOf(8, true, 20ms);
+    ASSERT_EQ(eight.size(), 8u);
+    EXPECT_EQ(eight.front().after, 30ms);
+    EXPECT_EQ(eight.back().after, 100ms);
+    EXPECT_EQ(eight.back().resources.cpuMillis, 1000);
+    const std::vector<ExpectedRelease> merged = releasesOf(10, true, 0ms);
+    ASSERT_EQ(merged.size(), 5u);
+    EXPECT_EQ(merged.front().after, 60ms);
+    EXPECT_EQ(merged.front().resources.cpuMillis, 2000);
+    EXPECT_GT(releasesOf(8, true, 1s).front().after, 0ms) << "overdue tasks still run";
+}
+
 // Guards against large jobs that wait longer and miss their objectives more often than small ones
 // when the load is near the capacity.
 TEST(PlacementFleet, LargeJobsAreServedNearTheCapacity)
@@ -262,6 +333,21 @@
     expectLargeJobsServed(scarceFleet(1.05, 0.6, 1.6));
 }
 
+// The same for tasks that need half of a small worker: small ones leave gaps that these cannot use.
+TEST(PlacementFleet, LargeTasksAreServedAmongSmallOnes)
+{
+    DispatchFleetOptions options = scarceFleet(0.8, 0.8, 1.25);
+    // 0.15 of the capacity, which is 2,613 cores at mean speed 1.
+    options.kinds.push_back(
+        {"big", 1, 0.15 * 2613 / (2 * 0.2 * 14), 200, 0.4, 0.15, 2, 14000, 0.04});
+    const KindResult before = resultOf(options, "big");
+    options.hasScarcityControl = true;
+    const KindResult after = resultOf(options, "big");
+    EXPECT_GT(after.valueShare, before.valueShare + 0.05);
+    EXPECT_LT(after.sizes[0].meanWaitMs, 0.7 * before.sizes[0].meanWaitMs);
+    EXPECT_GT(after.sizes[0].onTimeShare(), 0.9 * after.sizes[2].onTimeShare());
+}
+
 // Guards against a plan that costs something where there is capacity for all.
 TEST(PlacementFleet, BelowTheCapacityAllJobsAreServed)
 {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -74,6 +74,18 @@
     EXPECT_EQ(valueOf(settings).shutdownGracePeriod, 6s);
 }
 
+// Guards against placement that ignores the cost of a remote worker, or counts it as a gain.
+TEST(PlatformSettings, TheCostOfARemoteWorkerIsOptional)
+{
+    const auto slownessOf = [](std::string text, const std::string &field) {
+        text.insert(text.find("grace_s"), field);
+        return valueOf(parseSettings(text, Role::Entry)).remoteSlowness;
+    };
+    EXPECT_EQ(slownessOf(EntrySettings, ""), 1.5);
+    EXPECT_EQ(slownessOf(EntrySettings, "remote_factor = 2.5\n"), 2.5);
+    EXPECT_EQ(slownessOf(EntrySettings, "remote_factor = 0.2\n"), 1);
+}
+
 // Guards against reporting only the first mistake, so that each start reveals one more.
 TEST(PlatformSettings, NameEveryMistakeAtOnce)
 {
