--- a/src/jobdispatcherarrivals.cpp
+++ b/src/jobdispatcherarrivals.cpp
@@ -87,6 +87,8 @@
     job.objectiveAt = now + queue->targetLatency - AnswerMargin
                       + std::chrono::duration_cast<Duration>(makespan * queue->slackFactor);
     job.latestStart = job.objectiveAt - makespan + PriorityDelay * job.priority;
+    if (m_settings.hasScarcityControl)
+        job.latestStart -= sizeLead(job, job.objectiveAt - now - makespan);
 
     std::optional<FleetUtilisation> utilisation;
     if (m_settings.hasScarcityControl)
@@ -209,6 +211,7 @@
     it.waitingCount = it.tasks.size();
     m_loadControl.addWaiting(it.priority, workOf(it, it.waitingCount));
     m_ready.insert(rankOf(number, it));
+    ++m_readyVersion;
 }
 
 } // namespace cactuscove
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -395,6 +395,10 @@
     // The worker starts no tasks: it is leaving, or its data centre is evacuated.
     bool isDraining(const Worker &worker) const;
     bool isEntrySilent(Incarnation entry, TimePoint now) const;
+    bool isNearlyFull(const Worker &worker) const; // more than NearlyFullShare of its cores in use
+    // Remaining run time of a task that is not queued, by the worker's slowness and its progress.
+    Duration expectedRemaining(const Worker &worker, const Task &task, TimePoint now) const;
+    std::vector<ExpectedRelease> expectedReleases(const Worker &worker, TimePoint now) const;
     // Needs of all tasks that are not queued.
     Resources usedResources(const Worker &worker) const;
     // The worker's clock at time `at`, or a little less: the reply that contained the clock took
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -95,7 +95,7 @@
         TimePoint startedAt = Start;
         std::unique_ptr<EntrySelection> selection;
         std::optional<WorkerInfo> record; // of its worker, in the store
-        DemandTable demand; // of the connected entries
+        DemandTable demand;               // of the connected entries
     };
 
     struct Entry : Process
@@ -127,6 +127,8 @@
         bool isAnswered = false;
         bool wasOnlyRefused = true; // no submission was given up, lost or answered as Unknown
         bool hasRun = false;        // a worker started one of its tasks
+        std::set<std::uint32_t> startedTasks; // that a worker started
+        TimePoint lastStartAt;                // of a task, at a worker
         JobOutcome outcome = JobOutcome::Unknown;
         TimePoint answeredAt;
         TimePoint sentAt;         // newest submission to an entry that was up
@@ -796,6 +798,8 @@
         Job &job = jobs[found->second];
         job.hasRun = true;
         starts.emplace_back(now, it.index);
+        job.startedTasks.insert(order.task.index);
+        job.lastStartAt = now;
         trace("worker" + std::to_string(it.index), {Severity::Info,
                                                     "run_started",
                                                     {{"job", order.task.jobId},
@@ -1109,8 +1113,10 @@
             values[job.kind->queue].first += job.value * (onTime ? 1 : isDone ? LateValueShare : 0);
             values[job.kind->queue].second += job.value;
         }
-        for (auto &[queue, it] : out)
+        for (auto &[queue, it] : out) {
             it.valueShare = values[queue].first / values[queue].second;
+            it.sizes = sizeResults(queue);
+        }
         return out;
     }
 
@@ -1178,6 +1184,29 @@
         return out;
     }
 
+    std::array<SizeResult, 3> sizeResults(const std::string &queue) const
+    {
+        std::vector<std::pair<std::int64_t, const Job *>> bySize;
+        for (const Job &job : jobs)
+            if (job.kind->queue == queue)
+                bySize.emplace_back(-job.spec.needs.cpuMillis * job.spec.taskCount, &job);
+        std::sort(bySize.begin(), bySize.end());
+        std::array<SizeResult, 3> sizes;
+        for (std::size_t i = 0; i < bySize.size(); ++i) {
+            const Job &job = *bySize[i].second;
+            const std::size_t tenth = i * 10 / bySize.size();
+            SizeResult &it = sizes[tenth < 1 ? 0 : tenth < 3 ? 1 : 2];
+            ++it.submitted;
+            it.onTime += job.isAnswered && job.outcome == JobOutcome::Completed
+                         && job.answeredAt <= job.objectiveAt;
+            if (job.startedTasks.size() < job.spec.taskCount)
+                continue;
+            ++it.started;
+            it.meanWaitMs += (toMs(job.lastStartAt - job.firstSentAt) - it.meanWaitMs) / it.started;
+        }
+        return sizes;
+    }
+
     void checkRefused()
     {
         for (const Job &job : jobs)
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -7,6 +7,7 @@
 #include "jobdispatcher.h"
 #include "taskrunner.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -69,9 +70,24 @@
     std::uint64_t seed = 1;
 };
 
+// What became of the jobs of one kind and size.
+struct SizeResult
+{
+    int submitted = 0;
+    int onTime = 0;  // completed within the objective
+    int started = 0; // all tasks were started by workers
+    // Mean time from the first submission to the last start of a task, over the started jobs.
+    double meanWaitMs = 0;
+
+    double onTimeShare() const { return submitted > 0 ? 1.0 * onTime / submitted : 1; }
+};
+
 // What became of the jobs of one kind, as numbers of jobs.
 struct KindResult
 {
+    // By the cores that all tasks of a job need together: the largest tenth, the fifth below it,
+    // the rest.
+    std::array<SizeResult, 3> sizes;
     int submitted = 0;
     int onTime = 0; // completed within the objective
     int late = 0;   // completed after the objective
