Quota: a job is accepted once half of its work is granted

Cause: the first job of each size class at each entry was always accepted. With 13 entries and 3 classes these are 39 jobs, which for a burst of the largest queue is about a sixth of the 218 that arrive in a second.

Change: the deficit counter accepts a job once its credit is half of the job's work, so that the accepted work is as often above the part as below.

--- a/src/admissionquota.cpp
+++ b/src/admissionquota.cpp
@@ -85,7 +85,9 @@
         return true;
     }
     credit += part * work;
-    if (credit <= 0)
+    // Half of the job: otherwise the first job of each size class at each entry would always be
+    // accepted, which is much work if there are many entries with few large jobs each.
+    if (credit < work / 2)
         return false;
     credit -= work;
     return true;
