--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -1,10 +1,12 @@
 // I/O of the dispatch-entry process. Passes the requests of callers, the messages of agents and the
-// operators' configuration from the store to JobDispatcher and performs the effects it asks for.
+// operators' configuration to JobDispatcher and performs the effects it asks for.
 // Also exchanges addresses with other entries and answers the load balancer's readiness checks.
 
 #include "dispatchentry.h"
 
 #include "decisionloop.h"
+#include "dispatchcallers.h"
+#include "dispatchoperators.h"
 #include "dispatchprocess.h"
 #include "jobdispatcher.h"
 
@@ -20,18 +22,9 @@
 
 using namespace std::chrono_literals;
 
-// For a caller that does not say how long it waits, on a queue without a timeout.
-constexpr Duration DefaultCallerTimeout = 30s;
-
-Duration defaultCallerTimeout(const QueueSettings &queue)
-{
-    return queue.timeout > Duration{} ? queue.timeout : DefaultCallerTimeout;
-}
-
 // Jobs are accepted for this long after the shutdown signal. The load balancer checks readiness
 // every second and stops sending new connections only after two failed checks.
 constexpr Duration AcceptAfterShutdownSignal = 2500ms;
-constexpr Duration NotReadyRetryDelay = 1s; // sent as Retry-After
 // How often a process that shuts down checks whether all jobs are answered.
 constexpr Duration DrainCheckInterval = 20ms;
 // New addresses and starts of entries are collected for this long and sent in one message.
@@ -50,27 +43,22 @@
         : DispatchProcess(Role::Entry, std::move(loaded.settings), std::move(loaded.path))
         , m_features(loaded.features)
         , m_linkListen(std::move(loaded.linkListen))
-        , m_dispatcher(
-              {m_incarnation.value, lostAgentTimeout(m_settings), m_features.hasScarcityControl},
-              bootNow())
+        , m_dispatcher({m_incarnation.value, lostAgentTimeout(m_settings),
+                        m_features.hasScarcityControl, m_settings.hasEvacuations},
+                       bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_entryUpdateTimer(m_loop, [this] { sendEntryUpdates(); })
         , m_refuseTimer(m_loop, [this] { refuseNewJobs(); })
         , m_drainTimer(m_loop, [this] { stopWhenDrained(); })
+        , m_callers(m_loop, m_metrics, m_dispatcher, callerHandlers())
+        , m_operators(m_loop, m_http, m_metrics, operatorHandlers())
     {}
 
     std::optional<StartupError> start()
     {
-        HttpServerLimits limits;
-        limits.detectClientClose = true;
-        auto callers = HttpServer::listen(
-            m_loop, m_settings.callerAddress, limits,
-            [this](RequestId id, const HttpRequest &request) { onCallerRequest(id, request); },
-            [this](RequestId id) { onCallerClosed(id); });
-        if (!isOk(callers))
-            return StartupError{errorOf(callers).reason};
-        m_callerServer = std::move(valueOf(callers));
+        if (const auto error = m_callers.listen(m_settings.callerAddress))
+            return StartupError{error->reason};
         auto readiness = HttpServer::listen(
             m_loop, m_settings.readinessAddress, {},
             [this](RequestId id, const HttpRequest &request) { onReadinessRequest(id, request); });
@@ -86,7 +74,7 @@
             return error;
         followEntryAddresses();
         m_entryFollower->publish(m_settings.instance, m_settings.linkAddress);
-        followOperatorTopic();
+        m_operators.start(m_settings, m_features, m_incarnation.value);
         m_heartbeatTimer.startIn(LinkHeartbeatInterval);
         return std::nullopt;
     }
@@ -115,21 +103,7 @@
         return settings.maxLeaseTime + settings.maxLeaseTime / 50 + settings.maxStopTime + 700ms;
     }
 
-    void perform(AnswerJob &effect)
-    {
-        const RequestId id{effect.caller.value};
-        const auto arrived = m_arrivalTimes.extract(id);
-        if (arrived.empty())
-            return;
-        const DispatchAnswer &answer = effect.answer;
-        m_metrics.add(
-            "cactuscove_jobs_answered_total",
-            {{"outcome", std::string(nameOf(answer.outcome))}, {"reason", answer.reason}});
-        m_metrics.observeSeconds(
-            "cactuscove_job_seconds", {{"outcome", std::string(nameOf(answer.outcome))}},
-            std::chrono::duration<double>(bootNow() - arrived.mapped()).count());
-        respond(id, platform::formatAnswer(answer));
-    }
+    void perform(AnswerJob &effect) { m_callers.answer(effect.caller, effect.answer); }
 
     void perform(SendToAgent &effect)
     {
@@ -144,58 +118,21 @@
 
     // Callers
 
-    void respond(RequestId id, HttpResponse response)
-    {
-        // The caller opens a new connection, which the load balancer sends to another entry.
-        if (m_isShuttingDown)
-            response.headers["Connection"] = "close";
-        m_callerServer->respond(id, std::move(response));
-    }
-
-    void onCallerRequest(RequestId id, const HttpRequest &request)
-    {
-        if (m_dispatcher.config().version == 0 || m_isRefusingJobs)
-            return respond(id, platform::formatNotReady(NotReadyRetryDelay));
-        const auto host = request.headers.find("host");
-        const QueueMatch match = matchQueue(
-            m_dispatcher.config(), host == request.headers.end() ? "" : host->second, request.path);
-        if (!match.queue)
-            return respond(id, platform::formatNoQueue());
-        if (request.method == "GET" && match.pathSuffix.empty())
-            return respond(id,
-                           platform::formatQueueState(m_dispatcher.waitingJobs(match.queue->name)));
-        if (!platform::isJobId(match.pathSuffix))
-            return respond(id, platform::formatError({"id", "not a job's id"}));
-        if (request.method != "POST")
-            return respond(id, platform::formatUnknownJob());
-        auto job = platform::parseJob(match.pathSuffix, request.body);
-        if (!isOk(job)) {
-            log({Severity::Info,
-                 "job_invalid",
-                 {{"job", std::string(match.pathSuffix)},
-                  {"queue", match.queue->name},
-                  {"field", errorOf(job).field},
-                  {"reason", errorOf(job).reason}}});
-            return respond(id, platform::formatError(errorOf(job)));
-        }
-        valueOf(job).queue = match.queue->name;
-        m_arrivalTimes[id] = bootNow();
-        const Duration timeout
-            = platform::callerTimeout(request).value_or(defaultCallerTimeout(*match.queue));
-        m_decisions.handleInput(
-            [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
-                dispatcher.submit(CallerId{id.value}, std::move(valueOf(job)), timeout, now, out);
-            });
-    }
-
-    void onCallerClosed(RequestId id)
+    DispatchCallers::Handlers callerHandlers()
     {
-        if (m_arrivalTimes.erase(id) == 0)
-            return; // answered
-        m_decisions.handleInput(
-            [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
-                dispatcher.callerDisconnected(CallerId{id.value}, now, out);
-            });
+        return {[this](CallerId caller, BestEffortJob job, Duration timeout) {
+                    m_decisions.handleInput(
+                        [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+                            dispatcher.submit(caller, std::move(job), timeout, now, out);
+                        });
+                },
+                [this](CallerId caller) {
+                    m_decisions.handleInput(
+                        [&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &out) {
+                            dispatcher.callerDisconnected(caller, now, out);
+                        });
+                },
+                [this](const LogEvent &event) { log(event); }};
     }
 
     void onReadinessRequest(RequestId id, const HttpRequest &request)
@@ -214,46 +151,39 @@
         m_readinessServer->respond(id, {isReady ? 200 : 503, "{}"});
     }
 
-    // Operators
-
-    void followOperatorTopic()
+    DispatchOperators::Handlers operatorHandlers()
     {
-        StoreFollowerSettings settings;
-        settings.store = m_settings.storeAddress;
-        settings.topic = platform::operatorTopic();
-        settings.seed = m_incarnation.value;
-        m_operatorFollower = std::make_unique<StoreFollower>(
-            m_loop, m_http, std::move(settings),
-            StoreFollower::Handlers{
-                [this](const platform::StoreRecord &record) { onOperatorRecord(record); },
-                [this](bool isReachable, const std::string &detail) {
-                    log({isReachable ? Severity::Info : Severity::Warning,
-                         isReachable ? "store_regained" : "store_lost",
-                         {{"topic", "operators"},
-                          {"detail", detail},
-                          {"config", std::to_string(m_dispatcher.config().version)}}});
-                }});
+        return {[this](DispatchConfig config) {
+                    m_decisions.handleInput(
+                        [&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
+                            dispatcher.configure(std::move(config), out);
+                        });
+                },
+                [this](const std::set<std::string> &dataCentres) { applyEvacuations(dataCentres); },
+                [this](std::string_view dataCentre) {
+                    return m_dispatcher.workers().workersIn(dataCentre);
+                },
+                [this](OperatorPeer peer, PeerMessage message) {
+                    m_links.at(peer.value).link->send(std::move(message));
+                },
+                [this](const LogEvent &event) { log(event); }};
     }
 
-    // Applies a configuration. Ignores a version that is not newer than the one in force: the store
-    // may deliver records again.
-    void onOperatorRecord(const platform::StoreRecord &record)
+    // Puts evacuations in force and sends them to all processes that are connected.
+    void applyEvacuations(const std::set<std::string> &dataCentres)
     {
-        if (record.key != platform::ConfigKey)
-            return;
-        auto config = platform::parseConfig(record.value);
-        if (!isOk(config))
-            return log({Severity::Error,
-                        "config_unreadable",
-                        {{"offset", std::to_string(record.offset.value)},
-                         {"reason", errorOf(config).reason}}});
-        if (valueOf(config).version <= m_dispatcher.config().version)
-            return;
-        m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint, DispatcherOutbox &out) {
-            dispatcher.configure(std::move(valueOf(config)), out);
+        const bool isComplete = m_operators.evacuationUpdate().readUpTo > LogOffset{};
+        m_decisions.handleInput([&](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &) {
+            dispatcher.setEvacuated(dataCentres, isComplete, now);
         });
-        m_metrics.set("cactuscove_config_revision", {},
-                      static_cast<double>(m_dispatcher.config().version));
+        for (auto &[id, it] : m_links)
+            sendEvacuations(it);
+    }
+
+    void sendEvacuations(Link &it)
+    {
+        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= 2)
+            it.link->send(m_operators.evacuationUpdate());
     }
 
     // Agents and other entries
@@ -285,6 +215,7 @@
 
     void onEntryAddressAdded(const std::string &address) override
     {
+        m_operators.entryKnown(address);
         m_newAddresses.addresses.push_back(address);
         scheduleEntryUpdates();
     }
@@ -357,6 +288,7 @@
         m_links.erase(it);
         if (!peer)
             return;
+        m_operators.peerDisconnected(OperatorPeer{id});
         log({Severity::Warning,
              peer->role == Role::Agent ? "agent_lost" : "entry_lost",
              {{"name", peer->name},
@@ -387,22 +319,33 @@
                     else if (const auto *started = std::get_if<EntriesStarted>(&message))
                         for (const EntryStart &start : started->starts)
                             onEntryStarted(start);
-                    else if (it.peer && it.peer->role == Role::Agent) {
+                    else if (const auto *update = std::get_if<EvacuationUpdate>(&message))
+                        onEvacuationUpdate(it, *update);
+                    else if (it.peer && it.peer->role == Role::Agent)
                         dispatcher.onAgentMessage(it.peer->instance, message, now, out);
-                    }
+                    else if (it.peer)
+                        m_operators.onPeerMessage(OperatorPeer{id}, message);
                 }
             });
     }
 
+    void onEvacuationUpdate(const Link &it, const EvacuationUpdate &update)
+    {
+        if (it.peer)
+            m_operators.onEvacuationUpdate(it.peer->name, update);
+    }
+
     void onHello(LinkId id, Link &it, const PeerHello &hello, TimePoint now, DispatcherOutbox &out)
     {
         it.peer = hello;
         log({Severity::Info,
              hello.role == Role::Agent ? "agent_connected" : "entry_connected",
              {{"name", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
+        sendEvacuations(it);
         if (hello.role == Role::Entry) {
             if (!it.dialled.empty())
                 m_selection.onOpened(it.dialled);
+            m_operators.peerConnected(OperatorPeer{id}, hello);
             return onEntryStarted({hello.address, hello.instance});
         }
         const auto [agent, isNew] = m_agentLinks.try_emplace(hello.instance, id);
@@ -450,13 +393,14 @@
 
     void beginShutdown() override
     {
+        m_callers.closeConnections();
         m_refuseTimer.startIn(
             std::min(AcceptAfterShutdownSignal, m_settings.shutdownGracePeriod / 2));
     }
 
     void refuseNewJobs()
     {
-        m_isRefusingJobs = true;
+        m_callers.refuseJobs();
         m_dispatcher.beginShutdown();
         stopWhenDrained();
     }
@@ -464,7 +408,7 @@
     // Ends the process once every job is answered and every response is sent.
     void stopWhenDrained()
     {
-        if (m_dispatcher.openJobs() == 0 && m_callerServer->openRequests() == 0)
+        if (m_dispatcher.openJobs() == 0 && m_callers.openRequests() == 0)
             m_loop.stop();
         else
             m_drainTimer.startIn(DrainCheckInterval);
@@ -476,7 +420,7 @@
         m_metrics.set("cactuscove_up_members", {{"role", "agent"}},
                       static_cast<double>(m_dispatcher.workers().connectedAgents()));
         m_metrics.set("cactuscove_open_requests", {},
-                      static_cast<double>(m_callerServer->openRequests()));
+                      static_cast<double>(m_callers.openRequests()));
         return m_metrics.text();
     }
 
@@ -488,19 +432,17 @@
     Timer m_entryUpdateTimer;
     Timer m_refuseTimer;
     Timer m_drainTimer;
-    std::unique_ptr<HttpServer> m_callerServer;
+    DispatchCallers m_callers;
     std::unique_ptr<HttpServer> m_readinessServer;
     std::unique_ptr<FramedListener> m_listener;
-    std::unique_ptr<StoreFollower> m_operatorFollower;
+    DispatchOperators m_operators;
     std::map<LinkId, Link> m_links;
-    std::map<Incarnation, LinkId> m_agentLinks;    // newest connection of each agent
-    std::set<Incarnation> m_seenEntryProcesses;    // processes of other entries seen so far
-    KnownEntries m_newAddresses;                   // not yet sent to the connected peers
-    EntriesStarted m_newStarts;                    // not yet sent to the connected peers
-    std::map<RequestId, TimePoint> m_arrivalTimes; // of jobs that are not answered
+    std::map<Incarnation, LinkId> m_agentLinks; // newest connection of each agent
+    std::set<Incarnation> m_seenEntryProcesses; // processes of other entries seen so far
+    KnownEntries m_newAddresses;                // not yet sent to the connected peers
+    EntriesStarted m_newStarts;                 // not yet sent to the connected peers
     LinkId m_lastLink = 0;
     std::optional<bool> m_lastReadiness;   // as answered last; none before the first check
-    bool m_isRefusingJobs = false;         // the process shuts down and takes no new jobs
     bool m_isEntryUpdateScheduled = false; // m_entryUpdateTimer is running
 };
 
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -78,6 +78,7 @@
     // dispatcher counts from the end of the connection, which is later than that message.
     Duration lostAgentTimeout = std::chrono::milliseconds(1800);
     bool hasScarcityControl = false; // see FeatureFlags
+    bool hasEvacuations = false;     // setEvacuated() will be called
 };
 
 // The best-effort jobs of one entry process, which calls it from its event loop.
@@ -109,6 +110,11 @@
     // Any message of a connected agent but the hello.
     void onAgentMessage(Incarnation agent, const PeerMessage &message, TimePoint now,
                         DispatcherOutbox &out);
+    // The workers of these data centres get no tasks from now on; running tasks continue. Replaces
+    // the earlier set. Jobs of which nothing has started are refused if all workers that could run
+    // them are in these data centres. `isComplete`: no other one may be evacuated as well. Shortly
+    // after the start of the process no task is placed before that is known.
+    void setEvacuated(std::set<std::string> dataCentres, bool isComplete, TimePoint now);
     // Ends jobs whose time has run out, requeues tasks whose attempt at a lost agent has ended by
     // now, and assigns waiting tasks to workers. To be called after inputs, once for several of
     // them, and at nextTimer().
@@ -239,6 +245,12 @@
     bool refuseReturning(CallerId caller, Job &job, const AvailableCores &available,
                          DispatcherOutbox &out);
     void accept(CallerId caller, Job job);
+    bool isStarting(TimePoint now) const; // the process has just started
+    // All workers that could run the job are in evacuated data centres. False for a short time
+    // after the start of the process, when other agents may still connect.
+    bool isEvacuated(std::string_view upstream, const BestEffortJob &job, TimePoint now) const;
+    // Refuses the waiting jobs for which isEvacuated() and of which nothing has started.
+    void refuseEvacuatedJobs(TimePoint now, DispatcherOutbox &out);
     // Answers the caller of a job that is not accepted.
     void refuse(CallerId caller, const BestEffortJob &job, std::string reason, Duration retryAfter,
                 DispatcherOutbox &out);
@@ -292,6 +304,7 @@
     TimePoint m_lastInputAt{};          // time of the newest input
     // Number of entries that each connected agent has a connection to, as it reports.
     std::map<Incarnation, std::uint32_t> m_entryCounts;
+    bool m_knowsEvacuations = false; // setEvacuated() was called with a complete set
     bool m_shuttingDown = false;
 };
 
--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -5,6 +5,8 @@
 
 #include "storeretry.h"
 
+#include <utility>
+
 namespace cactuscove {
 
 StoreFollower::StoreFollower(EventLoop &loop, HttpClient &http, StoreFollowerSettings settings,
@@ -48,15 +50,27 @@
                      if (m_continueAfterKey.empty())
                          m_firstPageEnd = valueOf(page).next;
                      onPage(valueOf(page));
+                     for (const platform::StoreRecord &it : valueOf(page).records)
+                         m_newestKeys.insert(it.key);
+                     for (const std::string &it : valueOf(page).unreadableKeys)
+                         m_newestKeys.insert(it);
                      m_continueAfterKey = valueOf(page).continueAfterKey;
-                     // The pages are not a snapshot. Records that were appended while the pages
-                     // were read come after the end that the first page reported.
                      if (m_continueAfterKey.empty())
-                         m_nextOffset = m_firstPageEnd;
+                         onNewestRead();
                      startRead();
                  });
 }
 
+// The pages are not a snapshot. Records that were appended while the pages were read come after the
+// end that the first page reported.
+void StoreFollower::onNewestRead()
+{
+    m_nextOffset = m_firstPageEnd;
+    const std::set<std::string> keys = std::exchange(m_newestKeys, {});
+    if (m_handlers.onCompleteRead)
+        m_handlers.onCompleteRead(keys, m_firstPageEnd);
+}
+
 void StoreFollower::readNext()
 {
     m_http.start(platform::makeReadCall(m_settings.store, m_settings.topic, *m_nextOffset,
@@ -89,6 +103,7 @@
     if (isTrimmed || error.kind == platform::StoreFailure::Malformed) {
         m_nextOffset.reset();
         m_continueAfterKey.clear();
+        m_newestKeys.clear();
     }
     if (isTrimmed)
         return m_readTimer.startIn({});
@@ -110,7 +125,6 @@
                                           m_publishedValue, m_settings.appendTimeout),
                  [this](const platform::CallResult &result) {
                      if (platform::parseAppend(result))
-                         // The delay between appends does not grow.
                          m_appendTimer.startIn(storeRetryDelay(0, m_random));
                  });
 }
--- a/src/storeretry.cpp
+++ b/src/storeretry.cpp
@@ -1,4 +1,4 @@
-// The jitter of the delays, which all processes of this program share.
+// The shortest delay plus a random part.
 
 #include "storeretry.h"
 
@@ -10,8 +10,6 @@
 
 using namespace std::chrono_literals;
 
-// Delay before a retry: the shortest one plus a random part. All instances lose the store at the
-// same time, and the jitter keeps them from retrying at the same time.
 constexpr Duration MinRetryDelay = 60ms;
 constexpr Duration RetryJitter = 120ms;
 // The jitter doubles with each failure in a row, at most this many times.
--- a/src/storeretry.h
+++ b/src/storeretry.h
@@ -1,4 +1,7 @@
-// Delays between repeats of a failed call to the platform's store.
+// Delays between calls to the platform's store after a failed one. Every caller of the store uses
+// them, so that a store that is down is not called more often by one caller than by another.
+//
+// Reads no clock.
 
 #pragma once
 
@@ -8,8 +11,9 @@
 
 namespace cactuscove {
 
-// Returns the time until the next attempt after `failuresBefore` earlier failures in a row: a
-// shortest delay plus a random part that grows with the failures.
+// Returns the time from a failed call until the next one. `failuresBefore` is the number of
+// failures in a row before it. The jitter keeps the instances, which all lose the store at the same
+// time, from retrying at the same time.
 Duration storeRetryDelay(int failuresBefore, std::minstd_rand &random);
 
 } // namespace cactuscove
--- a/tests/workerrecord_test.cpp
+++ b/tests/workerrecord_test.cpp
@@ -119,7 +119,7 @@
     }
     EXPECT_GT(keyBefore("side-10"), "side-1");
     EXPECT_EQ(platform::makeNewestCall("h:1", "t", keyBefore("side-10"), 1s, 7).url,
-              "http://h:1/-/log-newest?topic=t&part=7&depends_on=side-1%2f~");
+              "http://h:1/-/log-newest?topic=t&part=7&depends_on=side-1/~");
 }
 
 // Guards against a write for each heartbeat, parallel writes, and a changed description that is not
