--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -4,6 +4,7 @@
 
 #include "dispatchagent.h"
 
+#include "agentsettings.h"
 #include "decisionloop.h"
 #include "demandtable.h"
 #include "dispatchprocess.h"
@@ -36,9 +37,6 @@
 constexpr Duration DialTimeout = 300ms;
 // After an entry was told that the worker is gone, tasks from it may still arrive for this long.
 constexpr Duration ReleaseDelay = 500ms;
-// Safety margin between the latest end of a lost job's tasks and the earliest time at which its
-// caller submits the job again. Covers calls that are under way and a worker's slow clock.
-constexpr Duration ResubmitSafetyMargin = 150ms;
 // Fraction of the shutdown time in which running tasks may end by themselves.
 constexpr double DrainTimeFraction = 0.8;
 
@@ -48,7 +46,7 @@
     explicit DispatchAgent(LoadedSettings loaded)
         : DispatchProcess(Role::Agent, std::move(loaded.settings), std::move(loaded.path))
         , m_features(loaded.features)
-        , m_runner(runnerSettings(), bootNow())
+        , m_runner(taskRunnerSettings(m_settings, m_features), bootNow())
         , m_decisions(m_loop, m_runner, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_loadTimer(m_loop, [this] { sendLoads(); })
@@ -91,25 +89,6 @@
         std::vector<DemandReport> sentDemand;       // in the newest heartbeat
     };
 
-    // Shortens the silence of an entry after which its tasks are stopped, and the lease, where
-    // needed: all tasks of a lost job must have ended before its caller submits it again. In the
-    // worst case the silence, the lease and the time to stop a task follow one another.
-    TaskRunnerSettings runnerSettings() const
-    {
-        TaskRunnerSettings settings;
-        settings.hasScarcityControl = m_features.hasScarcityControl;
-        settings.dataCentre = m_settings.dataCentre;
-        if (m_settings.hasEvacuations)
-            settings.coldSlowness = m_settings.coldSlowness;
-        settings.listsEarlierRuns = m_features.hasWorkerRecords;
-        const Duration spare
-            = m_settings.resubmitDelay - m_settings.maxStopTime - ResubmitSafetyMargin;
-        settings.entryTimeout = std::min<Duration>(settings.entryTimeout, spare / 2);
-        settings.leaseTime = std::min(
-            {settings.leaseTime, m_settings.maxLeaseTime, Duration(spare - settings.entryTimeout)});
-        return settings;
-    }
-
     void onPendingProcessed(TimePoint now)
     {
         if (m_runner.loadVersion() != m_loadVersion
