--- a/src/admissionquota.cpp
+++ b/src/admissionquota.cpp
@@ -1,3 +1,5 @@
+// The parts of priorities that fit, and counters that make the accepted work follow them.
+
 #include "admissionquota.h"
 
 #include "durations.h"
--- a/src/demandcontrol.cpp
+++ b/src/demandcontrol.cpp
@@ -1,3 +1,5 @@
+// Joins the demand of the callers, the reports of agents and the quota of each queue.
+
 #include "demandcontrol.h"
 
 #include "durations.h"
--- a/src/demandmeter.cpp
+++ b/src/demandmeter.cpp
@@ -1,3 +1,5 @@
+// The demand decays exponentially, so that it follows a burst and its end within about a second.
+
 #include "demandmeter.h"
 
 #include "durations.h"
--- a/src/demandtable.cpp
+++ b/src/demandtable.cpp
@@ -1,3 +1,5 @@
+// Checks reports, adds them up, and replaces those that are too old by the mean of the others.
+
 #include "demandtable.h"
 
 #include "durations.h"
