--- a/tests/system/copies_test.py
+++ b/tests/system/copies_test.py
@@ -4,7 +4,6 @@
 import datetime
 import re
 import struct
-import time
 import unittest
 
 from dispatchfleet import Caller, DispatchFleet
@@ -109,7 +108,9 @@
         self.restart_all()
         entry = fleet.entries[0]
         wait_until("log lines", lambda: len(self.lines(entry, "copy_unreadable")) >= COPY_COUNT)
-        time.sleep(2)
+        # The entry goes on reading the copies; a line must not be repeated for the same copy.
+        reads = store.calls["/-/log-newest", COPIES, 0]
+        wait_until("reads", lambda: store.calls["/-/log-newest", COPIES, 0] >= reads + 3)
         fields = [it.split("field=")[1].split()[0] for it in self.lines(entry, "copy_unreadable")]
         self.assertEqual(sorted(fields), sorted(bad))
         self.assertFalse(self.version_in_force(entry))
