Wording and structure of the new parts, as first-time readers asked

Cause: comments that told of tuning or of one deployment, two private names, a function with three jobs, and a flag whose mistyped value counted as 0.

--- a/src/admissionquota.h
+++ b/src/admissionquota.h
@@ -19,10 +19,8 @@
 
 namespace cactuscove {
 
-// Utilisation of the fleet that the accepted work aims at. Tasks of several cores leave gaps on
-// workers, and run times are longer than expected about as often as shorter. In played loads with
-// tasks of a tenth of a worker, accepting 0.95 instead of 0.88 of the cores gains nothing: the
-// additional work ends late.
+// Utilisation of the fleet that the accepted work aims at. Less than 1, because tasks of several
+// cores leave gaps on workers and about half of the run times are longer than expected.
 inline constexpr double TargetUtilisation = 0.9;
 
 // The part of each priority's work that fits, from 0 to 1. All are 1 if the sum of `utilisation` is
--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -356,12 +356,12 @@
             return;
         m_records.mergeEvacuations(update.evacuations, update.readUpTo);
         const EvacuationChanges::Change change
-            = m_evacuationChanges.take(m_records, sender, [this](std::string_view dataCentre) {
+            = m_evacuationChanges.update(m_records, sender, [this](std::string_view dataCentre) {
                   return m_runner.workersIn(dataCentre);
               });
         for (const LogEvent &it : change.events)
             log(it);
-        if (!change.isNews)
+        if (!change.mustBeSent)
             return;
         const std::set<std::string> dataCentres = m_records.evacuatedDataCentres();
         m_metrics.set("cactuscove_evacuated_data_centres", {},
@@ -373,11 +373,12 @@
 
     void sendEvacuations(EntryConnection &it)
     {
-        if (m_settings.hasEvacuations && it.entry && it.entry->protocol >= 2)
+        if (m_settings.hasEvacuations && it.entry && it.entry->protocol >= OperatorMessagesProtocol)
             it.link->send(EvacuationUpdate{m_records.evacuations(), m_records.readUpTo()});
     }
 
-    // An entry reports the demand for all upstreams of its configuration.
+    // An entry reports all upstreams of its configuration. Those without a worker here are left out
+    // first, as they are no fault to log.
     void onHeartbeat(Incarnation entry, PeerHeartbeat heartbeat, TimePoint now)
     {
         DemandTable::Upstreams upstreams;
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -196,7 +196,7 @@
 
     void sendEvacuations(Link &it)
     {
-        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= 2)
+        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= OperatorMessagesProtocol)
             it.link->send(m_operators.evacuationUpdate());
     }
 
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -29,6 +29,8 @@
 // Sent by this version. Peers of protocol 1 close the connection on the message types after
 // EntriesStarted, so these are sent only to peers of protocol 2 or later.
 inline constexpr std::uint32_t ProtocolVersion = 2;
+// First protocol with the message types after EntriesStarted.
+inline constexpr std::uint32_t OperatorMessagesProtocol = 2;
 
 // Load that callers ask for, relative to the capacity that can carry it.
 struct DemandReport
--- a/src/dispatchoperators.cpp
+++ b/src/dispatchoperators.cpp
@@ -55,7 +55,7 @@
 
 void DispatchOperators::peerConnected(OperatorPeer peer, const PeerHello &hello)
 {
-    if (m_sync && hello.protocol >= 2)
+    if (m_sync && hello.protocol >= OperatorMessagesProtocol)
         m_sync->peerConnected(peer);
 }
 
@@ -128,10 +128,10 @@
 void DispatchOperators::applyEvacuations(std::string_view source)
 {
     const EvacuationChanges::Change change
-        = m_evacuationChanges.take(m_records, source, m_handlers.workersIn);
+        = m_evacuationChanges.update(m_records, source, m_handlers.workersIn);
     for (const LogEvent &it : change.events)
         m_handlers.log(it);
-    if (!change.isNews)
+    if (!change.mustBeSent)
         return;
     const std::set<std::string> dataCentres = m_records.evacuatedDataCentres();
     m_metrics.set("cactuscove_evacuated_data_centres", {}, static_cast<double>(dataCentres.size()));
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -52,12 +53,12 @@
     return role == Role::Entry ? "entry" : "agent";
 }
 
-// Values of the flags that are checked once the settings file is known.
-struct FeatureWords
+// Values of the flags as given. They are checked once the settings file is known.
+struct FeatureFlagValues
 {
     std::string scarcity;
-    std::string workerRecords;
-    int operatorCopies = 0;
+    std::string workerRecords = "off"; // not a flag of entries
+    std::string operatorCopies = "0";  // not a flag of agents
 };
 
 // Default of a flag: the environment variable, else `byDefault`.
@@ -68,7 +69,7 @@
 }
 
 // Sets the features, and adds a line for each flag with an unknown value to `errors`.
-FeatureFlags featuresOf(const FeatureWords &words, const platform::PlatformSettings &settings,
+FeatureFlags featuresOf(const FeatureFlagValues &words, const platform::PlatformSettings &settings,
                         std::vector<std::string> &errors)
 {
     FeatureFlags features;
@@ -80,10 +81,12 @@
     features.hasWorkerRecords = words.workerRecords == "on";
     if (words.workerRecords != "on" && words.workerRecords != "off")
         errors.push_back("--worker-records=" + words.workerRecords + ": not off or on");
-    features.operatorCopies = words.operatorCopies;
-    if (words.operatorCopies < 0
-        || words.operatorCopies > static_cast<int>(settings.storePartitions))
-        errors.push_back("--operator-copies=" + std::to_string(words.operatorCopies) + ": not 0 to "
+    const char *end = words.operatorCopies.data() + words.operatorCopies.size();
+    const auto [rest, ec]
+        = std::from_chars(words.operatorCopies.data(), end, features.operatorCopies);
+    if (ec != std::errc() || rest != end || features.operatorCopies < 0
+        || features.operatorCopies > static_cast<int>(settings.storePartitions))
+        errors.push_back("--operator-copies=" + words.operatorCopies + ": not a number from 0 to "
                          + std::to_string(settings.storePartitions)
                          + ", the number of partitions of a topic");
     return features;
@@ -92,7 +95,7 @@
 // Parses the flags only: the file and the addresses that they name are not checked.
 std::variant<LoadedSettings, ExitStatus> parseFlags(Role role, const std::string &program,
                                                     std::span<const std::string> arguments,
-                                                    FeatureWords &words)
+                                                    FeatureFlagValues &words)
 {
     const char *variable = std::getenv(platform::SettingsPathVariable);
     LoadedSettings loaded;
@@ -111,7 +114,7 @@
     if (role == Role::Entry)
         add("operator-copies",
             po::value(&words.operatorCopies)
-                ->default_value(std::atoi(defaultOf("CACTUSCOVE_OPERATOR_COPIES", "0").c_str())),
+                ->default_value(defaultOf("CACTUSCOVE_OPERATOR_COPIES", "0")),
             "partitions of the store that hold a copy of the operators' records; 0: none");
     else
         add("worker-records",
@@ -135,7 +138,7 @@
 }
 
 // Checks the flags and reads the settings file into `loaded`. Returns all mistakes; empty: none.
-std::vector<std::string> checkAndReadSettings(Role role, const FeatureWords &words,
+std::vector<std::string> checkAndReadSettings(Role role, const FeatureFlagValues &words,
                                               LoadedSettings &loaded)
 {
     std::vector<std::string> errors;
@@ -169,8 +172,7 @@
 loadPlatformSettings(Role role, std::span<const std::string> arguments)
 {
     const std::string program = "cactuscove dispatch-" + std::string(nameOf(role));
-    FeatureWords words;
-    words.workerRecords = "off"; // not a flag of entries
+    FeatureFlagValues words;
     auto flags = parseFlags(role, program, arguments, words);
     if (!isOk(flags))
         return flags;
--- a/src/evacuationchanges.cpp
+++ b/src/evacuationchanges.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 EvacuationChanges::Change
-EvacuationChanges::take(const OperatorRecords &records, std::string_view source,
-                        const std::function<std::size_t(std::string_view)> &workersIn)
+EvacuationChanges::update(const OperatorRecords &records, std::string_view source,
+                          const std::function<std::size_t(std::string_view)> &workersIn)
 {
     Change change;
     const std::vector<EvacuationRecord> evacuations = records.evacuations();
@@ -41,7 +41,7 @@
                                   {"source", std::string(source)},
                                   {"workers", std::to_string(workersIn(it.dataCentre))}}});
     }
-    change.isNews = evacuations != m_evacuations || records.readUpTo() != m_readUpTo;
+    change.mustBeSent = evacuations != m_evacuations || records.readUpTo() != m_readUpTo;
     m_evacuations = evacuations;
     m_readUpTo = records.readUpTo();
     return change;
--- a/src/evacuationchanges.h
+++ b/src/evacuationchanges.h
@@ -24,7 +24,7 @@
 public:
     struct Change
     {
-        bool isNews = false; // other processes may not know this state
+        bool mustBeSent = false; // other processes may not know this state
         // One line for each data centre whose tasks were started before and are not any more, or
         // the other way round.
         std::vector<LogEvent> events;
@@ -32,8 +32,8 @@
 
     // Compares `records` with their state at the previous call. `source` says for the log where the
     // change comes from. `workersIn` returns the number of known workers in a data centre.
-    Change take(const OperatorRecords &records, std::string_view source,
-                const std::function<std::size_t(std::string_view)> &workersIn);
+    Change update(const OperatorRecords &records, std::string_view source,
+                  const std::function<std::size_t(std::string_view)> &workersIn);
 
     // Lines about a record of the operators' topic that changes nothing: it cannot be decoded, or
     // it repeats or is older than what is in force. The store may deliver the same record again;
@@ -47,7 +47,7 @@
     // Remembers that the record at this offset was logged. Returns false if it was before.
     bool addLogged(std::string_view key, LogOffset offset);
 
-    std::vector<EvacuationRecord> m_evacuations;            // at the last take()
+    std::vector<EvacuationRecord> m_evacuations;            // at the last update()
     LogOffset m_readUpTo;                                   // the same
     std::map<std::string, LogOffset, std::less<>> m_logged; // newest logged record of each key
 };
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -161,6 +161,8 @@
 
 private:
     static constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
+    // An evacuation lasts for an unknown time, so callers are told to come back after a moment.
+    static constexpr Duration EvacuatedRetryAfter = std::chrono::seconds(1);
 
     // State of a task.
     enum class State {
@@ -249,11 +251,11 @@
     // Sends the task to a worker; false if none has capacity for it.
     bool placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
                    DispatcherOutbox &out);
-    // A task that has not started this long after it was sent is refused by its agent.
-    Duration maxWaitAtAgent(const Job &job, TimePoint now) const;
-    // The same on this worker; false if its agent cannot be sent tasks.
+    // Sends the task to this worker; false if its agent cannot be sent tasks.
     bool sendTask(JobNumber number, Job &job, std::uint32_t index, const WorkerKey &worker,
                   TimePoint now, DispatcherOutbox &out);
+    // A task that has not started this long after it was sent is refused by its agent.
+    Duration maxWaitAtAgent(const Job &job, TimePoint now) const;
     // Places the waiting jobs as PlacementPlan says.
     void planWaitingJobs(TimePoint now, DispatcherOutbox &out);
     std::vector<JobNumber> planOrder() const;
@@ -301,6 +303,12 @@
     // is ranked after all jobs that can meet their objectives.
     bool refuseReturning(CallerId caller, Job &job, const AvailableCores &available,
                          DispatcherOutbox &out);
+    // A new job with its times, of which nothing is assigned yet.
+    Job makeJob(CallerId caller, BestEffortJob spec, const QueueSettings &queue,
+                Duration callerTimeout, TimePoint now);
+    // Returns whether the job is accepted; answers the caller if not.
+    bool admit(CallerId caller, Job &job, const QueueSettings &queue,
+               const WorkerDirectory::UsableCapacity &usable, TimePoint now, DispatcherOutbox &out);
     void accept(CallerId caller, Job job);
     bool isStarting(TimePoint now) const; // the process has just started
     // All workers that could run the job are in evacuated data centres. False for a short time
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -27,8 +27,6 @@
 constexpr Duration InventoryRetention = 3s;
 // Raises the attempt number of a task above those that other entries have used.
 constexpr std::uint32_t AttemptStep = 16;
-// An evacuation lasts for an unknown time, so callers are told to come back after a moment.
-constexpr Duration EvacuatedRetryAfter = 1s;
 
 } // namespace
 
--- a/src/jobdispatcherarrivals.cpp
+++ b/src/jobdispatcherarrivals.cpp
@@ -69,44 +69,53 @@
             {queue->upstream, spec.needs, 0, {}, spec.requiredLabel, spec.preferredLabel}))
         return refuse(caller, spec, "cannot_run", {}, out);
     if (isEvacuated(queue->upstream, spec, now))
-        return refuse(caller, spec, "evacuated", NoWorkerRetryAfter, out);
+        return refuse(caller, spec, "evacuated", EvacuatedRetryAfter, out);
     const WorkerDirectory::UsableCapacity usable = m_directory.usableCapacity(queue->upstream, now);
     if (!spec.needs.fitsIn(usable.total) && !isStarting(now))
         return refuse(caller, spec, "no_upstream", NoWorkerRetryAfter, out);
 
+    Job job = makeJob(caller, std::move(spec), *queue, callerTimeout, now);
+    if (admit(caller, job, *queue, usable, now, out))
+        accept(caller, std::move(job));
+}
+
+JobDispatcher::Job JobDispatcher::makeJob(CallerId caller, BestEffortJob spec,
+                                          const QueueSettings &queue, Duration callerTimeout,
+                                          TimePoint now)
+{
     Job job;
     job.callers.push_back(caller);
-    job.priority = queue->priority;
-    job.maxAttempts = std::max(queue->maxAttempts, 1);
-    job.upstream = queue->upstream;
+    job.priority = queue.priority;
+    job.maxAttempts = std::max(queue.maxAttempts, 1);
+    job.upstream = queue.upstream;
     job.arrivedAt = now;
     job.deadline = now + callerTimeout - AnswerMargin;
     job.expectedRun = m_runTimes.expect(spec.queue, spec.declaredRunTime);
     job.spec = std::move(spec);
     const Duration makespan = expectedMakespan(job);
-    job.objectiveAt = now + queue->targetLatency - AnswerMargin
-                      + std::chrono::duration_cast<Duration>(makespan * queue->slackFactor);
+    job.objectiveAt = now + queue.targetLatency - AnswerMargin
+                      + std::chrono::duration_cast<Duration>(makespan * queue.slackFactor);
     job.latestStart = job.objectiveAt - makespan + PriorityDelay * job.priority;
     if (m_settings.hasScarcityControl)
         job.latestStart -= sizeLead(job, job.objectiveAt - now - makespan);
+    return job;
+}
 
+bool JobDispatcher::admit(CallerId caller, Job &job, const QueueSettings &queue,
+                          const WorkerDirectory::UsableCapacity &usable, TimePoint now,
+                          DispatcherOutbox &out)
+{
     std::optional<FleetUtilisation> utilisation;
     if (m_settings.hasScarcityControl)
-        utilisation = m_demand.utilisation(queue->upstream, usable, now);
-    const AvailableCores available = availableCores(*queue, usable, utilisation, now);
-    if (m_returningJobs.isReturning(job.spec.id, now)) {
-        if (!refuseReturning(caller, job, available, out))
-            accept(caller, std::move(job));
-        return;
-    }
-    if (m_settings.hasScarcityControl
-        && refuseOverQuota(caller, job, *queue, utilisation, now, out))
-        return;
+        utilisation = m_demand.utilisation(queue.upstream, usable, now);
+    const AvailableCores available = availableCores(queue, usable, utilisation, now);
+    if (m_returningJobs.isReturning(job.spec.id, now))
+        return !refuseReturning(caller, job, available, out);
+    if (m_settings.hasScarcityControl && refuseOverQuota(caller, job, queue, utilisation, now, out))
+        return false;
     const bool hasSpareCores = utilisation && utilisation->total() < TargetUtilisation;
     const bool mayWait = isStarting(now) && available.shareCores == 0;
-    if (!mayWait && refuseIfOverloaded(caller, job, available, hasSpareCores, now, out))
-        return;
-    accept(caller, std::move(job));
+    return mayWait || !refuseIfOverloaded(caller, job, available, hasSpareCores, now, out);
 }
 
 // When a whole fleet starts, agents connect within moments; jobs may wait for them.
--- a/src/operatorhandover.cpp
+++ b/src/operatorhandover.cpp
@@ -12,14 +12,13 @@
 
 using namespace std::chrono_literals;
 
-// An entry that has just started gives its own first read this long before it asks a peer: the
-// largest configuration must not be under way on its link twice. It takes 150 ms on the slowest
-// link (19 Mbit/s), in the store's base64.
+// An entry that has just started gives its own first read this long before it asks a peer, so that
+// the configuration is not under way on its link twice.
 constexpr Duration FirstReadTime = 200ms;
 // A peer may have read a new version a little earlier.
 constexpr Duration OwnReadTime = 300ms;
-// After this time without an answer another peer is asked. The largest state takes 120 ms on the
-// slowest link (19 Mbit/s).
+// After this time without an answer another peer is asked. The largest state, which is one record
+// of the store, takes as long on a link of 2 Mbit/s.
 constexpr Duration RequestTimeout = 1s;
 
 // Versions in the order in which offers are preferred.
--- a/src/placementplan.cpp
+++ b/src/placementplan.cpp
@@ -16,14 +16,14 @@
 
 // Tasks are sent to a busy worker this long before they are expected to start there. Its agent then
 // starts the most urgent task first, whichever entry sent it, so the capacity is held against other
-// entries too. With 8 ms the loads of other entries take most of the capacity that is reserved.
+// entries too.
 constexpr Duration SendAhead = 40ms;
 // A busy worker may end a task sooner than a free one. To wait for it is worth it only if some task
 // would use more than this share of the time until the objective on the free ones.
 constexpr double SafeShare = 0.8;
 // Workers whose expected ends differ by less than this share of the run time may be chosen in any
-// order, the emptier ones more likely. Entries know loads that are some ms old; with a smaller
-// share they choose the same few workers, and the tasks queue there also below the capacity.
+// order, the emptier ones more likely. Entries know loads that are some ms old, and the random
+// order keeps them from choosing the same few workers.
 constexpr double NearEqualShare = 1;
 // So many jobs behind the reservation are compared with the workers in one plan, which bounds its
 // cost when hundreds wait.
--- a/src/placementplan.h
+++ b/src/placementplan.h
@@ -35,14 +35,14 @@
     std::string_view preferredLabel; // empty: no worker is nearer than others
     // Used only if no other worker is suitable.
     std::span<const WorkerKey> avoidedWorkers;
-    Duration maxWaitAtAgent = std::chrono::milliseconds(150); // a task that waits longer is refused
-    double maxSlowness = 0; // slower workers are left out, unless half of the workers are slower
+    Duration maxWaitAtAgent{}; // a task that waits longer at its agent is refused
+    double maxSlowness = 0;    // slower workers are left out, unless half of the workers are slower
 };
 
 // What is held for the first job that cannot start.
 struct PlanReservation
 {
-    WorkerKey lastWorker; // of the task that ends last
+    WorkerKey lastWorker; // of the task that starts last
     TimePoint startAt{};  // when the last task is expected to start
     std::size_t taskCount = 0;
     Duration loadAge{}; // of the oldest load that it is computed from
--- a/src/returningjobs.cpp
+++ b/src/returningjobs.cpp
@@ -12,13 +12,13 @@
 
 using namespace std::chrono_literals;
 
-// Callers come back 1,300 ms after the loss of their entry, which is before its restart.
+// From the start of the process. Covers the callers' resubmit delay after the loss of their entry,
+// which is before its restart.
 constexpr Duration ReturnPeriod = 1500ms;
 // Bounds the memory; jobs beyond it count as new.
 constexpr std::size_t MaxJobs = 10'000;
-// Part of the entry's share of the free cores that returning jobs may use. New jobs need the rest
-// while these run. With half of it, all jobs that came back at one moment found free cores at some
-// entry, and a sixth of the new jobs in the next 300 ms was late.
+// Part of the entry's share of the free cores that returning jobs may use. All entries see nearly
+// the same free cores, and new jobs need the rest while these jobs run.
 constexpr double SpareShare = 0.1;
 
 } // namespace
--- a/src/returningjobs.h
+++ b/src/returningjobs.h
@@ -1,11 +1,10 @@
 // Jobs that callers submit again because the processes that had them were lost. After the loss of a
-// whole fleet the callers of all jobs that ran come back within moments, 1,300 ms later, while new
-// jobs arrive as always. The objective of such a job has passed at its caller, so it may only use
-// cores that nobody else needs. A restarted entry recognises it by the runs that workers list from
-// before their agents' restart.
+// whole fleet the callers of all jobs that ran come back together, after their resubmit delay,
+// while new jobs arrive as always. The objective of such a job has passed at its caller, so it may
+// only use cores that nobody else needs. A restarted entry recognises it by the runs that workers
+// list from before their agents' restart.
 //
-// Answers the load of 13 entries and 70 agents at 0.6 of the cores, of which all are lost at once
-// (tests/fleetstart_test.cpp). Reads no clock: inputs carry the time.
+// Addresses the load after the loss of all processes. Reads no clock: inputs carry the time.
 
 #pragma once
 
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -137,11 +137,11 @@
     worker.isUnconfirmed = true;
 }
 
-void TaskRunner::dropUnconfirmed(std::string_view otherThan, RunnerOutbox &out)
+void TaskRunner::dropUnconfirmed(std::string_view keptId, RunnerOutbox &out)
 {
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         const Worker &worker = it->second;
-        if (!worker.isUnconfirmed || it->first == otherThan) {
+        if (!worker.isUnconfirmed || it->first == keptId) {
             ++it;
             continue;
         }
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -297,7 +297,7 @@
         bool isSynced = false; // a list of its runs was received from this process
         // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
         // this agent sent can start after it. No start is sent before that.
-        bool isProven = false;
+        bool hasFinalList = false;
         WorkerClock clock;   // the worker's clock in its newest reply
         TimePoint clockAt{}; // when that reply was received
         TimePoint heardAt{}; // newest heartbeat or reply
@@ -372,8 +372,9 @@
     // tasks stay queued.
     void beginWorkerProcess(Worker &worker, const WorkerInfo &info, TimePoint now,
                             RunnerOutbox &out);
-    // Drops the worker that is known from a record only, unless it has this id.
-    void dropUnconfirmed(std::string_view otherThan, RunnerOutbox &out);
+    // Drops the worker that is known from a record only, unless its id is `keptId`; empty: in any
+    // case.
+    void dropUnconfirmed(std::string_view keptId, RunnerOutbox &out);
     // Tells the entries of a worker that is new to them or has changed.
     void announce(const Worker &worker, RunnerOutbox &out);
     // To be called when it is known that the start was carried out: it was accepted, or the run was
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -33,7 +33,8 @@
 // it also covers the worker's clock, which may be 2% slow; for a lease sendPoll() adds the 2%.
 constexpr Duration LeaseMargin = 60ms;
 constexpr Duration MinProgressTime = 15ms; // the progress of a shorter run is too inexact
-// Runs of an earlier process that are listed to entries: more than run at once on a worker.
+// No run of an earlier process is added while this many ended tasks are listed. More than run at
+// once on a worker.
 constexpr std::size_t MaxEarlierRuns = 100;
 // Largest number of ends in one reply; a longer list continues in the next reply.
 constexpr std::size_t MaxListedEnds = 500;
@@ -182,7 +183,7 @@
 
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    if (!worker.isProven || isDraining(worker) || !worker.orphans.empty() || !m_startsAllowed
+    if (!worker.hasFinalList || isDraining(worker) || !worker.orphans.empty() || !m_startsAllowed
         || now < worker.unhealthyUntil || worker.isUnresponsive)
         return;
     Resources freeResources = worker.info.capacity - usedResources(worker);
@@ -295,7 +296,7 @@
     poll.maxWait = !worker.isSynced || worker.unansweredPolls > 0 ? Duration{}
                    : isBusy                                       ? BusyPollWait
                                                                   : IdlePollWait;
-    if (!worker.isProven)
+    if (!worker.hasFinalList)
         poll.maxWait = std::clamp<Duration>(m_startsAllowedAt - now, Duration{}, poll.maxWait);
     worker.nextPollAt
         = now + poll.maxWait + PollMargin * (1 + std::min(worker.unansweredPolls, MaxPollBackOff));
@@ -416,18 +417,18 @@
         }
     }
     const bool isOrphanFree = worker.orphans.empty();
-    const bool isProven = worker.isProven || askedAt >= m_startsAllowedAt;
-    if (!worker.isSynced || wasOrphanFree != isOrphanFree || worker.isProven != isProven)
+    const bool hasFinalList = worker.hasFinalList || askedAt >= m_startsAllowedAt;
+    if (!worker.isSynced || wasOrphanFree != isOrphanFree || worker.hasFinalList != hasFinalList)
         ++m_loadVersion;
     worker.isSynced = true;
-    worker.isProven = isProven;
+    worker.hasFinalList = hasFinalList;
     measureProgress(worker, now, out);
 }
 
 void TaskRunner::recordEarlierRun(const Worker &worker, const EndedRun &end, bool wasOrphan,
                                   TimePoint now)
 {
-    if (!m_settings.listsEarlierRuns || (worker.isProven && !wasOrphan)
+    if (!m_settings.listsEarlierRuns || (worker.hasFinalList && !wasOrphan)
         || m_endedTasks.size() >= MaxEarlierRuns)
         return;
     const bool isListed
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -71,7 +71,7 @@
 {
     std::vector<std::string> orphanFree;
     for (const auto &[id, worker] : m_workers)
-        if (worker.isProven && worker.orphans.empty())
+        if (worker.hasFinalList && worker.orphans.empty())
             orphanFree.push_back(id);
     return orphanFree;
 }
@@ -117,7 +117,7 @@
         WorkerLoad load;
         load.workerId = id;
         load.free = worker.info.capacity - usedResources(worker);
-        load.isUsable = m_startsAllowed && worker.isProven && worker.orphans.empty()
+        load.isUsable = m_startsAllowed && worker.hasFinalList && worker.orphans.empty()
                         && !isDraining(worker) && !worker.isUnresponsive && !m_shuttingDown;
         std::map<int, Resources> queued;
         for (const auto &[taskId, task] : worker.tasks) {
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -29,9 +29,9 @@
 constexpr double MaxQueueWaitMs = 8;
 constexpr int LeastUrgent = std::numeric_limits<int>::max(); // counts tasks of all priorities
 constexpr double PreferredLabelWeight = 4; // factor for a worker with the preferred label
-// A worker is on trial for at most this long after a fault.
-constexpr Duration TrialTime = 2s;
-// One failed task may be the task's fault; with so many in a row the worker is on trial.
+// A worker gets single tasks for at most this long after a fault.
+constexpr Duration FaultLimitTime = 2s;
+// One failed task may be the task's fault; with so many in a row the worker is on record.
 constexpr int MaxFaultsInARow = 2;
 
 bool hasLabel(const WorkerInfo &worker, std::string_view label)
@@ -115,31 +115,32 @@
 {
     const std::uint64_t number = ++m_agents[key.agent].lastAssignment;
     m_workers[key].unreported[number] = {priority, needs};
-    if (const auto trial = m_trials.find(key.workerId); trial != m_trials.end())
-        trial->second.isBusy = true;
+    if (const auto record = m_faults.find(key.workerId); record != m_faults.end())
+        record->second.hasTask = true;
     return number;
 }
 
 void WorkerDirectory::recordFault(const WorkerKey &key, bool isCertain, TimePoint now)
 {
-    std::erase_if(m_trials, [&](const auto &it) { return now > it.second.until + TrialTime; });
-    Trial &trial = m_trials[key.workerId];
-    trial.isBusy = false;
-    trial.until = std::max(trial.until, now);
-    if (++trial.faults >= MaxFaultsInARow || isCertain)
-        trial.until = now + TrialTime;
+    std::erase_if(m_faults,
+                  [&](const auto &it) { return now > it.second.limitedUntil + FaultLimitTime; });
+    FaultRecord &record = m_faults[key.workerId];
+    record.hasTask = false;
+    record.limitedUntil = std::max(record.limitedUntil, now);
+    if (++record.faults >= MaxFaultsInARow || isCertain)
+        record.limitedUntil = now + FaultLimitTime;
 }
 
 void WorkerDirectory::recordSuccess(const WorkerKey &key)
 {
-    m_trials.erase(key.workerId);
+    m_faults.erase(key.workerId);
 }
 
 void WorkerDirectory::recordRefusal(const WorkerKey &key)
 {
-    const auto trial = m_trials.find(key.workerId);
-    if (trial != m_trials.end())
-        trial->second.isBusy = false;
+    const auto record = m_faults.find(key.workerId);
+    if (record != m_faults.end())
+        record->second.hasTask = false;
 }
 
 void WorkerDirectory::pauseWorker(const WorkerKey &key, TimePoint until)
@@ -370,9 +371,9 @@
         it.labels = worker.info.labels;
         it.loadAt = worker.loadAt;
         it.maxTasks = std::numeric_limits<std::size_t>::max();
-        const auto trial = m_trials.find(key.workerId);
-        if (trial != m_trials.end() && now < trial->second.until)
-            it.maxTasks = trial->second.isBusy ? 0 : 1;
+        const auto record = m_faults.find(key.workerId);
+        if (record != m_faults.end() && now < record->second.limitedUntil)
+            it.maxTasks = record->second.hasTask ? 0 : 1;
     }
     return out;
 }
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -81,7 +81,7 @@
     void setEvacuated(std::set<std::string> dataCentres);
     // An attempt at the worker did not end as done, or was refused because the worker is gone or
     // refuses all starts. `isCertain`: the worker is at fault, rather than the task. The worker is
-    // then on trial: planWorkers() offers it for one task at a time until a task has ended as done
+    // then limited: planWorkers() offers it for one task at a time until a task has ended as done
     // there, for at most 2 s.
     void recordFault(const WorkerKey &key, bool isCertain, TimePoint now);
     // A task has ended as done at the worker.
@@ -163,11 +163,11 @@
     };
 
     // A worker that failed, hung or went away lately. Kept while the worker is unknown.
-    struct Trial
+    struct FaultRecord
     {
-        int faults = 0;      // since the newest success
-        TimePoint until{};   // on trial until then; in the past: not on trial
-        bool isBusy = false; // a task was sent, and is not known to have ended
+        int faults = 0;           // since the newest success
+        TimePoint limitedUntil{}; // gets one task at a time until then
+        bool hasTask = false;     // a task was sent, and is not known to have ended
     };
 
     // The one that the worker names, else that of its agent.
@@ -197,7 +197,7 @@
     std::set<std::string> m_evacuated;     // data centres
     // By worker id, so that they outlive the agent's process. Of workers with a fault since their
     // newest success.
-    std::map<std::string, Trial, std::less<>> m_trials;
+    std::map<std::string, FaultRecord, std::less<>> m_faults;
     std::uint64_t m_capacityVersion = 0;
 };
 
--- a/src/workerrecord.cpp
+++ b/src/workerrecord.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t HeaderBytes = VersionBytes + ChecksumBytes;
 constexpr std::size_t MaxLabels = 256;
 constexpr std::size_t MaxDepth = 3; // of nested arrays
-// Characters after the last one of a key that sort after all that names contain.
+// Sorts after every character that instance names contain.
 constexpr char LastCharacter = '~';
 
 // The fields of a record in their order in the array.
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -381,12 +381,12 @@
     EvacuationChanges changes;
     const auto workersIn = [](std::string_view) { return std::size_t{0}; };
     records.updateEvacuation({"north", true, LogOffset{5}});
-    const auto change = changes.take(records, "store", workersIn);
+    const auto change = changes.update(records, "store", workersIn);
     ASSERT_EQ(change.events.size(), 1u);
     EXPECT_EQ(change.events[0].name, "evacuation_in_force");
     EXPECT_EQ(change.events[0].fields.back(), std::pair(std::string("workers"), std::string("0")))
         << "of an unknown data centre";
-    EXPECT_FALSE(changes.take(records, "store", workersIn).isNews);
+    EXPECT_FALSE(changes.update(records, "store", workersIn).mustBeSent);
 
     EXPECT_FALSE(changes.withoutEffect({"north", true, LogOffset{5}}, records)) << "read again";
     const EvacuationRecord old{"north", false, LogOffset{3}};
@@ -398,9 +398,9 @@
     EXPECT_TRUE(changes.withoutEffect(repeated, records));
     EXPECT_TRUE(changes.unreadable("evacuate/", LogOffset{9}, "key"));
     EXPECT_FALSE(changes.unreadable("evacuate/", LogOffset{9}, "key"));
-    const auto last = changes.take(records, "store", workersIn);
+    const auto last = changes.update(records, "store", workersIn);
     EXPECT_EQ(last.events.size(), 0u);
-    EXPECT_TRUE(last.isNews) << "others must know the newer record, too";
+    EXPECT_TRUE(last.mustBeSent) << "others must know the newer record, too";
     EXPECT_TRUE(records.isEvacuated("north"));
 }
 
