--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -4,7 +4,9 @@
 
 #include "dispatchagent.h"
 
+#include "agentsettings.h"
 #include "decisionloop.h"
+#include "demandtable.h"
 #include "dispatchprocess.h"
 #include "evacuationchanges.h"
 #include "taskrunner.h"
@@ -35,9 +37,6 @@
 constexpr Duration DialTimeout = 300ms;
 // After an entry was told that the worker is gone, tasks from it may still arrive for this long.
 constexpr Duration ReleaseDelay = 500ms;
-// Safety margin between the latest end of a lost job's tasks and the earliest time at which its
-// caller submits the job again. Covers calls that are under way and a worker's slow clock.
-constexpr Duration ResubmitSafetyMargin = 150ms;
 // Fraction of the shutdown time in which running tasks may end by themselves.
 constexpr double DrainTimeFraction = 0.8;
 
@@ -47,7 +46,7 @@
     explicit DispatchAgent(LoadedSettings loaded)
         : DispatchProcess(Role::Agent, std::move(loaded.settings), std::move(loaded.path))
         , m_features(loaded.features)
-        , m_runner(runnerSettings(), bootNow())
+        , m_runner(taskRunnerSettings(m_settings, m_features), bootNow())
         , m_decisions(m_loop, m_runner, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_loadTimer(m_loop, [this] { sendLoads(); })
@@ -87,27 +86,9 @@
         std::optional<PeerHello> entry;       // its hello; none until that arrives
         std::vector<std::string> orphanFreeWorkers; // as sent last
         std::uint64_t loadVersion = 0;              // TaskRunner::loadVersion() as sent last
+        std::vector<DemandReport> sentDemand;       // in the newest heartbeat
     };
 
-    // Shortens the silence of an entry after which its tasks are stopped, and the lease, where
-    // needed: all tasks of a lost job must have ended before its caller submits it again. In the
-    // worst case the silence, the lease and the time to stop a task follow one another.
-    TaskRunnerSettings runnerSettings() const
-    {
-        TaskRunnerSettings settings;
-        settings.hasScarcityControl = m_features.hasScarcityControl;
-        settings.dataCentre = m_settings.dataCentre;
-        if (m_settings.hasEvacuations)
-            settings.coldSlowness = m_settings.coldSlowness;
-        settings.listsEarlierRuns = m_features.hasWorkerRecords;
-        const Duration spare
-            = m_settings.resubmitDelay - m_settings.maxStopTime - ResubmitSafetyMargin;
-        settings.entryTimeout = std::min<Duration>(settings.entryTimeout, spare / 2);
-        settings.leaseTime = std::min(
-            {settings.leaseTime, m_settings.maxLeaseTime, Duration(spare - settings.entryTimeout)});
-        return settings;
-    }
-
     void onPendingProcessed(TimePoint now)
     {
         if (m_runner.loadVersion() != m_loadVersion
@@ -232,9 +213,7 @@
 
     void dial(const std::string &address, EntryConnection &it)
     {
-        it.entry.reset();
-        it.link.reset();
-        it.releasingSince = NeverTime;
+        forgetEntry(it);
         it.dialledAt = it.lastMessageAt = bootNow();
         m_selection.onDialled(address, it.dialledAt);
         auto link = FramedLink::dial(
@@ -268,11 +247,18 @@
                   {"address", address},
                   {"reason", std::string(reason)},
                   {"heard_ms", std::to_string((bootNow() - it.lastMessageAt) / 1ms)}}});
+        forgetEntry(it);
+        m_selection.onClosed(address, bootNow());
+        connectEntries();
+    }
+
+    void forgetEntry(EntryConnection &it)
+    {
+        if (it.entry)
+            m_demand.disconnected(it.entry->instance);
         it.entry.reset();
         it.link.reset();
         it.releasingSince = NeverTime;
-        m_selection.onClosed(address, bootNow());
-        connectEntries();
     }
 
     // Closes surplus connections. First reports to the entry that the workers are gone, so that it
@@ -325,7 +311,9 @@
             return onHello(address, it, *hello, now, out);
         if (!it.entry)
             return;
-        if (const auto *assign = std::get_if<AssignTask>(&message))
+        if (const auto *heartbeat = std::get_if<PeerHeartbeat>(&message))
+            onHeartbeat(it.entry->instance, *heartbeat, now);
+        else if (const auto *assign = std::get_if<AssignTask>(&message))
             m_runner.onAssign(it.entry->instance, *assign, now, out);
         else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
             m_runner.onWithdraw(it.entry->instance, *withdraw, now, out);
@@ -352,7 +340,8 @@
              "entry_connected",
              {{"entry", hello.name}, {"incarnation", std::to_string(hello.instance.value)}}});
         m_runner.onEntryHello(hello.instance, hello.name, now, out);
-        it.link->send(makeHeartbeat());
+        m_demand.connected(hello.instance);
+        sendHeartbeat(it, demandSums(now));
         sendEvacuations(it); // before the workers, so that a new entry places nothing on them
         sendInventory(it);
         sendWorkers(it);
@@ -367,12 +356,12 @@
             return;
         m_records.mergeEvacuations(update.evacuations, update.readUpTo);
         const EvacuationChanges::Change change
-            = m_evacuationChanges.take(m_records, sender, [this](std::string_view dataCentre) {
+            = m_evacuationChanges.update(m_records, sender, [this](std::string_view dataCentre) {
                   return m_runner.workersIn(dataCentre);
               });
         for (const LogEvent &it : change.events)
             log(it);
-        if (!change.isNews)
+        if (!change.mustBeSent)
             return;
         const std::set<std::string> dataCentres = m_records.evacuatedDataCentres();
         m_metrics.set("cactuscove_evacuated_data_centres", {},
@@ -384,10 +373,23 @@
 
     void sendEvacuations(EntryConnection &it)
     {
-        if (m_settings.hasEvacuations && it.entry && it.entry->protocol >= 2)
+        if (m_settings.hasEvacuations && it.entry && it.entry->protocol >= OperatorMessagesProtocol)
             it.link->send(EvacuationUpdate{m_records.evacuations(), m_records.readUpTo()});
     }
 
+    // An entry reports all upstreams of its configuration. Those without a worker here are left out
+    // first, as they are no fault to log.
+    void onHeartbeat(Incarnation entry, PeerHeartbeat heartbeat, TimePoint now)
+    {
+        DemandTable::Upstreams upstreams;
+        for (const WorkerUpdate &it : m_runner.workers())
+            upstreams.insert(it.worker.upstream);
+        std::erase_if(heartbeat.demand,
+                      [&](const DemandReport &it) { return upstreams.count(it.upstream) == 0; });
+        if (const auto event = m_demand.update(entry, heartbeat, upstreams, now))
+            log(*event);
+    }
+
     void sendInventory(EntryConnection &it)
     {
         TaskInventory inventory = m_runner.inventoryOf(it.entry->instance);
@@ -420,13 +422,21 @@
         }
     }
 
-    PeerHeartbeat makeHeartbeat() const
+    // What the entries ask of the workers together.
+    std::vector<DemandReport> demandSums(TimePoint now) const
+    {
+        return m_features.hasScarcityControl ? m_demand.sum(now) : std::vector<DemandReport>();
+    }
+
+    void sendHeartbeat(EntryConnection &it, const std::vector<DemandReport> &demand)
     {
         const auto connectedEntries
             = std::count_if(m_connections.begin(), m_connections.end(), [](const auto &connection) {
                   return connection.second.entry && !isReleasing(connection.second);
               });
-        return {bootNow(), static_cast<std::uint32_t>(connectedEntries)};
+        it.link->send(
+            PeerHeartbeat{bootNow(), static_cast<std::uint32_t>(connectedEntries), demand});
+        it.sentDemand = demand;
     }
 
     void onHeartbeatTick()
@@ -434,6 +444,7 @@
         m_heartbeatTimer.startIn(LinkHeartbeatInterval);
         ++m_heartbeatTicks;
         const TimePoint now = bootNow();
+        const std::vector<DemandReport> demand = demandSums(now);
         for (auto &[address, it] : m_connections) {
             if (!it.link)
                 continue;
@@ -441,8 +452,9 @@
                 onClosed(address, it, "silent");
             else if (!it.entry && now - it.dialledAt > DialTimeout)
                 onClosed(address, it, "not open in time");
-            else if (it.entry && isHeartbeatDue(*it.link))
-                it.link->send(makeHeartbeat());
+            else if (it.entry
+                     && (isHeartbeatDue(*it.link) || differsNoticeably(it.sentDemand, demand)))
+                sendHeartbeat(it, demand);
         }
         const EntrySelection::Plan plan = m_selection.plan(now);
         for (const std::string &address : plan.dial)
@@ -471,6 +483,7 @@
     OperatorRecords m_records; // only the evacuations, as the entries report them
     EvacuationChanges m_evacuationChanges;
     TaskRunner m_runner;
+    DemandTable m_demand; // of the connected entries; used only with scarcity control
     DecisionLoop<TaskRunner, RunnerEffect, DispatchAgent> m_decisions;
     Timer m_heartbeatTimer;
     Timer m_loadTimer;
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -44,7 +44,8 @@
         , m_features(loaded.features)
         , m_linkListen(std::move(loaded.linkListen))
         , m_dispatcher({m_incarnation.value, lostAgentTimeout(m_settings),
-                        m_features.hasScarcityControl, m_settings.hasEvacuations},
+                        m_features.hasScarcityControl, m_settings.hasEvacuations,
+                        m_settings.remoteSlowness},
                        bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
@@ -89,7 +90,8 @@
         std::unique_ptr<FramedLink> link;
         std::string dialled;       // address; empty for an accepted connection
         TimePoint lastMessageAt{}; // newest message; before the first, when the link was created
-        std::optional<PeerHello> peer; // none until the peer's hello arrives
+        std::optional<PeerHello> peer;        // none until the peer's hello arrives
+        std::vector<DemandReport> sentDemand; // in the newest heartbeat
     };
 
     using LinkId = std::uint64_t;
@@ -114,7 +116,19 @@
 
     void perform(LogEvent &effect) { log(effect); }
 
-    void onPendingProcessed(TimePoint) {}
+    void onPendingProcessed(TimePoint)
+    {
+        const PlacementCounts &counts = m_dispatcher.placementCounts();
+        const auto add = [this](const char *kind, std::uint64_t count, std::uint64_t &reported) {
+            if (count > reported)
+                m_metrics.add("cactuscove_placement_total", {{"kind", kind}},
+                              static_cast<double>(count - std::exchange(reported, count)));
+        };
+        add("reserved", counts.reservations, m_reportedCounts.reservations);
+        add("moved", counts.movedReservations, m_reportedCounts.movedReservations);
+        add("whole", counts.wholeStarts, m_reportedCounts.wholeStarts);
+        add("backfilled", counts.backfills, m_reportedCounts.backfills);
+    }
 
     // Callers
 
@@ -182,7 +196,7 @@
 
     void sendEvacuations(Link &it)
     {
-        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= 2)
+        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= OperatorMessagesProtocol)
             it.link->send(m_operators.evacuationUpdate());
     }
 
@@ -366,14 +380,19 @@
         const TimePoint now = bootNow();
         const bool isEntryHeartbeatDue
             = m_heartbeatTicks % (EntryHeartbeatInterval / LinkHeartbeatInterval) == 0;
+        const std::vector<DemandReport> demand = m_dispatcher.demandReports(now);
         std::vector<LinkId> silent;
         for (auto &[id, it] : m_links) {
             const bool isEntry = it.peer && it.peer->role == Role::Entry;
             if (now - it.lastMessageAt > (isEntry ? EntryLinkTimeout : LinkTimeout))
                 silent.push_back(id);
-            else if (it.link->isOpen()
-                     && (isEntry ? isEntryHeartbeatDue : isHeartbeatDue(*it.link)))
+            else if (it.link->isOpen() && isEntry && isEntryHeartbeatDue)
                 it.link->send(PeerHeartbeat{now, 0});
+            else if (it.link->isOpen() && !isEntry
+                     && (isHeartbeatDue(*it.link) || differsNoticeably(it.sentDemand, demand))) {
+                it.link->send(PeerHeartbeat{now, 0, demand});
+                it.sentDemand = demand;
+            }
         }
         for (const LinkId id : silent)
             closeLink(id, "silent");
@@ -421,11 +440,29 @@
                       static_cast<double>(m_dispatcher.workers().connectedAgents()));
         m_metrics.set("cactuscove_open_requests", {},
                       static_cast<double>(m_callers.openRequests()));
+        if (m_features.hasScarcityControl)
+            setDemandMetrics();
         return m_metrics.text();
     }
 
+    void setDemandMetrics()
+    {
+        std::set<std::string> upstreams;
+        for (const QueueSettings &it : m_dispatcher.config().queues)
+            upstreams.insert(it.upstream);
+        for (const std::string &upstream : upstreams)
+            if (const auto fleet = m_dispatcher.fleetUtilisation(upstream, bootNow()))
+                for (const auto &[priority, utilisation] : fleet->byPriority)
+                    m_metrics.set("cactuscove_demand_utilisation",
+                                  {{"upstream", upstream}, {"priority", std::to_string(priority)}},
+                                  utilisation);
+        for (const auto &[queue, part] : m_dispatcher.acceptedParts())
+            m_metrics.set("cactuscove_accepted_part", {{"queue", queue}}, part);
+    }
+
     FeatureFlags m_features;
-    std::string m_linkListen; // "ip:port" on which links of agents and entries are accepted
+    PlacementCounts m_reportedCounts; // added to the metrics
+    std::string m_linkListen;         // "ip:port" on which links of agents and entries are accepted
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_heartbeatTimer;
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -29,13 +29,16 @@
 // Sent by this version. Peers of protocol 1 close the connection on the message types after
 // EntriesStarted, so these are sent only to peers of protocol 2 or later.
 inline constexpr std::uint32_t ProtocolVersion = 2;
+// First protocol with the message types after EntriesStarted.
+inline constexpr std::uint32_t OperatorMessagesProtocol = 2;
 
 // Load that callers ask for, relative to the capacity that can carry it.
 struct DemandReport
 {
     std::string upstream;
     int priority = 0; // of the queues; 0 is the most urgent
-    // Cores that new jobs ask for / cores of the usable workers that the entry is connected to.
+    // Cores that new jobs ask for, refused ones included, and that accepted jobs wait for / cores
+    // of the usable workers that the entry is connected to.
     // From an agent: the sum over the entries that are connected to it, which is the utilisation
     // to expect of its workers if no job is refused.
     double utilisation = 0;
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -14,16 +14,20 @@
 
 #pragma once
 
+#include "demandcontrol.h"
 #include "dispatchmessages.h"
 #include "loadcontrol.h"
 #include "outbox.h"
+#include "placementplan.h"
 #include "returningjobs.h"
 #include "runtimemodel.h"
 #include "workerdirectory.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -79,6 +83,17 @@
     Duration lostAgentTimeout = std::chrono::milliseconds(1800);
     bool hasScarcityControl = false; // see FeatureFlags
     bool hasEvacuations = false;     // setEvacuated() will be called
+    // Run times on workers without a task's preferred label, as a multiple of those with it.
+    double remoteSlowness = 1.5;
+};
+
+// Decisions of PlacementPlan so far; all 0 without hasScarcityControl.
+struct PlacementCounts
+{
+    std::uint64_t reservations = 0;      // jobs that got a reservation
+    std::uint64_t movedReservations = 0; // noticeable moves of a reservation
+    std::uint64_t wholeStarts = 0;       // jobs of several tasks that were placed at once
+    std::uint64_t backfills = 0;         // jobs that went before a job with a reservation
 };
 
 // The best-effort jobs of one entry process, which calls it from its event loop.
@@ -131,11 +146,24 @@
     // Open jobs of the queue of which no task has started.
     std::size_t waitingJobs(std::string_view queue) const;
     const WorkerDirectory &workers() const { return m_directory; }
-    // Time of the next timeout of a job or of an attempt at a lost agent, as of the newest
-    // processPending(); NeverTime if there is none.
-    TimePoint nextTimer() const { return m_nextExpiry; }
+    // Demand of this entry's callers, to be sent in heartbeats to agents; empty without scarcity
+    // control.
+    std::vector<DemandReport> demandReports(TimePoint now) const;
+    // As the agents report it; none without scarcity control or if too few agents report.
+    std::optional<FleetUtilisation> fleetUtilisation(std::string_view upstream,
+                                                     TimePoint now) const;
+    // Part of the work of each queue that is accepted; without queues that had no job.
+    std::map<std::string, double> acceptedParts() const { return m_demand.parts(); }
+    const PlacementCounts &placementCounts() const { return m_placementCounts; }
+    // Time of the next plan, timeout of a job or timeout of an attempt at a lost agent, as of the
+    // newest processPending(); NeverTime if there is none.
+    TimePoint nextTimer() const { return std::min(m_nextExpiry, m_nextPlanAt); }
 
 private:
+    static constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
+    // An evacuation lasts for an unknown time, so callers are told to come back after a moment.
+    static constexpr Duration EvacuatedRetryAfter = std::chrono::seconds(1);
+
     // State of a task.
     enum class State {
         Waiting,  // for a worker with free capacity
@@ -178,6 +206,8 @@
         Duration expectedRun{};  // of one task
         // Latest start that meets the objective, with a delay for less urgent queues.
         TimePoint latestStart{};
+        // Accepted although it is expected to miss its objective; ordered by its deadline instead.
+        bool mayBeLate = false;
         // Some task may have started. As long as this is false, the job may be refused.
         bool mayHaveStarted = false;
         // Set while the tasks are being withdrawn; sent when none of them may run any more.
@@ -190,6 +220,8 @@
         // When the first start was reported; TimePoint{} if none was reported or if mayHaveStarted
         // was set for another reason before.
         TimePoint firstStartAt{};
+        // Expected start of its last task in its newest logged reservation; NeverTime: none yet.
+        TimePoint reservedAt = NeverTime;
     };
 
     // An answered job. If its id is submitted again, the new attempts must have higher numbers than
@@ -219,6 +251,20 @@
     // Sends the task to a worker; false if none has capacity for it.
     bool placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
                    DispatcherOutbox &out);
+    // Sends the task to this worker; false if its agent cannot be sent tasks.
+    bool sendTask(JobNumber number, Job &job, std::uint32_t index, const WorkerKey &worker,
+                  TimePoint now, DispatcherOutbox &out);
+    // A task that has not started this long after it was sent is refused by its agent.
+    Duration maxWaitAtAgent(const Job &job, TimePoint now) const;
+    // Places the waiting jobs as PlacementPlan says.
+    void planWaitingJobs(TimePoint now, DispatcherOutbox &out);
+    std::vector<JobNumber> planOrder() const;
+    static bool isBegun(const Job &job); // some task was placed
+    void carryOut(PlacementPlan &plan, JobNumber number, Job &job, TimePoint now,
+                  DispatcherOutbox &out);
+    void recordReservation(JobNumber number, Job &job, const PlanReservation &reservation,
+                           TimePoint now, DispatcherOutbox &out);
+    double maxSlownessOf(const Job &job, TimePoint now) const;
     WorkerDirectory::Request requestOf(const Job &job, const Task &task, TimePoint now) const;
     // Handles the timeouts that passed while the process was suspended. Each input that carries the
     // time calls it first.
@@ -234,16 +280,35 @@
     void finish(JobNumber number, DispatchAnswer answer, TimePoint now, DispatcherOutbox &out);
     // Asks the agent to cancel the newest attempt of the task.
     void withdraw(const Job &job, std::uint32_t index, DispatcherOutbox &out) const;
+    // How much earlier than others a job that is larger than the mean of its queue gets capacity.
+    Duration sizeLead(const Job &job, Duration slack);
     // The part of the cores in `capacity` that this entry may count on; the other entries use the
     // rest.
     double shareOfCores(const Resources &capacity) const;
-    // Answers the caller and returns true if the job would wait too long for its objective.
-    bool refuseIfOverloaded(CallerId caller, const Job &job, const AvailableCores &available,
-                            TimePoint now, DispatcherOutbox &out) const;
+    // The same in proportion to the demand at the entries if `utilisation` is known.
+    AvailableCores availableCores(const QueueSettings &queue,
+                                  const WorkerDirectory::UsableCapacity &usable,
+                                  const std::optional<FleetUtilisation> &utilisation,
+                                  TimePoint now) const;
+    // Answers the caller and returns true if the job is in the part of its queue's work that does
+    // not fit.
+    bool refuseOverQuota(CallerId caller, const Job &job, const QueueSettings &queue,
+                         const std::optional<FleetUtilisation> &utilisation, TimePoint now,
+                         DispatcherOutbox &out);
+    // Answers the caller and returns true if the job would wait too long for its objective. With
+    // spare cores in the fleet, a job that meets its deadline is accepted to be late.
+    bool refuseIfOverloaded(CallerId caller, Job &job, const AvailableCores &available,
+                            bool hasSpareCores, TimePoint now, DispatcherOutbox &out) const;
     // The same for a job that returns (returningjobs.h) and finds no spare capacity. Otherwise it
     // is ranked after all jobs that can meet their objectives.
     bool refuseReturning(CallerId caller, Job &job, const AvailableCores &available,
                          DispatcherOutbox &out);
+    // A new job with its times, of which nothing is assigned yet.
+    Job makeJob(CallerId caller, BestEffortJob spec, const QueueSettings &queue,
+                Duration callerTimeout, TimePoint now);
+    // Returns whether the job is accepted; answers the caller if not.
+    bool admit(CallerId caller, Job &job, const QueueSettings &queue,
+               const WorkerDirectory::UsableCapacity &usable, TimePoint now, DispatcherOutbox &out);
     void accept(CallerId caller, Job job);
     bool isStarting(TimePoint now) const; // the process has just started
     // All workers that could run the job are in evacuated data centres. False for a short time
@@ -279,6 +344,8 @@
     // Stops a run that belongs to no open job.
     void withdrawUnknownTask(Incarnation agent, const TaskStarted &task,
                              DispatcherOutbox &out) const;
+    // An answer after this time is of no use.
+    static TimePoint usefulEnd(const Job &job);
     // Run time of the job from its first start if all tasks run at once.
     Duration expectedMakespan(const Job &job) const;
 
@@ -287,6 +354,7 @@
     DispatchConfig m_config;
     WorkerDirectory m_directory;
     LoadControl m_loadControl;
+    DemandControl m_demand; // used only with scarcity control
     RunTimeModel m_runTimes;
     ReturningJobs m_returningJobs;
     std::map<JobNumber, Job> m_jobs;
@@ -297,6 +365,16 @@
     std::map<CallerId, JobNumber> m_jobsByCaller;
     // Jobs with waiting tasks, without those that are closing.
     std::set<Rank> m_ready;
+    // Mean cores of a job with all its tasks, by queue; exponentially weighted.
+    std::map<std::string, double, std::less<>> m_meanJobCores;
+    std::uint64_t m_readyVersion = 0; // increases when tasks begin to wait
+    // State of the newest plan.
+    TimePoint m_plannedAt{};
+    std::uint64_t m_plannedReadyVersion = 0;
+    std::uint64_t m_plannedCapacityVersion = 0;
+    TimePoint m_nextPlanAt = NeverTime; // NeverTime: no job waits
+    std::mt19937_64 m_random;           // for PlacementPlan
+    PlacementCounts m_placementCounts;
     std::map<Incarnation, PeerHello> m_agents; // connected agents
     JobNumber m_lastJob = 0;
     std::int64_t m_agentLostTasks = 0;  // tasks in state AgentLost
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -27,8 +27,6 @@
 constexpr Duration InventoryRetention = 3s;
 // Raises the attempt number of a task above those that other entries have used.
 constexpr std::uint32_t AttemptStep = 16;
-// An evacuation lasts for an unknown time, so callers are told to come back after a moment.
-constexpr Duration EvacuatedRetryAfter = 1s;
 
 } // namespace
 
@@ -37,6 +35,7 @@
     expireAfterSuspension(now, out);
     m_agents[agent.instance] = agent;
     m_directory.agentConnected(agent.instance, agent.name, agent.dataCentre, now);
+    m_demand.agentConnected(agent.instance);
     // While messages from this entry reach the agent, the agent does not stop the tasks, so they
     // may run beyond attemptEndsBy. The agent's inventory will show which of them it knows.
     for (auto &[number, job] : m_jobs)
@@ -49,6 +48,7 @@
 {
     expireAfterSuspension(now, out);
     m_directory.agentDisconnected(agent);
+    m_demand.agentDisconnected(agent);
     m_agents.erase(agent);
     m_entryCounts.erase(agent);
     for (auto &[number, job] : m_jobs) {
@@ -59,6 +59,7 @@
                 continue;
             if (task.state != State::AgentLost) {
                 task.agentLostAt = now;
+                m_directory.recordFault(task.worker, true, now);
                 out.emplace_back(
                     LogEvent{Severity::Warning,
                              "task_unproven",
@@ -83,6 +84,10 @@
     if (const auto *heartbeat = std::get_if<PeerHeartbeat>(&message)) {
         m_directory.updateAgentClock(agent, heartbeat->sentAt, now);
         m_entryCounts[agent] = heartbeat->connectedEntries;
+        if (!m_settings.hasScarcityControl)
+            return;
+        if (auto event = m_demand.onHeartbeat(agent, *heartbeat, m_config, now))
+            out.emplace_back(std::move(*event));
     } else if (const auto *update = std::get_if<WorkerUpdate>(&message)) {
         m_directory.updateWorker(agent, *update);
     } else if (const auto *load = std::get_if<WorkerLoad>(&message)) {
@@ -191,6 +196,7 @@
     Task &task = job->tasks[message.task.index];
     if (message.end == TaskEnd::Done) {
         m_runTimes.learn(job->spec.queue, message.runTime, job->spec.declaredRunTime);
+        m_directory.recordSuccess(task.worker);
         setState(number, *job, task, State::Done);
         if (job->doneCount == job->tasks.size())
             finish(number, {JobOutcome::Completed, {}, {}}, now, out);
@@ -198,6 +204,10 @@
             finishIfClosed(number, now, out);
         return;
     }
+    if (message.end == TaskEnd::Stopped)
+        m_directory.recordRefusal(task.worker);
+    else
+        m_directory.recordFault(task.worker, message.end == TaskEnd::Lost, now);
     avoidCurrentWorker(task);
     if (message.end == TaskEnd::Failed && ++task.failureCount >= job->maxAttempts) {
         setState(number, *job, task, State::Waiting);
@@ -233,9 +243,16 @@
     const bool isWorkerUnavailable = message.reason == StartRefusal::Unhealthy
                                      || message.reason == StartRefusal::NoWorker
                                      || message.reason == StartRefusal::Draining;
-    if (message.reason != StartRefusal::OldAttempt && message.reason != StartRefusal::Withdrawn)
+    // With the plan, tasks are sent to full workers on purpose.
+    const bool isOverdue = m_settings.hasScarcityControl && message.reason == StartRefusal::Expired;
+    if (message.reason != StartRefusal::OldAttempt && message.reason != StartRefusal::Withdrawn
+        && !isOverdue)
         m_directory.pauseWorker(task.worker,
                                 now + (isWorkerUnavailable ? UnhealthyPause : RefusalPause));
+    if (message.reason == StartRefusal::Unhealthy || message.reason == StartRefusal::NoWorker)
+        m_directory.recordFault(task.worker, true, now);
+    else
+        m_directory.recordRefusal(task.worker);
     avoidCurrentWorker(task);
     requeueTask(number, *job, message.task.index, now, out);
 }
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -297,7 +297,7 @@
         bool isSynced = false; // a list of its runs was received from this process
         // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
         // this agent sent can start after it. No start is sent before that.
-        bool isProven = false;
+        bool hasFinalList = false;
         WorkerClock clock;   // the worker's clock in its newest reply
         TimePoint clockAt{}; // when that reply was received
         TimePoint heardAt{}; // newest heartbeat or reply
@@ -372,8 +372,9 @@
     // tasks stay queued.
     void beginWorkerProcess(Worker &worker, const WorkerInfo &info, TimePoint now,
                             RunnerOutbox &out);
-    // Drops the worker that is known from a record only, unless it has this id.
-    void dropUnconfirmed(std::string_view otherThan, RunnerOutbox &out);
+    // Drops the worker that is known from a record only, unless its id is `keptId`; empty: in any
+    // case.
+    void dropUnconfirmed(std::string_view keptId, RunnerOutbox &out);
     // Tells the entries of a worker that is new to them or has changed.
     void announce(const Worker &worker, RunnerOutbox &out);
     // To be called when it is known that the start was carried out: it was accepted, or the run was
@@ -395,6 +396,10 @@
     // The worker starts no tasks: it is leaving, or its data centre is evacuated.
     bool isDraining(const Worker &worker) const;
     bool isEntrySilent(Incarnation entry, TimePoint now) const;
+    bool isNearlyFull(const Worker &worker) const; // more than NearlyFullShare of its cores in use
+    // Remaining run time of a task that is not queued, by the worker's slowness and its progress.
+    Duration expectedRemaining(const Worker &worker, const Task &task, TimePoint now) const;
+    std::vector<ExpectedRelease> expectedReleases(const Worker &worker, TimePoint now) const;
     // Needs of all tasks that are not queued.
     Resources usedResources(const Worker &worker) const;
     // The worker's clock at time `at`, or a little less: the reply that contained the clock took
--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -27,7 +27,12 @@
 // worker's agent then starts the most urgent task first. This hides the delay of the report that
 // capacity has become free.
 constexpr double MaxQueueWaitMs = 8;
+constexpr int LeastUrgent = std::numeric_limits<int>::max(); // counts tasks of all priorities
 constexpr double PreferredLabelWeight = 4; // factor for a worker with the preferred label
+// A worker gets single tasks for at most this long after a fault.
+constexpr Duration FaultLimitTime = 2s;
+// One failed task may be the task's fault; with so many in a row the worker is on record.
+constexpr int MaxFaultsInARow = 2;
 
 bool hasLabel(const WorkerInfo &worker, std::string_view label)
 {
@@ -84,6 +89,7 @@
         worker.info = update.worker;
         worker.isEvacuated = m_evacuated.count(dataCentreOf(key, worker)) > 0;
     }
+    ++m_capacityVersion;
 }
 
 void WorkerDirectory::updateLoad(Incarnation agent, const WorkerLoad &load)
@@ -92,19 +98,51 @@
     if (it == m_workers.end())
         return;
     Worker &worker = it->second;
+    const Resources freeBefore = freeResources(worker, LeastUrgent);
+    const bool wasUsable = worker.hasLoad && worker.load.isUsable;
+    const auto reporter = m_agents.find(agent);
+    if (reporter != m_agents.end())
+        worker.loadAt = reporter->second.heardAt;
     worker.load = load;
     worker.hasLoad = true;
     worker.unreported.erase(worker.unreported.begin(),
                             worker.unreported.upper_bound(load.lastAssignmentNumber));
+    if ((load.isUsable && !wasUsable) || !freeResources(worker, LeastUrgent).fitsIn(freeBefore))
+        ++m_capacityVersion;
 }
 
 std::uint64_t WorkerDirectory::reserve(const WorkerKey &key, int priority, const Resources &needs)
 {
     const std::uint64_t number = ++m_agents[key.agent].lastAssignment;
     m_workers[key].unreported[number] = {priority, needs};
+    if (const auto record = m_faults.find(key.workerId); record != m_faults.end())
+        record->second.hasTask = true;
     return number;
 }
 
+void WorkerDirectory::recordFault(const WorkerKey &key, bool isCertain, TimePoint now)
+{
+    std::erase_if(m_faults,
+                  [&](const auto &it) { return now > it.second.limitedUntil + FaultLimitTime; });
+    FaultRecord &record = m_faults[key.workerId];
+    record.hasTask = false;
+    record.limitedUntil = std::max(record.limitedUntil, now);
+    if (++record.faults >= MaxFaultsInARow || isCertain)
+        record.limitedUntil = now + FaultLimitTime;
+}
+
+void WorkerDirectory::recordSuccess(const WorkerKey &key)
+{
+    m_faults.erase(key.workerId);
+}
+
+void WorkerDirectory::recordRefusal(const WorkerKey &key)
+{
+    const auto record = m_faults.find(key.workerId);
+    if (record != m_faults.end())
+        record->second.hasTask = false;
+}
+
 void WorkerDirectory::pauseWorker(const WorkerKey &key, TimePoint until)
 {
     const auto it = m_workers.find(key);
@@ -117,6 +155,7 @@
     m_evacuated = std::move(dataCentres);
     for (auto &[key, worker] : m_workers)
         worker.isEvacuated = m_evacuated.count(dataCentreOf(key, worker)) > 0;
+    ++m_capacityVersion;
 }
 
 const std::string &WorkerDirectory::dataCentreOf(const WorkerKey &key, const Worker &worker) const
@@ -305,6 +344,8 @@
             || worker.load.slowness > limits.maxSlowness)
             continue;
         usable.total += worker.info.capacity;
+        usable.coresByAgent[key.agent]
+            += static_cast<double>(worker.info.capacity.cpuMillis) / 1000;
         const Resources free = freeResources(worker, std::numeric_limits<int>::max());
         freeMillis += std::max<std::int64_t>(free.cpuMillis, 0);
     }
@@ -312,6 +353,31 @@
     return usable;
 }
 
+std::vector<PlanWorker> WorkerDirectory::planWorkers(std::string_view upstream, TimePoint now) const
+{
+    const Limits limits = limitsOf(upstream, std::numeric_limits<double>::infinity());
+    std::vector<PlanWorker> out;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker.info.upstream != upstream || !isUsable(key, worker, now)
+            || worker.load.failureRate > limits.maxFailureRate)
+            continue;
+        PlanWorker &it = out.emplace_back();
+        it.key = key;
+        it.free = freeResources(worker, LeastUrgent);
+        for (const ExpectedRelease &release : worker.load.releases)
+            it.releases.push_back({worker.loadAt + release.after, release.resources});
+        it.coreReleaseRate = worker.load.coreReleaseRate;
+        it.slowness = std::max(worker.load.slowness, MinSlowness);
+        it.labels = worker.info.labels;
+        it.loadAt = worker.loadAt;
+        it.maxTasks = std::numeric_limits<std::size_t>::max();
+        const auto record = m_faults.find(key.workerId);
+        if (record != m_faults.end() && now < record->second.limitedUntil)
+            it.maxTasks = record->second.hasTask ? 0 : 1;
+    }
+    return out;
+}
+
 std::optional<TimePoint> WorkerDirectory::agentClockAt(Incarnation agent, TimePoint at) const
 {
     const auto it = m_agents.find(agent);
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatchfleet.h"
 
+#include "demandtable.h"
 #include "durations.h"
 #include "entryselection.h"
 #include "operatorrecords.h"
@@ -94,6 +95,7 @@
         TimePoint startedAt = Start;
         std::unique_ptr<EntrySelection> selection;
         std::optional<WorkerInfo> record; // of its worker, in the store
+        DemandTable demand;               // of the connected entries
     };
 
     struct Entry : Process
@@ -125,6 +127,8 @@
         bool isAnswered = false;
         bool wasOnlyRefused = true; // no submission was given up, lost or answered as Unknown
         bool hasRun = false;        // a worker started one of its tasks
+        std::set<std::uint32_t> startedTasks; // that a worker started
+        TimePoint lastStartAt;                // of a task, at a worker
         JobOutcome outcome = JobOutcome::Unknown;
         TimePoint answeredAt;
         TimePoint sentAt;         // newest submission to an entry that was up
@@ -349,6 +353,7 @@
                              runner.onWorkerRecord(record, now, out);
                          });
                  });
+        it.demand = {};
     }
 
     static std::string addressOf(std::size_t entry) { return "entry" + std::to_string(entry); }
@@ -444,7 +449,9 @@
                         return;
                     links[entry][a].agentHeardAt = now;
                     runner.onEntryActivity(from, now, out);
-                    if (const auto *assign = std::get_if<AssignTask>(&message))
+                    if (const auto *heartbeat = std::get_if<PeerHeartbeat>(&message))
+                        agents[a].demand.update(from, *heartbeat, {"upstream"}, now);
+                    else if (const auto *assign = std::get_if<AssignTask>(&message))
                         runner.onAssign(from, *assign, now, out);
                     else if (const auto *withdraw = std::get_if<WithdrawTask>(&message))
                         runner.onWithdraw(from, *withdraw, now, out);
@@ -488,7 +495,8 @@
         agents[a].selection->onOpened(addressOf(e));
         ++link.generation;
         link.agentHeardAt = link.entryHeardAt = now;
-        const PeerHello hello{"agent" + std::to_string(a), agentId(a), Role::Agent, "", ""};
+        const PeerHello hello{
+            "agent" + std::to_string(a), agentId(a), Role::Agent, "", "", ProtocolVersion};
         stepEntry(e, [this, e, hello](JobDispatcher &dispatcher, DispatcherOutbox &out) {
             dispatcher.onAgentConnected(hello, now, out);
             sendToAgent(e, hello.instance, stateOf(entries[e].records));
@@ -496,7 +504,8 @@
         const Incarnation entry = entryId(e);
         stepAgent(a, [this, e, a, entry](TaskRunner &runner, RunnerOutbox &out) {
             runner.onEntryHello(entry, "entry" + std::to_string(e), now, out);
-            sendToEntry(a, entry, PeerHeartbeat{now, connectedEntriesOf(a)});
+            agents[a].demand.connected(entry);
+            sendToEntry(a, entry, heartbeatOf(a));
             sendToEntry(a, entry, stateOf(agents[a].records));
             sendToEntry(a, entry, runner.inventoryOf(entry));
             for (const WorkerUpdate &update : runner.workers())
@@ -512,6 +521,7 @@
             return;
         link.isUp = false;
         agents[a].selection->onClosed(addressOf(e), now);
+        agents[a].demand.disconnected(entryId(e));
         ++link.generation;
         const Incarnation agent = agentId(a);
         stepEntry(e, [this, agent](JobDispatcher &dispatcher, DispatcherOutbox &out) {
@@ -544,6 +554,13 @@
              });
     }
 
+    PeerHeartbeat heartbeatOf(std::size_t agent) const
+    {
+        return {now, connectedEntriesOf(agent),
+                options.hasScarcityControl ? agents[agent].demand.sum(now)
+                                           : std::vector<DemandReport>()};
+    }
+
     // Carries out the agent's choice of entries, as dispatchagent.cpp does.
     void selectEntries(std::size_t a)
     {
@@ -583,7 +600,8 @@
     {
         for (std::size_t a = 0; a < agents.size(); ++a)
             selectEntries(a);
-        for (std::size_t e = 0; e < entries.size(); ++e)
+        for (std::size_t e = 0; e < entries.size(); ++e) {
+            const PeerHeartbeat heartbeat{now, 0, entries[e].dispatcher->demandReports(now)};
             for (std::size_t a = 0; a < agents.size(); ++a) {
                 Link &link = links[e][a];
                 const bool isSilent
@@ -593,13 +611,14 @@
                 if (!link.isUp)
                     continue;
                 if (entries[e].isUp && entries[e].frozenUntil <= now)
-                    sendToAgent(e, agentId(a), PeerHeartbeat{now, 0});
+                    sendToAgent(e, agentId(a), heartbeat);
                 if (agents[a].isUp && agents[a].frozenUntil <= now) {
                     if (now - agents[a].startedAt < 5s)
                         sendToEntry(a, entryId(e), agents[a].runner->inventoryOf(entryId(e)));
-                    sendToEntry(a, entryId(e), PeerHeartbeat{now, connectedEntriesOf(a)});
+                    sendToEntry(a, entryId(e), heartbeatOf(a));
                 }
             }
+        }
         post(now + HeartbeatInterval, [this] { sendHeartbeats(); });
     }
 
@@ -779,6 +798,8 @@
         Job &job = jobs[found->second];
         job.hasRun = true;
         starts.emplace_back(now, it.index);
+        job.startedTasks.insert(order.task.index);
+        job.lastStartAt = now;
         trace("worker" + std::to_string(it.index), {Severity::Info,
                                                     "run_started",
                                                     {{"job", order.task.jobId},
@@ -1092,8 +1113,10 @@
             values[job.kind->queue].first += job.value * (onTime ? 1 : isDone ? LateValueShare : 0);
             values[job.kind->queue].second += job.value;
         }
-        for (auto &[queue, it] : out)
+        for (auto &[queue, it] : out) {
             it.valueShare = values[queue].first / values[queue].second;
+            it.sizes = sizeResults(queue);
+        }
         return out;
     }
 
@@ -1149,6 +1172,41 @@
         return out;
     }
 
+    PlayedJob playedJobOf(const Job &job) const
+    {
+        PlayedJob out{job.kind->queue, job.firstSentAt - Start - 3s, 0, job.value};
+        for (const double workMs : job.workMs)
+            out.coreSeconds += workMs / 1000 * static_cast<double>(job.spec.needs.cpuMillis) / 1000;
+        const bool isDone = job.isAnswered && job.outcome == JobOutcome::Completed;
+        out.isOnTime = isDone && job.answeredAt <= job.objectiveAt;
+        out.isLate = isDone && !out.isOnTime;
+        out.isRefused = job.isAnswered && job.outcome == JobOutcome::Refused;
+        return out;
+    }
+
+    std::array<SizeResult, 3> sizeResults(const std::string &queue) const
+    {
+        std::vector<std::pair<std::int64_t, const Job *>> bySize;
+        for (const Job &job : jobs)
+            if (job.kind->queue == queue)
+                bySize.emplace_back(-job.spec.needs.cpuMillis * job.spec.taskCount, &job);
+        std::sort(bySize.begin(), bySize.end());
+        std::array<SizeResult, 3> sizes;
+        for (std::size_t i = 0; i < bySize.size(); ++i) {
+            const Job &job = *bySize[i].second;
+            const std::size_t tenth = i * 10 / bySize.size();
+            SizeResult &it = sizes[tenth < 1 ? 0 : tenth < 3 ? 1 : 2];
+            ++it.submitted;
+            it.onTime += job.isAnswered && job.outcome == JobOutcome::Completed
+                         && job.answeredAt <= job.objectiveAt;
+            if (job.startedTasks.size() < job.spec.taskCount)
+                continue;
+            ++it.started;
+            it.meanWaitMs += (toMs(job.lastStartAt - job.firstSentAt) - it.meanWaitMs) / it.started;
+        }
+        return sizes;
+    }
+
     void checkRefused()
     {
         for (const Job &job : jobs)
@@ -1225,8 +1283,10 @@
     const auto i = static_cast<std::size_t>(entry);
     Impl &it = *m_impl;
     for (std::size_t a = 0; a < it.agents.size(); ++a) {
-        if (it.links[i][a].isUp)
+        if (it.links[i][a].isUp) {
             it.agents[a].selection->onClosed(Impl::addressOf(i), it.now);
+            it.agents[a].demand.disconnected(it.entryId(i));
+        }
         it.links[i][a].isUp = false;
         ++it.links[i][a].generation;
     }
@@ -1339,6 +1399,14 @@
     return m_impl->results();
 }
 
+std::vector<PlayedJob> DispatchFleet::jobs() const
+{
+    std::vector<PlayedJob> jobs;
+    for (const Impl::Job &it : m_impl->jobs)
+        jobs.push_back(m_impl->playedJobOf(it));
+    return jobs;
+}
+
 double DispatchFleet::valueShare() const
 {
     double earned = 0;
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -7,6 +7,7 @@
 #include "jobdispatcher.h"
 #include "taskrunner.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -69,9 +70,24 @@
     std::uint64_t seed = 1;
 };
 
+// What became of the jobs of one kind and size.
+struct SizeResult
+{
+    int submitted = 0;
+    int onTime = 0;  // completed within the objective
+    int started = 0; // all tasks were started by workers
+    // Mean time from the first submission to the last start of a task, over the started jobs.
+    double meanWaitMs = 0;
+
+    double onTimeShare() const { return submitted > 0 ? 1.0 * onTime / submitted : 1; }
+};
+
 // What became of the jobs of one kind, as numbers of jobs.
 struct KindResult
 {
+    // By the cores that all tasks of a job need together: the largest tenth, the fifth below it,
+    // the rest.
+    std::array<SizeResult, 3> sizes;
     int submitted = 0;
     int onTime = 0; // completed within the objective
     int late = 0;   // completed after the objective
@@ -101,6 +117,18 @@
     JobCounts returned;          // jobs that were sent again, as an earlier process was lost
 };
 
+// One job of the load and its result.
+struct PlayedJob
+{
+    std::string queue;
+    Duration at{};          // of its first submission, since the start of the load
+    double coreSeconds = 0; // of all its tasks, at speed 1
+    double value = 0;
+    bool isOnTime = false;
+    bool isLate = false; // completed after its objective
+    bool isRefused = false;
+};
+
 // Runs once: plan the faults, call run(), then read the results.
 class DispatchFleet
 {
@@ -140,6 +168,7 @@
     std::vector<FleetMoment> timeline() const; // one for each interval
     // By queue.
     std::map<std::string, KindResult> results() const;
+    std::vector<PlayedJob> jobs() const;
     double valueShare() const; // the same as KindResult::valueShare, over all kinds
     // One text for each violated guarantee: two runs of a task at the same time, a worker over its
     // capacity, or a job that was refused although a task of it ran.
