--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -9,6 +9,7 @@
 #include "dispatchoperators.h"
 #include "dispatchprocess.h"
 #include "jobdispatcher.h"
+#include "scarcitymetrics.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -118,16 +119,7 @@
 
     void onPendingProcessed(TimePoint)
     {
-        const PlacementCounts &counts = m_dispatcher.placementCounts();
-        const auto add = [this](const char *kind, std::uint64_t count, std::uint64_t &reported) {
-            if (count > reported)
-                m_metrics.add("cactuscove_placement_total", {{"kind", kind}},
-                              static_cast<double>(count - std::exchange(reported, count)));
-        };
-        add("reserved", counts.reservations, m_reportedCounts.reservations);
-        add("moved", counts.movedReservations, m_reportedCounts.movedReservations);
-        add("whole", counts.wholeStarts, m_reportedCounts.wholeStarts);
-        add("backfilled", counts.backfills, m_reportedCounts.backfills);
+        m_scarcityMetrics.addPlacement(m_dispatcher.placementCounts(), m_metrics);
     }
 
     // Callers
@@ -441,28 +433,13 @@
         m_metrics.set("cactuscove_open_requests", {},
                       static_cast<double>(m_callers.openRequests()));
         if (m_features.hasScarcityControl)
-            setDemandMetrics();
+            ScarcityMetrics::setDemand(m_dispatcher, bootNow(), m_metrics);
         return m_metrics.text();
     }
 
-    void setDemandMetrics()
-    {
-        std::set<std::string> upstreams;
-        for (const QueueSettings &it : m_dispatcher.config().queues)
-            upstreams.insert(it.upstream);
-        for (const std::string &upstream : upstreams)
-            if (const auto fleet = m_dispatcher.fleetUtilisation(upstream, bootNow()))
-                for (const auto &[priority, utilisation] : fleet->byPriority)
-                    m_metrics.set("cactuscove_demand_utilisation",
-                                  {{"upstream", upstream}, {"priority", std::to_string(priority)}},
-                                  utilisation);
-        for (const auto &[queue, part] : m_dispatcher.acceptedParts())
-            m_metrics.set("cactuscove_accepted_part", {{"queue", queue}}, part);
-    }
-
     FeatureFlags m_features;
-    PlacementCounts m_reportedCounts; // added to the metrics
-    std::string m_linkListen;         // "ip:port" on which links of agents and entries are accepted
+    ScarcityMetrics m_scarcityMetrics;
+    std::string m_linkListen; // "ip:port" on which links of agents and entries are accepted
     JobDispatcher m_dispatcher;
     DecisionLoop<JobDispatcher, DispatcherEffect, DispatchEntry> m_decisions;
     Timer m_heartbeatTimer;
