--- a/src/placementplan.h
+++ b/src/placementplan.h
@@ -35,7 +35,7 @@
     std::string_view preferredLabel; // empty: no worker is nearer than others
     // Used only if no other worker is suitable.
     std::span<const WorkerKey> avoidedWorkers;
-    Duration maxWaitAtAgent{}; // a task that waits longer at its agent is refused
+    Duration maxWaitAtAgent = std::chrono::milliseconds(150); // a task that waits longer is refused
     double maxSlowness = 0;    // slower workers are left out, unless half of the workers are slower
 };
 
