--- a/src/placementplan.h
+++ b/src/placementplan.h
@@ -36,7 +36,7 @@
     // Used only if no other worker is suitable.
     std::span<const WorkerKey> avoidedWorkers;
     Duration maxWaitAtAgent = std::chrono::milliseconds(150); // a task that waits longer is refused
-    double maxSlowness = 0;    // slower workers are left out, unless half of the workers are slower
+    double maxSlowness = 0; // slower workers are left out, unless half of the workers are slower
 };
 
 // What is held for the first job that cannot start.
