Logs: each failed read of a followed topic, with its connection

Cause: after store_lost the log was silent until store_regained, so it could not tell reads that wait on kept connections from reads on new connections without an answer.

Change: store_read_failed for each failed read: detail, connection (new, reused, or answered with a status), duration, failures before it, offset. At most one line for each retry; the log's own limit bounds it further.

--- a/src/dispatchoperators.cpp
+++ b/src/dispatchoperators.cpp
@@ -30,6 +30,9 @@
                                 },
                                 [this](const std::set<std::string> &keys, LogOffset readUpTo) {
                                     onCompleteRead(keys, readUpTo);
+                                },
+                                [this](const FailedRead &read) {
+                                    m_handlers.log(failedReadEvent("operators", read));
                                 }});
     if (features.operatorCopies > 0)
         startSync(settings, static_cast<std::uint32_t>(features.operatorCopies), seed);
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -272,7 +272,9 @@
                 log({isReachable ? Severity::Info : Severity::Warning,
                      isReachable ? "store_regained" : "store_lost",
                      {{"topic", EntryAddressTopic}, {"detail", detail}}});
-            }});
+            },
+            {},
+            [this](const FailedRead &read) { log(failedReadEvent(EntryAddressTopic, read)); }});
 }
 
 void DispatchProcess::addEntryAddresses(const KnownEntries &known)
--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -99,7 +99,9 @@
         kind = HttpFailure::NotSent;
     else if (code == CURLE_OPERATION_TIMEDOUT)
         kind = HttpFailure::TimedOut;
-    return {kind, curl_easy_strerror(code)};
+    long opened = 0;
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &opened);
+    return {kind, curl_easy_strerror(code), sent > 0 && opened == 0};
 }
 
 } // namespace
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -51,7 +51,8 @@
 struct HttpCallError
 {
     HttpFailure kind = HttpFailure::Broken;
-    std::string detail; // for logs
+    std::string detail;              // for logs
+    bool isReusedConnection = false; // an earlier call had opened the connection
 };
 
 using HttpCallId = StrongId<struct HttpCallIdTag>;
--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -9,6 +9,20 @@
 
 namespace cactuscove {
 
+LogEvent failedReadEvent(std::string_view topic, const FailedRead &read)
+{
+    const bool isAnswered = read.error.kind != platform::StoreFailure::Unreachable;
+    const char *connection = read.error.isReusedConnection ? "reused" : "new";
+    return {Severity::Info,
+            "store_read_failed",
+            {{"topic", std::string(topic)},
+             {"detail", read.error.detail},
+             {"connection", isAnswered ? "answered" : connection},
+             {"duration_ms", std::to_string(read.duration / std::chrono::milliseconds(1))},
+             {"failures_before", std::to_string(read.failuresBefore)},
+             {"offset", read.offset ? std::to_string(read.offset->value) : "newest"}}};
+}
+
 StoreFollower::StoreFollower(EventLoop &loop, HttpClient &http, StoreFollowerSettings settings,
                              Handlers handlers)
     : m_loop(loop)
@@ -33,6 +47,7 @@
 
 void StoreFollower::startRead()
 {
+    m_readStartedAt = m_loop.now();
     if (m_nextOffset)
         readNext();
     else
@@ -98,6 +113,9 @@
 
 void StoreFollower::onFailure(const platform::StoreError &error)
 {
+    if (m_handlers.onReadFailed)
+        m_handlers.onReadFailed(
+            {error, m_loop.now() - m_readStartedAt, m_readFailures, m_nextOffset});
     const bool isTrimmed = error.kind == platform::StoreFailure::Trimmed;
     // Reading at this offset again would fail again, because its records are gone or malformed.
     if (isTrimmed || error.kind == platform::StoreFailure::Malformed) {
--- a/src/storefollower.h
+++ b/src/storefollower.h
@@ -18,6 +18,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace cactuscove {
 
@@ -34,6 +35,18 @@
     std::uint64_t seed = 0; // of the jitter of retries; a different one in each process
 };
 
+// A read that has failed.
+struct FailedRead
+{
+    platform::StoreError error;
+    Duration duration{};             // from the begin of the read
+    int failuresBefore = 0;          // reads in a row that failed before it
+    std::optional<LogOffset> offset; // that was to be read; none: the newest records
+};
+
+// Returns the event that reports a failed read of `topic`.
+LogEvent failedReadEvent(std::string_view topic, const FailedRead &read);
+
 class StoreFollower
 {
 public:
@@ -50,6 +63,8 @@
         // The newest record of each key was read and reported. `keys` are all keys that had one; a
         // key that is missing had none before `readUpTo`. The handler may be empty.
         std::function<void(const std::set<std::string> &keys, LogOffset readUpTo)> onCompleteRead;
+        // A read has failed; it will be repeated. The handler may be empty.
+        std::function<void(const FailedRead &read)> onReadFailed;
     };
 
     // Begins to read in the next iteration of `loop`. Failed reads are retried without limit.
@@ -79,7 +94,8 @@
     std::minstd_rand m_random;
     Timer m_readTimer;
     Timer m_appendTimer;
-    int m_readFailures = 0; // in a row; 0 after a successful read
+    TimePoint m_readStartedAt{}; // of the newest read
+    int m_readFailures = 0;      // in a row; 0 after a successful read
     // Next offset to read. None: the newest record of each key is read first, in pages.
     std::optional<LogOffset> m_nextOffset;
     LogOffset m_firstPageEnd;           // end of the topic when the first page was read
