Store: connections of before a silence are not used again

Cause: the HTTP client keeps the connections of ended calls. A read that gets no answer is given up after 1,000 ms and closes only its own connection; the next one takes another kept connection, which is just as dead. An entry keeps as many as calls ran side by side (two topics, four copies), so the operators' topic came back after that many timeouts. Handover between entries does not help: all entries have lost the topic.

Change: calls to the store leave the connections that were opened before a call to that host ended without an answer. ConnectionPool, taken out of HttpClient, holds the connections; a silent host's pool is replaced. Class: a retry that relies on the state which has just been shown to be stale.

--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -1,7 +1,9 @@
-// libcurl asks for sockets to be watched and for one timer; the event loop reports back to it.
+// Each call is a libcurl easy handle in a pool of connections (connectionpool.h).
 
 #include "httpclient.h"
 
+#include "connectionpool.h"
+
 #include <curl/curl.h>
 
 #include <algorithm>
@@ -9,12 +11,14 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace cactuscove {
 
 namespace {
 
-constexpr long MaxCachedConnections = 512; // kept open for later calls
+// How often connections that are no longer used are looked for while their last calls go on.
+constexpr Duration RetiredPoolCheckInterval = std::chrono::seconds(1);
 
 // One call from start() until its callback.
 struct Transfer
@@ -26,6 +30,7 @@
     std::size_t bodyRead = 0;          // bytes of call.body that libcurl has taken
     bool hasProgressed = false;        // part of the reply arrived since stallTimer was started
     std::unique_ptr<Timer> stallTimer; // none without a stall timeout
+    std::shared_ptr<ConnectionPool> pool;
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
 
@@ -104,6 +109,13 @@
     return {kind, curl_easy_strerror(code), sent > 0 && opened == 0};
 }
 
+// Returns the "ip:port" of a URL "http://ip:port/path".
+std::string_view hostOf(std::string_view url)
+{
+    url.remove_prefix(std::min(url.size(), std::string_view("http://").size()));
+    return url.substr(0, url.find('/'));
+}
+
 } // namespace
 
 class HttpClient::Impl
@@ -111,22 +123,14 @@
 public:
     explicit Impl(EventLoop &loop)
         : m_loop(loop)
-        , m_timer(loop, [this] { performSocketAction(CURL_SOCKET_TIMEOUT, 0); })
-        , m_multi(curl_multi_init())
-    {
-        curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &Impl::onSocket);
-        curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &Impl::onTimer);
-        curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
-        curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MaxCachedConnections);
-    }
+        , m_sharedPool(makePool())
+        , m_closeTimer(loop, [this] { closeUnusedPools(); })
+    {}
 
     ~Impl()
     {
         for (auto &[id, transfer] : m_transfers)
-            curl_multi_remove_handle(m_multi, transfer->easy);
-        m_transfers.clear();
-        curl_multi_cleanup(m_multi);
+            transfer->pool->remove(transfer->easy);
     }
 
     Impl(const Impl &) = delete;
@@ -137,83 +141,81 @@
     std::size_t openCalls() const { return m_transfers.size(); }
 
 private:
-    static int onSocket(CURL *easy, curl_socket_t fd, int what, void *self, void *watcher);
-    static int onTimer(CURLM *multi, long timeoutMs, void *self);
-
-    void watchSocket(curl_socket_t fd, int what);
-    void performSocketAction(curl_socket_t fd, int flags);
-    void finishTransfers();
+    std::shared_ptr<ConnectionPool> makePool();
+    std::shared_ptr<ConnectionPool> poolFor(const HttpCall &call);
+    void onCallEnded(CURL *easy, CURLcode code);
+    void fail(Transfer &transfer, HttpCallError error);
+    void retirePool(const Transfer &transfer);
+    void closeUnusedPools();
     void checkStall(HttpCallId id);
 
     EventLoop &m_loop;
-    Timer m_timer;
-    CURLM *m_multi;
-    std::unordered_map<curl_socket_t, std::unique_ptr<IoWatcher>> m_watchers;
+    std::shared_ptr<ConnectionPool> m_sharedPool; // of calls without distrustsSilentHost
+    // By host, for the calls with distrustsSilentHost. Each pool has the connections that were
+    // opened since a call to the host ended without an answer.
+    std::unordered_map<std::string, std::shared_ptr<ConnectionPool>> m_hostPools;
+    std::vector<std::shared_ptr<ConnectionPool>> m_retiredPools; // until their calls have ended
+    Timer m_closeTimer;
+    // Declared after the pools: the calls are destroyed first.
     std::unordered_map<HttpCallId, std::unique_ptr<Transfer>> m_transfers;
     std::uint64_t m_lastId = 0;
 };
 
-int HttpClient::Impl::onSocket(CURL *, curl_socket_t fd, int what, void *self, void *)
+std::shared_ptr<ConnectionPool> HttpClient::Impl::makePool()
 {
-    static_cast<Impl *>(self)->watchSocket(fd, what);
-    return 0;
+    return std::make_shared<ConnectionPool>(
+        m_loop, [this](CURL *easy, CURLcode code) { onCallEnded(easy, code); });
 }
 
-int HttpClient::Impl::onTimer(CURLM *, long timeoutMs, void *self)
+std::shared_ptr<ConnectionPool> HttpClient::Impl::poolFor(const HttpCall &call)
 {
-    auto &impl = *static_cast<Impl *>(self);
-    if (timeoutMs < 0)
-        impl.m_timer.stop();
-    else
-        impl.m_timer.startIn(std::chrono::milliseconds(timeoutMs));
-    return 0;
+    if (!call.distrustsSilentHost)
+        return m_sharedPool;
+    auto &pool = m_hostPools[std::string(hostOf(call.url))];
+    if (!pool)
+        pool = makePool();
+    return pool;
 }
 
-void HttpClient::Impl::watchSocket(curl_socket_t fd, int what)
+void HttpClient::Impl::onCallEnded(CURL *easy, CURLcode code)
 {
-    if (what == CURL_POLL_REMOVE) {
-        m_watchers.erase(fd);
-        return;
-    }
-    auto &watcher = m_watchers[fd];
-    if (!watcher)
-        watcher = std::make_unique<IoWatcher>(m_loop, fd, [this, fd](int events) {
-            performSocketAction(fd, (events & IoWatcher::Readable ? CURL_CSELECT_IN : 0)
-                                        | (events & IoWatcher::Writable ? CURL_CSELECT_OUT : 0));
-        });
-    watcher->watch((what & CURL_POLL_IN ? IoWatcher::Readable : IoWatcher::None)
-                   | (what & CURL_POLL_OUT ? IoWatcher::Writable : IoWatcher::None));
+    Transfer *raw = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
+    const auto node = m_transfers.extract(raw->id);
+    Transfer &transfer = *node.mapped();
+    if (code != CURLE_OK)
+        return fail(transfer, toCallError(easy, code));
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    transfer.reply.status = static_cast<int>(status);
+    transfer.callback(std::move(transfer.reply));
 }
 
-void HttpClient::Impl::performSocketAction(curl_socket_t fd, int flags)
+void HttpClient::Impl::fail(Transfer &transfer, HttpCallError error)
 {
-    int running = 0;
-    curl_multi_socket_action(m_multi, fd, flags, &running);
-    finishTransfers();
+    if (error.kind == HttpFailure::TimedOut)
+        retirePool(transfer);
+    transfer.callback(std::move(error));
 }
 
-void HttpClient::Impl::finishTransfers()
+// The host has not answered, so its other connections may be dead as well, which only a call on
+// each of them would tell. A pool that was made since is not affected.
+void HttpClient::Impl::retirePool(const Transfer &transfer)
 {
-    int left = 0;
-    while (CURLMsg *message = curl_multi_info_read(m_multi, &left)) {
-        if (message->msg != CURLMSG_DONE)
-            continue;
-        CURL *easy = message->easy_handle;
-        const CURLcode code = message->data.result;
-        Transfer *raw = nullptr;
-        curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
-        auto node = m_transfers.extract(raw->id);
-        const std::unique_ptr<Transfer> transfer = std::move(node.mapped());
-        curl_multi_remove_handle(m_multi, easy);
-        if (code == CURLE_OK) {
-            long status = 0;
-            curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-            transfer->reply.status = static_cast<int>(status);
-            transfer->callback(std::move(transfer->reply));
-        } else {
-            transfer->callback(toCallError(easy, code));
-        }
-    }
+    const auto it = m_hostPools.find(std::string(hostOf(transfer.call.url)));
+    if (it == m_hostPools.end() || it->second != transfer.pool)
+        return;
+    m_retiredPools.push_back(std::move(it->second));
+    m_hostPools.erase(it);
+    m_closeTimer.startIn({});
+}
+
+// Called by a timer, because a pool must not be destroyed while it reports the end of a call.
+void HttpClient::Impl::closeUnusedPools()
+{
+    std::erase_if(m_retiredPools, [](const auto &pool) { return pool.use_count() == 1; });
+    if (!m_retiredPools.empty())
+        m_closeTimer.startIn(RetiredPoolCheckInterval);
 }
 
 // Runs once per stall timeout, so a stall is noticed after one to two stall timeouts.
@@ -230,8 +232,8 @@
     HttpCallError error = toCallError(transfer.easy, CURLE_OPERATION_TIMEDOUT);
     error.detail = "reply stalled";
     const auto node = m_transfers.extract(it);
-    curl_multi_remove_handle(m_multi, node.mapped()->easy);
-    node.mapped()->callback(std::move(error));
+    transfer.pool->remove(transfer.easy);
+    fail(transfer, std::move(error));
 }
 
 HttpCallId HttpClient::Impl::start(HttpCall call, Callback callback)
@@ -281,7 +283,8 @@
             m_loop, [this, id] { m_loop.post([this, id] { checkStall(id); }); });
         transfer->stallTimer->startIn(it.stallTimeout);
     }
-    curl_multi_add_handle(m_multi, easy);
+    transfer->pool = poolFor(it);
+    transfer->pool->add(easy);
     m_transfers.emplace(id, std::move(transfer));
     return id;
 }
@@ -291,7 +294,7 @@
     const auto it = m_transfers.find(id);
     if (it == m_transfers.end())
         return;
-    curl_multi_remove_handle(m_multi, it->second->easy);
+    it->second->pool->remove(it->second->easy);
     m_transfers.erase(it);
 }
 
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -30,6 +30,10 @@
     // Uses a new connection and closes it afterwards. libcurl may send a request a second time if a
     // reused connection closes before the first byte of the reply; on a new one it never does.
     bool freshConnection = false;
+    // After a call to the host has ended as TimedOut, the connections that were opened before are
+    // not used again: they may have gone silent together, and each would cost another timeout. For
+    // calls whose answer is awaited by many; a lost answer costs some new connections.
+    bool distrustsSilentHost = false;
     std::size_t maxReplyBytes = 64 << 20; // a reply with a larger body ends the call as Broken
 };
 
--- a/tests/slowstore.cpp
+++ b/tests/slowstore.cpp
@@ -85,6 +85,15 @@
     m_firstOffset = m_records.size();
 }
 
+void SlowStore::silenceConnections()
+{
+    for (auto &[fd, it] : m_connections) {
+        it.isSilent = true;
+        it.unsent.clear();
+        it.longReadOffset = NoLongRead;
+    }
+}
+
 void SlowStore::accept()
 {
     const int fd = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK);
@@ -167,6 +176,8 @@
 
 void SlowStore::respond(Connection &it, int status, std::string_view body)
 {
+    if (it.isSilent)
+        return;
     it.unsent = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: "
                 + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
     it.bytesUntilStall = std::exchange(m_stallAfter, std::string::npos);
--- a/tests/slowstore.h
+++ b/tests/slowstore.h
@@ -34,6 +34,8 @@
     // Makes the next answer stop after this many bytes. Its connection stays open but sends nothing
     // more.
     void stallNextAnswerAfter(std::size_t bytes) { m_stallAfter = bytes; }
+    // Makes all connections that are open now send nothing more. They are not closed.
+    void silenceConnections();
 
 private:
     struct Record
@@ -49,6 +51,7 @@
         std::string unsent;                              // rest of the answer
         std::size_t bytesUntilStall = std::string::npos; // npos: it does not stall
         std::size_t longReadOffset = std::string::npos;  // npos: no long read waits
+        bool isSilent = false;                           // sends nothing more
     };
 
     void accept();
--- a/tests/storefollower_test.cpp
+++ b/tests/storefollower_test.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t MaxRecordBytes = 256 * 1024; // the store accepts no larger record
 // The users require that a configuration is in force by this time after the store acknowledged it.
 constexpr Duration MaxApplyTime = 4s;
+// The same on the sites with small configurations and fast links.
+constexpr Duration MaxQuickApplyTime = 2s;
 
 class StoreFollowerTest : public testing::Test
 {
@@ -46,6 +48,20 @@
             loop.stop();
     }
 
+    // Makes the client keep this many connections to the store open, as parallel calls of a process
+    // do.
+    void openConnections(int count)
+    {
+        int openCalls = count;
+        for (int i = 0; i < count; ++i)
+            http.start(platform::makeNewestCall(store.address(), "other", "", 1s),
+                       [&](const platform::CallResult &) {
+                           if (--openCalls == 0)
+                               loop.stop();
+                       });
+        loop.run();
+    }
+
     // Runs the loop until the record `value` is read. Returns how long that took, or
     // Duration::max() if it took longer than `timeout`.
     Duration waitFor(const std::string &value, Duration timeout)
@@ -147,4 +163,17 @@
     EXPECT_EQ(reachabilityLosses, 1);
 }
 
+// Guards against a configuration that comes late because each read waits on another connection that
+// is just as dead.
+TEST_F(StoreFollowerTest, AChangeIsInForceInTimeAfterAllKeptConnectionsWentSilent)
+{
+    store.append("config", config('a', 2000));
+    follow();
+    ASSERT_LT(waitFor(config('a', 2000), 10s), MaxQuickApplyTime);
+    openConnections(5);
+    store.silenceConnections();
+    store.append("config", config('b', 2000));
+    EXPECT_LT(waitFor(config('b', 2000), 20s), MaxQuickApplyTime);
+}
+
 } // namespace cactuscove
