Addresses from outside need an IPv4 address and a port that can be called

Seen by operators: one record in the topic of entry addresses, or one heartbeat at an agent, with port 0 or a name in place of an ip was taken over: entries and agents dialled it again and again, and the agent took it for its worker.

Cause: isAddress() checks a text for flags, where port 0 asks for a free port, and does not look at the ip. It also judged addresses that are to be called.

An ignored address of an entry leaves a line, entry_address_ignored.

--- a/src/address.cpp
+++ b/src/address.cpp
@@ -27,6 +27,12 @@
     return splitAddress(address, ip, port);
 }
 
+bool isRemoteAddress(std::string_view address)
+{
+    sockaddr_in parsed{};
+    return toSockaddr(address, parsed) && parsed.sin_port != 0;
+}
+
 bool toSockaddr(std::string_view address, sockaddr_in &out)
 {
     std::string ip;
--- a/src/address.h
+++ b/src/address.h
@@ -17,6 +17,10 @@
 // Returns whether splitAddress() accepts `address`.
 bool isAddress(std::string_view address);
 
+// Returns whether `address` is an IPv4 address with a port from 1 to 65535, so that a connection to
+// it can be tried.
+bool isRemoteAddress(std::string_view address);
+
 // Converts "ip:port" to `out`. Returns false if the port is not valid or the ip is not an IPv4
 // address.
 bool toSockaddr(std::string_view address, sockaddr_in &out);
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <cstdio>
@@ -29,6 +30,7 @@
 constexpr std::size_t EntriesPerAgent = 8;
 // Other entries that an entry connects to, in addition to those that connect to it.
 constexpr std::size_t EntriesPerEntry = 3;
+constexpr std::size_t MaxLoggedAddress = 64; // bytes of an invalid address in the log
 constexpr ExitStatus Success{0};
 constexpr ExitStatus UsageError{2};
 
@@ -48,6 +50,15 @@
     return Incarnation{value | 1}; // 0 names no process
 }
 
+// Returns the begin of an address that is not valid, for the log.
+std::string printable(std::string_view address)
+{
+    std::string text(address.substr(0, MaxLoggedAddress));
+    std::replace_if(
+        text.begin(), text.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
+    return text;
+}
+
 std::string_view nameOf(Role role)
 {
     return role == Role::Entry ? "entry" : "agent";
@@ -246,7 +257,15 @@
 
 bool DispatchProcess::addEntryAddress(const std::string &address, std::string_view source)
 {
-    if (address == m_settings.linkAddress || !isAddress(address) || !m_selection.add(address))
+    if (address == m_settings.linkAddress)
+        return false;
+    if (!isRemoteAddress(address)) {
+        log({Severity::Warning,
+             "entry_address_ignored",
+             {{"address", printable(address)}, {"source", std::string(source)}}});
+        return false;
+    }
+    if (!m_selection.add(address))
         return false;
     log({Severity::Info, "entry_known", {{"address", address}, {"source", std::string(source)}}});
     onEntryAddressAdded(address);
@@ -266,7 +285,10 @@
     m_entryFollower = std::make_unique<StoreFollower>(
         m_loop, m_http, std::move(settings),
         StoreFollower::Handlers{
-            [this](const platform::StoreRecord &record) { addEntryAddress(record.value, "store"); },
+            [this](const platform::StoreRecord &record) {
+                if (!record.value.empty()) // not deleted
+                    addEntryAddress(record.value, "store");
+            },
             [this](bool isReachable, const std::string &detail) {
                 m_metrics.set("cactuscove_log_reachable", {}, isReachable);
                 log({isReachable ? Severity::Info : Severity::Warning,
--- a/src/upstreamapi.cpp
+++ b/src/upstreamapi.cpp
@@ -8,8 +8,6 @@
 #include <json/value.h>
 #include <json/writer.h>
 
-#include <netinet/in.h>
-
 #include <algorithm>
 #include <memory>
 #include <optional>
@@ -95,12 +93,6 @@
     return value;
 }
 
-bool isIpWithPort(const std::string &address)
-{
-    sockaddr_in parsed{};
-    return toSockaddr(address, parsed) && parsed.sin_port != 0;
-}
-
 } // namespace
 
 Result<UpstreamAnnouncement, UpstreamApiError> parseAnnouncement(std::string_view body)
@@ -113,7 +105,7 @@
     it.upstream = fields.text("upstream");
     it.incarnation = fields.text("incarnation");
     it.address = fields.text("address");
-    if (!isIpWithPort(it.address))
+    if (!isRemoteAddress(it.address))
         fields.fail("address", "must be an IPv4 address with a port");
     it.slots = fields.number("slots", 1, MaxSlots);
     it.connections = fields.number("connections", 1, MaxSlots);
--- a/tests/platformodd_test.cpp
+++ b/tests/platformodd_test.cpp
@@ -1,5 +1,5 @@
-// Messages from outside that no well-behaved sender writes: nested deeply, with numbers that are too
-// large, or with one odd element among good ones. None may end the process or hide the rest.
+// Messages from outside that no well-behaved sender writes: nested deeply, with numbers that are
+// too large, or with one odd element among good ones. None may end the process or hide the rest.
 
 #include "platform.h"
 
@@ -58,4 +58,19 @@
     EXPECT_TRUE(isOk(parseConfig(R"({"version":7,"routes":[]})")));
 }
 
+// Guards against a worker that is known but can never be called.
+TEST(PlatformOdd, AHeartbeatWithAnAddressThatCannotBeCalledNamesNoWorker)
+{
+    const auto isUsable = [](const std::string &address) {
+        return isOk(parseWorkerReport(heartbeat(
+            R"({"service":"s","zone":"z","state":"ready","seq_num":4,"capacity":{"cpu":1},)"
+            R"("address":")"
+            + address + "\"}")));
+    };
+    EXPECT_TRUE(isUsable("10.0.0.9:65535"));
+    for (const char *address : {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:-1", "10.0.0.9:", ":80",
+                                "10.0.0.900:80", "1.2.3:80", "worker:80", "10.0.0.9:80 "})
+        EXPECT_FALSE(isUsable(address)) << address;
+}
+
 } // namespace cactuscove::platform
--- a/tests/system/odd_test.py
+++ b/tests/system/odd_test.py
@@ -1,6 +1,7 @@
 """System test of messages and records that no well-behaved sender writes, one odd among good ones:
 from callers, workers, and other writers of the store's topics. No process may end or stop following.
 """
+import json
 import unittest
 
 import dispatch_test
@@ -60,7 +61,12 @@
     # Guards against a heartbeat of another writer that ends an agent or replaces its worker.
     def test_odd_heartbeats_name_no_worker(self):
         agent, worker = self.fleet.agents[0], self.fleet.workers[0]
-        odd = [f'{{"labels":{NESTED}}}']
+        good = {"service": "desk", "address": worker.announced, "zone": agent.zone,
+                "state": "ready", "capacity": {"cpu": 4000}, "born": worker.born, "seq_num": 10**9}
+        odd = [f'{{"labels":{NESTED}}}'] + [json.dumps({**good, **it}) for it in (
+            {"address": "127.0.0.1:0"}, {"address": "127.0.0.1:70000"}, {"address": "nowhere:80"},
+            {"seq_num": 10**30},
+            {"labels": ["a", 7]}, {"state": "odd"}, {"zone": 7})]
         for number, body in enumerate(odd):
             for name in (worker.id, "i-other"):
                 reply = http("PUT", f"{agent.own}:{WORKER_PORT}", f"/-/instances/{name}",
@@ -72,7 +78,9 @@
     # Guards against a record in a topic of the fleet that ends its readers, or that they cannot pass.
     def test_odd_records_of_instances_are_skipped(self):
         store = self.fleet.store
-        store.write("keyed.cactuscove-entries", "odd", f'{{"a":{NESTED}}}')
+        for n, value in enumerate([f'{{"a":{NESTED}}}', "127.0.0.1:0", "127.0.0.1:70000", "1.2.3:80",
+                                   "nowhere", "", b"\xff\xfe\x00"]):
+            store.write("keyed.cactuscove-entries", f"odd{n}", value)
         for agent in self.fleet.agents:
             for part in range(4):
                 for value in (NESTED, b"\x01" + bytes(8) + b"\x91" * DEPTH):
@@ -82,6 +90,9 @@
             self.fleet.start(it)
         self.fleet.wait_ready()
         self.check_service()
+        known = self.fleet.log_of(self.fleet.entries[0])
+        for address in ("127.0.0.1:0", "1.2.3:80"):
+            self.assertNotIn(f"event=entry_known role=entry instance=entry1 address={address} ", known)
 
 
 if __name__ == "__main__":
