Numbers from outside have limits that later sums keep

Seen by operators: a heartbeat with born or seq_num of 2^63-1 was taken over, after which all heartbeats of the real worker count as older: its work is lost until the agent restarts. A capacity of that size made sums over the workers overflow.

Cause: fields were only held to the range of the wire's type. Then they were turned from milliseconds into microseconds, cut to int or uint32, or added up.

--- a/src/dispatchtypes.h
+++ b/src/dispatchtypes.h
@@ -119,6 +119,9 @@
 std::string_view nameOf(TaskEnd end);
 std::string_view nameOf(StartRefusal refusal);
 
+// Latest Unix time in milliseconds that a message may name; about the year 2286.
+inline constexpr std::int64_t MaxUnixMs = 9'999'999'999'999;
+
 // A worker, as it describes itself in its heartbeats.
 struct WorkerInfo
 {
--- a/src/resources.h
+++ b/src/resources.h
@@ -9,6 +9,10 @@
 
 namespace cactuscove {
 
+// Largest amount of one resource that a message may name. Sums over all tasks of a job and all
+// workers of a fleet stay far below the range of the numbers.
+inline constexpr std::int64_t MaxResourceAmount = 1'000'000'000;
+
 // Differences may be negative: more was assigned than there is.
 struct Resources
 {
--- a/tests/system/odd_test.py
+++ b/tests/system/odd_test.py
@@ -65,7 +65,7 @@
                 "state": "ready", "capacity": {"cpu": 4000}, "born": worker.born, "seq_num": 10**9}
         odd = [f'{{"labels":{NESTED}}}'] + [json.dumps({**good, **it}) for it in (
             {"address": "127.0.0.1:0"}, {"address": "127.0.0.1:70000"}, {"address": "nowhere:80"},
-            {"seq_num": 10**30},
+            {"seq_num": 10**30}, {"born": 2**63 - 1}, {"capacity": {"cpu": 2**63 - 1}},
             {"labels": ["a", 7]}, {"state": "odd"}, {"zone": 7})]
         for number, body in enumerate(odd):
             for name in (worker.id, "i-other"):
