Store: one odd item does not hide the other newest records

Seen by operators: an item without a key or offset, or with one of another type, makes its whole page Malformed. The follower reads the page again without end and applies none of its records: the configuration, the entries' addresses and the worker's record stay as they were.

Cause: only a value that is not base64 was skipped alone; any other error left the loop over the items.

Skipped ones leave a line, store_ record_unreadable. If one names no key, a read does not count as complete, as the key may be that of an evacuation that would then count as withdrawn.

--- a/src/dispatchoperators.cpp
+++ b/src/dispatchoperators.cpp
@@ -31,6 +31,9 @@
                                 [this](const std::set<std::string> &keys, LogOffset readUpTo) {
                                     onCompleteRead(keys, readUpTo);
                                 },
+                                [this](std::string_view key) {
+                                    m_handlers.log(unreadableRecordEvent("operators", key));
+                                },
                                 [this](const FailedRead &read) {
                                     m_handlers.log(failedReadEvent("operators", read));
                                 }});
--- a/src/dispatchprocess.cpp
+++ b/src/dispatchprocess.cpp
@@ -296,6 +296,7 @@
                      {{"topic", EntryAddressTopic}, {"detail", detail}}});
             },
             {},
+            [this](std::string_view key) { log(unreadableRecordEvent(EntryAddressTopic, key)); },
             [this](const FailedRead &read) { log(failedReadEvent(EntryAddressTopic, read)); }});
 }
 
--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -9,6 +9,13 @@
 
 namespace cactuscove {
 
+LogEvent unreadableRecordEvent(std::string_view topic, std::string_view key)
+{
+    return {Severity::Warning,
+            "store_record_unreadable",
+            {{"topic", std::string(topic)}, {"key", std::string(key)}}};
+}
+
 LogEvent failedReadEvent(std::string_view topic, const FailedRead &read)
 {
     const bool isAnswered = read.error.kind != platform::StoreFailure::Unreachable;
@@ -68,7 +75,7 @@
                      for (const platform::StoreRecord &it : valueOf(page).records)
                          m_newestKeys.insert(it.key);
                      for (const std::string &it : valueOf(page).unreadableKeys)
-                         m_newestKeys.insert(it);
+                         skipUnreadable(it);
                      m_continueAfterKey = valueOf(page).continueAfterKey;
                      if (m_continueAfterKey.empty())
                          onNewestRead();
@@ -82,10 +89,19 @@
 {
     m_nextOffset = m_firstPageEnd;
     const std::set<std::string> keys = std::exchange(m_newestKeys, {});
-    if (m_handlers.onCompleteRead)
+    // A record without a readable key may be that of any key that seems to be missing.
+    const bool isComplete = keys.count("") == 0;
+    if (isComplete && m_handlers.onCompleteRead)
         m_handlers.onCompleteRead(keys, m_firstPageEnd);
 }
 
+void StoreFollower::skipUnreadable(const std::string &key)
+{
+    m_newestKeys.insert(key);
+    if (m_handlers.onUnreadableRecord)
+        m_handlers.onUnreadableRecord(key);
+}
+
 void StoreFollower::readNext()
 {
     m_http.start(platform::makeReadCall(m_settings.store, m_settings.topic, *m_nextOffset,
--- a/src/storefollower.h
+++ b/src/storefollower.h
@@ -44,7 +44,8 @@
     std::optional<LogOffset> offset; // that was to be read; none: the newest records
 };
 
-// Returns the event that reports a failed read of `topic`.
+// Return the events that report a skipped record and a failed read of `topic`.
+LogEvent unreadableRecordEvent(std::string_view topic, std::string_view key);
 LogEvent failedReadEvent(std::string_view topic, const FailedRead &read);
 
 class StoreFollower
@@ -61,8 +62,12 @@
         // may be empty.
         std::function<void(bool isReachable, const std::string &detail)> onReachabilityChanged;
         // The newest record of each key was read and reported. `keys` are all keys that had one; a
-        // key that is missing had none before `readUpTo`. The handler may be empty.
+        // key that is missing had none before `readUpTo`. Not called if a record names no key. The
+        // handler may be empty.
         std::function<void(const std::set<std::string> &keys, LogOffset readUpTo)> onCompleteRead;
+        // A record among the newest ones cannot be decoded and is skipped. `key` is empty if it
+        // names none. The handler may be empty.
+        std::function<void(std::string_view key)> onUnreadableRecord;
         // A read has failed; it will be repeated. The handler may be empty.
         std::function<void(const FailedRead &read)> onReadFailed;
     };
@@ -82,6 +87,7 @@
     void readNewest();
     void readNext();
     void onNewestRead(); // the last page of newest records was read
+    void skipUnreadable(const std::string &key);
     void startAppend();
     void onPage(const platform::StorePage &page);
     void onFailure(const platform::StoreError &error);
--- a/tests/platformodd_test.cpp
+++ b/tests/platformodd_test.cpp
@@ -143,4 +143,22 @@
         EXPECT_EQ(parsePollReply(reply(200, body)).answer, CallAnswer::NoAnswer) << body;
 }
 
+// Guards against one odd item that hides all other records of its page, again at each read.
+TEST(PlatformOdd, NewestRecordsBesideAnOddItemAreRead)
+{
+    const std::string good = R"({"key":"config","value":")" + toBase64("one") + R"(","offset":4})";
+    for (const char *odd :
+         {"7", "null", "[]", "{}", R"({"key":7,"value":"","offset":1})",
+          R"({"key":"odd","value":7,"offset":1})", R"({"key":"odd","value":"","offset":-1})",
+          R"({"key":"odd","value":"","offset":1e30})", R"({"key":"odd","value":"!","offset":1})"}) {
+        const auto page = parseNewest(reply(200, R"({"items":[)" + good + ',' + odd
+                                                     + R"(],"has_more":true,"end_offset":6})"));
+        ASSERT_TRUE(isOk(page)) << odd << ": " << errorOf(page).detail;
+        ASSERT_EQ(valueOf(page).records.size(), 1u) << odd;
+        EXPECT_EQ(valueOf(page).records[0].value, "one");
+        EXPECT_EQ(valueOf(page).unreadableKeys.size(), 1u);
+        EXPECT_FALSE(valueOf(page).continueAfterKey.empty());
+    }
+}
+
 } // namespace cactuscove::platform
--- a/tests/storefollower_test.cpp
+++ b/tests/storefollower_test.cpp
@@ -176,4 +176,16 @@
     EXPECT_LT(waitFor(config('b', 2000), 20s), MaxQuickApplyTime);
 }
 
+// Guards against a key that counts as deleted because its record cannot be read.
+TEST_F(StoreFollowerTest, AReadWithARecordThatNamesNoKeyIsNotComplete)
+{
+    store.append("evacuate/north", "{}");
+    // In the answer, which is JSON, the key of this record is a number.
+    store.append(R"(odd","key":7,"x":")", "1");
+    store.append("last", "1");
+    follow();
+    ASSERT_LT(waitFor("1", 10s), MaxQuickApplyTime);
+    EXPECT_TRUE(completeKeys.empty());
+}
+
 } // namespace cactuscove
