A task whose index is out of range is not task 0

Seen by operators: a run that a worker lists under an index beyond 32 bits was taken for task 0 of that job: marked as running, or ended.

Cause: std::from_chars leaves its result as it was when a number is out of range; only the end of the text was compared.

--- a/tests/platformodd_test.cpp
+++ b/tests/platformodd_test.cpp
@@ -161,4 +161,12 @@
     }
 }
 
+// Guards against a run that is taken for that of task 0 because its index is out of range.
+TEST(PlatformOdd, ATaskWithAnIndexOutOfRangeIsNotTaskZero)
+{
+    const PollReply poll = parsePollReply(
+        reply(200, R"({"clock_ms":1,"active":[["5c0e.0.0.99999999999",1,"",5]],"finished":[]})"));
+    EXPECT_EQ(poll.answer, CallAnswer::NoAnswer);
+}
+
 } // namespace cactuscove::platform
