Worker records: what no heartbeat can describe is an error

Seen by operators: a record with a right checksum that names port 0, no ip, a negative capacity or a start time far in the future was put to use by a restarted agent. A start time in the future makes all heartbeats of the real worker older than the record.

Change: one predicate for what a heartbeat could have described.

Measured: WorkerRecord.WhatNoHeartbeatCanDescribeIsAnError failed before and passes now.

--- a/src/workerrecord.cpp
+++ b/src/workerrecord.cpp
@@ -2,6 +2,8 @@
 
 #include "workerrecord.h"
 
+#include "address.h"
+
 #include <msgpack.hpp>
 #include <xxhash.h>
 
@@ -35,6 +37,20 @@
     return bytes;
 }
 
+bool isPlausible(const Resources &capacity)
+{
+    const auto isInRange = [](std::int64_t n) { return n >= 0 && n <= MaxResourceAmount; };
+    return isInRange(capacity.cpuMillis) && isInRange(capacity.memoryMb)
+           && isInRange(capacity.accelerators);
+}
+
+// Whether a heartbeat could have described this worker.
+bool isPlausible(const WorkerInfo &it)
+{
+    return !it.id.empty() && isRemoteAddress(it.address) && isPlausible(it.capacity)
+           && it.startedAtUnixMs > 0 && it.startedAtUnixMs <= MaxUnixMs;
+}
+
 } // namespace
 
 Result<std::string, WorkerRecordError> encodeWorkerRecord(const WorkerRecord &record)
@@ -77,8 +93,8 @@
                  it.capacity.memoryMb, it.capacity.accelerators, it.labels, it.isDraining,
                  it.startedAtUnixMs, record.describedAtUnixMs)
             = array.as<Fields>();
-        if (it.id.empty() || it.address.empty() || it.startedAtUnixMs <= 0)
-            return WorkerRecordError{"worker", "id, address or start time is missing"};
+        if (!isPlausible(it))
+            return WorkerRecordError{"worker", "id, address, capacity or start time is invalid"};
         return record;
     } catch (const msgpack::type_error &) {
         return WorkerRecordError{"body", "field of wrong type"};
--- a/tests/workerrecord_test.cpp
+++ b/tests/workerrecord_test.cpp
@@ -350,4 +350,27 @@
     EXPECT_EQ(fresh.loads(Start).size(), 1u);
 }
 
+// Guards against a record, whole and with a right checksum, of a worker that no heartbeat can
+// describe.
+TEST(WorkerRecord, WhatNoHeartbeatCanDescribeIsAnError)
+{
+    const auto isRefused = [](const WorkerInfo &it) {
+        const auto record = decodeWorkerRecord(encoded(it));
+        return !isOk(record) && errorOf(record).field == "worker";
+    };
+    EXPECT_FALSE(isRefused(worker()));
+    for (const char *address : {"", "10.0.0.1:0", "10.0.0.1:70000", "10.0.0:80", "render:80"}) {
+        WorkerInfo it = worker();
+        it.address = address;
+        EXPECT_TRUE(isRefused(it)) << address;
+    }
+    for (const std::int64_t amount : {std::int64_t(-1), MaxResourceAmount + 1}) {
+        WorkerInfo it = worker();
+        it.capacity.cpuMillis = amount;
+        EXPECT_TRUE(isRefused(it)) << amount;
+    }
+    EXPECT_TRUE(isRefused(worker(0)));
+    EXPECT_TRUE(isRefused(worker(MaxUnixMs + 1)));
+}
+
 } // namespace cactuscove
