Settings: a time that is too long is a mistake of its field

Cause: a bound beyond the range of Duration, or nan, was converted without an error, with an undefined result.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -101,6 +101,18 @@
     EXPECT_FALSE(isOk(parseSettings("node_name = ", Role::Agent)));
 }
 
+// Guards against a time that turns negative in another unit.
+TEST(PlatformSettings, ATimeThatIsTooLongIsNamed)
+{
+    for (const char *value : {"-1", "1e300", "nan", "inf", "9223372036854775807"}) {
+        std::string text = EntrySettings;
+        text.replace(text.find("grace_s = 6"), 11, "grace_s = " + std::string(value));
+        const auto settings = parseSettings(text, Role::Entry);
+        ASSERT_FALSE(isOk(settings)) << value;
+        EXPECT_TRUE(errorOf(settings).lines.front().starts_with("bounds.grace_s: ")) << value;
+    }
+}
+
 // Guards against tasks that run with the wrong resources or a changed payload.
 TEST(PlatformJobs, ABestEffortJobIsDecoded)
 {
