Soak: all connections silent at once, odd messages, a change in force in time

Seeds from 500 on draw from a list with the two new faults; earlier seeds keep their schedules. At the end of every seed all connections go silent beside a change, which each entry must have within 3 s (stable_window_ms).

--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -10,7 +10,8 @@
 - what is rejected never ran, and what is answered as completed has run to its end;
 - every answer comes within the caller's deadline, or the connection ends;
 - a process ends by itself only after SIGTERM, with status 0 and within the grace time;
-- once the faults are over, jobs complete again within RECOVERY_S.
+- once the faults are over, jobs complete again within RECOVERY_S, and a change of the configuration is
+  in force at every entry within STABLE_WINDOW_S after all connections have gone silent.
 
 If a promise is broken, the output of all processes and the list of faults (faults.log) are kept, and
 their directory is printed.
@@ -25,18 +26,21 @@
 import threading
 import time
 
-from dispatchfleet import (GRACE_S, Caller, DispatchFleet, in_threads, overlapping_runs,
-                           untrue_answers)
-from fleet import wait_until
+from dispatchfleet import (GRACE_S, WORKER_PORT, Caller, DispatchFleet, in_threads,
+                           overlapping_runs, untrue_answers)
+from fleet import http, metric, wait_until
 
 # Seeds that have found a fault; the default of --seeds.
 REGRESSIONS = [
     7,   # SIGHUP ended a process during its start, because its handler was set up last
     34,  # the same with SIGTERM
+    500,  # a deeply nested heartbeat ended agents
 ]
+FIRST_LATER_SEED = 500
 CALLERS = 8
 RECOVERY_S = 8      # includes a worker's next heartbeat and one full proof time
 ANSWER_SLACK_S = 1  # answers may be late by this much, because one machine runs all processes
+STABLE_WINDOW_S = 3  # stable_window_ms of the users' platform
 DEADLINE_MS = 4000  # of all jobs, the default of Caller.submit_once()
 
 
@@ -112,6 +116,30 @@
         self.fleet.harm(proxy, "POST", "/" + how)
         return f"{how} {proxy}", None
 
+    def silence_all(self):
+        """Makes all open connections silent at once; new ones work."""
+        for proxy in self.fleet.proxies:
+            self.fleet.harm(proxy, "POST", "/silence")
+        return "all", None
+
+    def send_odd(self):
+        """Sends a message that no well-behaved sender writes, or writes such a record."""
+        agent = self.random.choice(self.fleet.agents)
+        nested = "[" * 5000 + "]" * 5000
+        what = self.random.choice(["heartbeat", "entry", "worker", "config"])
+        if what == "heartbeat":
+            http("PUT", f"{agent.own}:{WORKER_PORT}", "/-/instances/i-odd",
+                 f'{{"labels":{nested}}}'.encode(), timeout=0.2)
+        elif what == "config":
+            self.fleet.store.write("keyed.op", "config", f'{{"version":{nested}}}')
+            self.fleet.apply_config([])
+        else:
+            topic = "entries" if what == "entry" else "workers"
+            for part in range(4):
+                self.fleet.store.write(f"keyed.cactuscove-{topic}", agent.name,
+                                       self.random.choice([nested, "127.0.0.1:0", "odd"]), part)
+        return what, None
+
     def delay_connections(self):
         """Delays all data through a proxy."""
         proxy = self.random.choice(list(self.fleet.proxies))
@@ -168,18 +196,21 @@
         self.fleet.apply_config(["later"] if self.fleet.version % 2 else [])
         return str(self.fleet.version), None
 
-    # A fault that stands here twice is twice as likely.
+    # A fault that stands here twice is twice as likely. A seed keeps its schedule only while its list
+    # stays as it is, so seeds from FIRST_LATER_SEED on have a list of their own.
     FAULTS = (kill, kill, terminate, terminate, pause, pause, break_connections, break_connections,
               delay_connections, refuse_connections, fail_store, crash_worker, fail_worker,
               slow_worker, reload, change_config)
+    LATER_FAULTS = (*FAULTS, silence_all, send_odd)
 
     def schedule(self):
         """Schedules the begins of all faults: groups of one to three, with pauses between them."""
+        faults = self.FAULTS if self.seed < FIRST_LATER_SEED else self.LATER_FAULTS
         at = 1.0
         while at < self.seconds:
             for _ in range(self.random.randint(1, 3)):
                 at += self.random.uniform(0, 0.6)
-                self.at(at, "", self.random.choice(self.FAULTS))
+                self.at(at, "", self.random.choice(faults))
             at += self.random.uniform(0.5, 2.5)
 
     def at(self, at, what, function):
@@ -247,6 +278,23 @@
                 self.violations.append(str(error))
         caller.close()
 
+    def check_configuration(self):
+        """Checks that a change is in force in time, beside connections that have all gone silent.
+
+        Callers see it by a queue that was added. The time counts from the silence: an instance is
+        held to the bound once its connections were calm for STABLE_WINDOW_S.
+        """
+        self.silence_all()
+        begin = time.monotonic()
+        self.fleet.apply_config(["checked"])
+        for entry in self.fleet.entries:
+            try:
+                wait_until(f"version {self.fleet.version} at {entry.name}", lambda it=entry: metric(
+                    it.metrics, "cactuscove_config_revision") == self.fleet.version,
+                           max(0.1, begin + STABLE_WINDOW_S - time.monotonic()))
+            except AssertionError as error:
+                self.violations.append(str(error))
+
     def check_history(self):
         """Checks the runs and answers, the times of the answers, and that all instances run."""
         history = self.fleet.history
@@ -271,6 +319,7 @@
             self.schedule()
             self.run_schedule()
             self.check_recovery()
+            self.check_configuration()
             self.is_over.set()
             for it in callers:
                 it.join(30)
