--- a/tests/decoderfuzz_test.cpp
+++ b/tests/decoderfuzz_test.cpp
@@ -4,6 +4,7 @@
 #include "dispatchcodec.h"
 #include "operatorcopy.h"
 #include "platform.h"
+#include "platformmessages.h"
 #include "workerrecord.h"
 
 #include <gtest/gtest.h>
@@ -81,14 +82,6 @@
     }
 }
 
-platform::CallResult reply(std::string body)
-{
-    HttpReply it;
-    it.status = 200;
-    it.body = std::move(body);
-    return it;
-}
-
 constexpr char Job[]
     = R"({"spec":"x","best_effort":true,"phases":[{"count":4,"cpu":500,"mem_mb":256,)"
       R"("est_runtime_ms":90,"constraints":"a","affinity":"r1"}]})";
@@ -111,17 +104,13 @@
 {
     fuzz(Job, [](const std::string &it) { platform::parseJob("5c0e7a21d94b36f8", it); });
     fuzz(Config, [](const std::string &it) { platform::parseConfig(it); });
-    fuzz(Heartbeat, [](const std::string &it) {
-        HttpRequest request;
-        request.method = "PUT";
-        request.path = "/-/instances/i-7f";
-        request.body = it;
-        platform::parseWorkerReport(request);
+    fuzz(Heartbeat,
+         [](const std::string &it) { platform::parseWorkerReport(platform::heartbeat(it)); });
+    fuzz(Runs, [](const std::string &it) { platform::parsePollReply(platform::reply(200, it)); });
+    fuzz(Newest, [](const std::string &it) { platform::parseNewest(platform::reply(200, it)); });
+    fuzz(std::string(16, '\0') + std::string("\0\0\0\x05\x01kone", 9), [](const std::string &it) {
+        platform::parseRead(platform::reply(200, it), LogOffset{7});
     });
-    fuzz(Runs, [](const std::string &it) { platform::parsePollReply(reply(it)); });
-    fuzz(Newest, [](const std::string &it) { platform::parseNewest(reply(it)); });
-    fuzz(std::string(16, '\0') + std::string("\0\0\0\x05\x01kone", 9),
-         [](const std::string &it) { platform::parseRead(reply(it), LogOffset{7}); });
     fuzz("{}", [](const std::string &it) {
         platform::parseEvacuation({"evacuate/north", it, LogOffset{3}});
     });
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,6 +2,7 @@
 // invalid messages that are accepted.
 
 #include "platform.h"
+#include "platformmessages.h"
 
 #include "textencoding.h"
 
@@ -35,23 +36,6 @@
 address = "10.200.1.7:8169"
 )";
 
-CallResult reply(int status, std::string body)
-{
-    HttpReply it;
-    it.status = status;
-    it.body = std::move(body);
-    return it;
-}
-
-HttpRequest heartbeat(std::string body)
-{
-    HttpRequest request;
-    request.method = "PUT";
-    request.path = "/-/instances/i-7f";
-    request.body = std::move(body);
-    return request;
-}
-
 std::string record(std::string_view key, std::string_view value)
 {
     std::string out("\0\0\0", 3);
@@ -323,13 +307,10 @@
 TEST(PlatformWorkers, ColdTimeIsOptional)
 {
     const auto coldLeft = [](const std::string &field) {
-        HttpRequest request;
-        request.method = "PUT";
-        request.path = "/-/instances/i-1";
-        request.body = R"({"service":"s","address":"127.0.0.1:80","zone":"z","state":"ready",)"
-                       R"("capacity":{"cpu":1000},"seq_num":1)"
-                       + field + "}";
-        const auto report = parseWorkerReport(request);
+        const auto report = parseWorkerReport(
+            heartbeat(R"({"service":"s","address":"127.0.0.1:80","zone":"z","state":"ready",)"
+                      R"("capacity":{"cpu":1000},"seq_num":1)"
+                      + field + "}"));
         return isOk(report) ? std::optional(valueOf(report).coldLeft) : std::nullopt;
     };
     EXPECT_EQ(coldLeft(R"(,"cold_left_ms":900)"), Duration(900ms));
--- a/tests/platformodd_test.cpp
+++ b/tests/platformodd_test.cpp
@@ -3,6 +3,7 @@
 
 #include "jsonbody.h"
 #include "platform.h"
+#include "platformmessages.h"
 
 #include "textencoding.h"
 
@@ -12,23 +13,6 @@
 
 namespace {
 
-CallResult reply(int status, std::string body)
-{
-    HttpReply it;
-    it.status = status;
-    it.body = std::move(body);
-    return it;
-}
-
-HttpRequest heartbeat(std::string body)
-{
-    HttpRequest request;
-    request.method = "PUT";
-    request.path = "/-/instances/i-7f";
-    request.body = std::move(body);
-    return request;
-}
-
 // A document whose field `name` is nested 5,000 deep.
 std::string nested(const std::string &name)
 {
