--- a/src/fleetconfig.cpp
+++ b/src/fleetconfig.cpp
@@ -7,6 +7,8 @@
 
 #include "fleetconfig.h"
 
+#include "durationtext.h"
+
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
@@ -42,26 +44,6 @@
 constexpr double MaxEjectedFraction = 0.5;
 constexpr double MaxRetryBudget = 0.5;
 
-struct DurationUnit
-{
-    std::string_view suffix;
-    Duration length;
-};
-
-// Longest first: formatDuration() takes the first unit that divides the value.
-constexpr DurationUnit DurationUnits[]
-    = {{"h", 1h}, {"m", 1min}, {"s", 1s}, {"ms", 1ms}, {"us", 1us}};
-
-// In the notation of the file, for example "90s" or "10m".
-std::string formatDuration(Duration value)
-{
-    for (const DurationUnit &unit : DurationUnits) {
-        if (value.count() != 0 && value % unit.length == Duration::zero())
-            return std::to_string(value / unit.length) + std::string(unit.suffix);
-    }
-    return "0s";
-}
-
 std::string formatNumber(double value)
 {
     char buf[32];
@@ -69,23 +51,6 @@
     return {buf, end};
 }
 
-// Returns false for malformed text, a negative value or an overflow.
-bool parseDuration(std::string_view text, Duration &value)
-{
-    std::int64_t count = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), count);
-    if (ec != std::errc() || count < 0)
-        return false;
-    const std::string_view suffix = text.substr(static_cast<std::size_t>(end - text.data()));
-    const auto it = std::find_if(std::begin(DurationUnits), std::end(DurationUnits),
-                                 [suffix](const auto &unit) { return unit.suffix == suffix; });
-    if (it == std::end(DurationUnits)
-        || count > std::numeric_limits<std::int64_t>::max() / it->length.count())
-        return false;
-    value = count * it->length;
-    return true;
-}
-
 bool isName(std::string_view text)
 {
     return !text.empty() && text.size() <= MaxNameBytes
--- a/src/shardownership.h
+++ b/src/shardownership.h
@@ -85,6 +85,9 @@
     bool hasNothingToTransfer() const;
 
 private:
+    // Transfers that are acknowledged within this time of each other are claimed with one append.
+    static constexpr Duration ClaimBatchDelay = std::chrono::milliseconds(20);
+
     enum class TransferStage {
         Draining,     // the shard takes no new jobs and waits for the end of those in progress
         Sending,      // the jobs are sent, repeatedly, until the receiver acknowledges them
