--- a/tests/fleetconfig_test.cpp
+++ b/tests/fleetconfig_test.cpp
@@ -145,4 +145,15 @@
 }
 
 } // namespace
+// Guards against a file that ends the process by its depth.
+TEST(FleetConfig, ADeeplyNestedFileIsAnError)
+{
+    EXPECT_FALSE(isOk(parseFleetConfig("version: " + std::string(30'000, '['))));
+    EXPECT_FALSE(isOk(parseFleetConfig(std::string(5'000, '[') + std::string(5'000, ']'))));
+    std::string mappings;
+    for (int i = 0; i < 300; ++i)
+        mappings += std::string(static_cast<std::size_t>(i), ' ') + "a:\n";
+    EXPECT_FALSE(isOk(parseFleetConfig(mappings)));
+}
+
 } // namespace cactuscove
