--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -32,8 +32,9 @@
 constexpr Duration EntryUpdateDelay = 50ms;
 // A connection on which no message arrives for this long is closed, unless its peer is an entry.
 constexpr Duration LinkTimeout = 2s;
-// Connections between entries carry only entry addresses and starts, so a broken one may be found
-// later and needs fewer heartbeats.
+// Connections between entries carry no tasks, so a broken one may be found later and needs fewer
+// heartbeats. Offers of the operators' records that are not acknowledged end it sooner (see
+// FramedLink).
 constexpr Duration EntryHeartbeatInterval = 1s;
 constexpr Duration EntryLinkTimeout = 3500ms;
 
