Shutdown: every job is answered before the process is killed

Seen by callers: no answer from an entry that got SIGTERM. It accepts jobs for 2.5 s more, and waits for each as long as its caller does. With a deadline of 4 s that can be 6.5 s, while the process is killed after 6 s.

Change: from SIGTERM on no job, open or new, has a deadline later than 500 ms before the end of the grace period; then its caller gets a truthful failure.

Measured: JobDispatcher.AnswersEveryJobBeforeTheProcessMustEnd passes; the call that it tests is new.

--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -26,6 +26,8 @@
 // Jobs are accepted for this long after the shutdown signal. The load balancer checks readiness
 // every second and stops sending new connections only after two failed checks.
 constexpr Duration AcceptAfterShutdownSignal = 2500ms;
+// From the last answers to jobs until the process is killed: time to send them and to end.
+constexpr Duration LastAnswersTime = 500ms;
 // How often a process that shuts down checks whether all jobs are answered.
 constexpr Duration DrainCheckInterval = 20ms;
 // New addresses and starts of entries are collected for this long and sent in one message.
@@ -406,6 +408,10 @@
     void beginShutdown() override
     {
         m_callers.closeConnections();
+        m_decisions.handleInput(
+            [this](JobDispatcher &dispatcher, TimePoint now, DispatcherOutbox &) {
+                dispatcher.answerJobsBy(now + m_settings.shutdownGracePeriod - LastAnswersTime);
+            });
         m_refuseTimer.startIn(
             std::min(AcceptAfterShutdownSignal, m_settings.shutdownGracePeriod / 2));
     }
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -302,6 +302,14 @@
     m_shuttingDown = true;
 }
 
+void JobDispatcher::answerJobsBy(TimePoint end)
+{
+    m_lastDeadline = end - CloseTimeout;
+    for (auto &[number, job] : m_jobs)
+        job.deadline = std::min(job.deadline, m_lastDeadline);
+    m_nextExpiry = earliestExpiry();
+}
+
 TimePoint JobDispatcher::earliestExpiry() const
 {
     TimePoint next = NeverTime;
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -135,6 +135,9 @@
     // them, and at nextTimer().
     void processPending(TimePoint now, DispatcherOutbox &out);
     void beginShutdown(); // refuses new jobs from now on; open jobs continue
+    // All jobs, open and new, are answered by `end`, when the process must end, whatever time their
+    // callers have.
+    void answerJobsBy(TimePoint end);
 
     // Queries
 
@@ -384,6 +387,7 @@
     std::map<Incarnation, std::uint32_t> m_entryCounts;
     bool m_knowsEvacuations = false; // setEvacuated() was called with a complete set
     bool m_shuttingDown = false;
+    TimePoint m_lastDeadline = NeverTime; // of a job; NeverTime before answerJobsBy()
 };
 
 } // namespace cactuscove
--- a/src/jobdispatcherarrivals.cpp
+++ b/src/jobdispatcherarrivals.cpp
@@ -89,7 +89,7 @@
     job.maxAttempts = std::max(queue.maxAttempts, 1);
     job.upstream = queue.upstream;
     job.arrivedAt = now;
-    job.deadline = now + callerTimeout - AnswerMargin;
+    job.deadline = std::min(now + callerTimeout - AnswerMargin, m_lastDeadline);
     job.expectedRun = m_runTimes.expect(spec.queue, spec.declaredRunTime);
     job.spec = std::move(spec);
     const Duration makespan = expectedMakespan(job);
--- a/tests/demandtable_test.cpp
+++ b/tests/demandtable_test.cpp
@@ -9,6 +9,8 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <memory>
+#include <set>
 
 namespace cactuscove {
 
@@ -124,29 +126,40 @@
 
 namespace {
 
-// Refusal reasons of a job that is expected to meet its deadline and not its objective, where the
-// agent reports this utilisation.
-std::vector<std::string> refusalsOfLateJob(bool hasScarcityControl, double utilisation)
+// A dispatcher with one agent, whose worker of 10 cores has `freeCores` of them free. The agent
+// reports this utilisation.
+std::unique_ptr<JobDispatcher> makeDispatcher(bool hasScarcityControl, double utilisation,
+                                              int freeCores, DispatcherOutbox &out)
 {
-    JobDispatcher dispatcher({1, 1800ms, hasScarcityControl}, Now - 1h);
-    DispatcherOutbox out;
+    auto dispatcher = std::make_unique<JobDispatcher>(
+        DispatcherSettings{1, 1800ms, hasScarcityControl}, Now - 1h);
     DispatchConfig config;
     config.version = 1;
     config.queues.push_back({"q", "host", "/", "u", 0, 1, 1.6, 60ms, 30s});
-    dispatcher.configure(config, out);
-    dispatcher.onAgentConnected({"a", A, Role::Agent, "dc", {}, ProtocolVersion}, Now, out);
-    dispatcher.onAgentMessage(A, PeerHeartbeat{Now, 1, {{"u", 0, utilisation}}}, Now, out);
+    dispatcher->configure(config, out);
+    dispatcher->onAgentConnected({"a", A, Role::Agent, "dc", {}, ProtocolVersion}, Now, out);
+    dispatcher->onAgentMessage(A, PeerHeartbeat{Now, 1, {{"u", 0, utilisation}}}, Now, out);
     WorkerUpdate worker;
     worker.worker.id = "w";
     worker.worker.upstream = "u";
     worker.worker.capacity = {10000, 1000, 0};
-    dispatcher.onAgentMessage(A, worker, Now, out);
-    WorkerLoad load; // nothing is free
+    dispatcher->onAgentMessage(A, worker, Now, out);
+    WorkerLoad load;
     load.workerId = "w";
     load.isUsable = true;
-    dispatcher.onAgentMessage(A, load, Now, out);
+    load.free = {1000 * freeCores, 1000, 0};
+    dispatcher->onAgentMessage(A, load, Now, out);
+    return dispatcher;
+}
+
+// Refusal reasons of a job that is expected to meet its deadline and not its objective, where the
+// agent reports this utilisation and nothing is free.
+std::vector<std::string> refusalsOfLateJob(bool hasScarcityControl, double utilisation)
+{
+    DispatcherOutbox out;
+    const auto dispatcher = makeDispatcher(hasScarcityControl, utilisation, 0, out);
     BestEffortJob job{"j", "q", {}, {1000, 1, 0}, 10, 200ms, {}, {}};
-    dispatcher.submit(CallerId{1}, job, 1500ms, Now, out);
+    dispatcher->submit(CallerId{1}, job, 1500ms, Now, out);
     std::vector<std::string> reasons;
     for (const DispatcherEffect &it : out)
         if (const auto *answer = std::get_if<AnswerJob>(&it))
@@ -166,6 +179,32 @@
     EXPECT_EQ(refusalsOfLateJob(false, 0.5), Reasons{"overloaded"});
 }
 
+// Guards against an answer that is lost because the process is killed before the caller's time is
+// up.
+TEST(JobDispatcher, AnswersEveryJobBeforeTheProcessMustEnd)
+{
+    DispatcherOutbox out;
+    const auto dispatcher = makeDispatcher(false, 0, 10, out);
+    const auto submit = [&](const char *id, std::uint64_t caller, TimePoint at) {
+        BestEffortJob job{id, "q", {}, {1000, 1, 0}, 2, 200ms, {}, {}};
+        dispatcher->submit(CallerId{caller}, job, 30s, at, out);
+        dispatcher->processPending(at, out);
+    };
+    const TimePoint end = Now + 5s;
+    submit("open", 1, Now);
+    dispatcher->answerJobsBy(end);
+    submit("new", 2, Now + 1s);
+    // The agent reports nothing about the tasks.
+    for (TimePoint now = Now + 1s; now <= end; now += 10ms)
+        dispatcher->processPending(now, out);
+    std::set<CallerId> answered;
+    for (const DispatcherEffect &it : out)
+        if (const auto *answer = std::get_if<AnswerJob>(&it))
+            answered.insert(answer->caller);
+    EXPECT_EQ(answered, (std::set<CallerId>{CallerId{1}, CallerId{2}}));
+    EXPECT_EQ(dispatcher->openJobs(), 0u);
+}
+
 // Guards against size classes of which none is ever accepted, and against an accepted part that
 // depends on chance.
 TEST(AdmissionQuota, AcceptsThePartOfEachSizeClass)
