Milliseconds are converted by durations.h in the new code as well

Also a sentence of the soak that named a queue where the check reads the version in force. No behaviour changes.

--- a/src/storefollower.cpp
+++ b/src/storefollower.cpp
@@ -3,6 +3,7 @@
 
 #include "storefollower.h"
 
+#include "durations.h"
 #include "storeretry.h"
 
 #include <utility>
@@ -25,7 +26,7 @@
             {{"topic", std::string(topic)},
              {"detail", read.error.detail},
              {"connection", isAnswered ? "answered" : connection},
-             {"duration_ms", std::to_string(read.duration / std::chrono::milliseconds(1))},
+             {"duration_ms", toMsString(read.duration)},
              {"failures_before", std::to_string(read.failuresBefore)},
              {"offset", read.offset ? std::to_string(read.offset->value) : "newest"}}};
 }
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -286,8 +286,8 @@
     def check_configuration(self):
         """Checks that a change is in force in time, beside connections that have all gone silent.
 
-        Callers see it by a queue that was added. The time counts from the silence: an instance is
-        held to the bound once its connections were calm for STABLE_WINDOW_S.
+        The time counts from the silence: an instance is held to the bound once its connections were
+        calm for STABLE_WINDOW_S.
         """
         self.silence_all()
         begin = time.monotonic()
