--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -37,6 +37,9 @@
 constexpr double MaxCallDelayMs = 240; // in which a start is still accepted
 constexpr Duration MinConnectTime = 20ms;
 constexpr Duration MaxRecordReadTime = 30ms; // of a worker record in the store
+// A capacity that has shrunk counts this much later: stable_window_ms and one heartbeat.
+constexpr Duration CapacityGrace = 3s + WorkerHeartbeatInterval;
+constexpr int MaxCrashes = 3; // after so many crashes under a task, it must not start again
 
 } // namespace
 
@@ -61,6 +64,7 @@
         double speed = 1;
         bool isFailing = false;
         Resources capacity;
+        Resources countedCapacity; // what a start may fill
         TimePoint startedAt = Start;
         TimePoint leaseEnd = Start;
         TimePoint progressAt = Start; // up to this time doneMs of the runs is computed
@@ -127,6 +131,9 @@
         bool isAnswered = false;
         bool wasOnlyRefused = true; // no submission was given up, lost or answered as Unknown
         bool hasRun = false;        // a worker started one of its tasks
+        bool isCrashing = false;    // its first task crashes workers
+        int crashes = 0;            // of workers under that task
+        std::string reason;         // of the final answer
         std::set<std::uint32_t> startedTasks; // that a worker started
         TimePoint lastStartAt;                // of a task, at a worker
         JobOutcome outcome = JobOutcome::Unknown;
@@ -166,6 +173,7 @@
             it.capacity
                 = {static_cast<std::int64_t>(static_cast<double>(options.workerCpuMillis) * size),
                    1 << 20, 0};
+            it.countedCapacity = it.capacity;
         }
         for (std::size_t i = 0; i < entries.size(); ++i)
             startEntry(i);
@@ -817,9 +825,61 @@
         it.runs[order.task] = run;
         checkCapacity(it);
         scheduleEnd(it, order.task, fails);
+        if (job.isCrashing && order.task.index == 0)
+            scheduleCrash(it, job, order.task);
         return StartAnswer::Accepted;
     }
 
+    void scheduleCrash(Worker &it, Job &job, const TaskId &task)
+    {
+        if (job.crashes >= MaxCrashes)
+            violations.push_back("task " + task.jobId + "/0 started after "
+                                 + std::to_string(job.crashes) + " crashes at "
+                                 + std::to_string(toMs(now - Start)));
+        post(now + options.crashDelay, [this, &it, &job, task, incarnation = it.incarnation] {
+            if (it.incarnation != incarnation || !it.isUp || !it.runs.count(task))
+                return;
+            ++job.crashes;
+            ++crashCount;
+            crash(static_cast<std::size_t>(it.index), options.crashDowntime);
+        });
+    }
+
+    // The worker and its runs are gone at once; a new process of it starts after `down`.
+    void crash(std::size_t i, Duration down)
+    {
+        Worker &it = workers[i];
+        it.isUp = false;
+        ++it.incarnation;
+        it.runs.clear();
+        it.ended.clear();
+        it.lastAttempts.clear();
+        it.waitingPolls.clear();
+        it.endNumber = 0;
+        it.sequence = 0;
+        post(now + down, [this, i, incarnation = it.incarnation] {
+            Worker &restarted = workers[i];
+            if (restarted.incarnation != incarnation)
+                return; // it crashed once more
+            restarted.isUp = true;
+            restarted.startedAt = restarted.progressAt = restarted.leaseEnd = now;
+            sendWorkerHeartbeat(i, restarted.incarnation);
+        });
+    }
+
+    void setCapacity(std::size_t i, std::int64_t cpuMillis)
+    {
+        Worker &it = workers[i];
+        it.capacity.cpuMillis = cpuMillis;
+        if (cpuMillis >= it.countedCapacity.cpuMillis)
+            it.countedCapacity = it.capacity;
+        else
+            post(now + CapacityGrace, [&it, cpuMillis] {
+                if (it.capacity.cpuMillis == cpuMillis)
+                    it.countedCapacity = it.capacity;
+            });
+    }
+
     void scheduleEnd(Worker &it, const TaskId &task, bool fails)
     {
         Run &run = it.runs.at(task);
@@ -941,7 +1001,7 @@
         Resources used;
         for (const auto &[task, run] : it.runs)
             used += run.needs;
-        if (!used.fitsIn(it.capacity))
+        if (!used.fitsIn(it.countedCapacity))
             violations.push_back("w" + std::to_string(it.index) + " over its capacity at "
                                  + std::to_string(toMs(now - Start)));
     }
@@ -991,7 +1051,10 @@
         const double work
             = sum * static_cast<double>(job.spec.needs.cpuMillis)
               / (kind.meanRunMs * kind.meanTasks * static_cast<double>(kind.cpuMillis));
-        job.value = kind.value * std::min(4.0, 0.3 + 0.7 * work);
+        if (options.callerTimeout)
+            job.callerTimeout = *options.callerTimeout;
+        job.isCrashing = kind.crashingShare > 0 && uniform() < kind.crashingShare;
+        job.value = job.isCrashing ? 0 : kind.value * std::min(4.0, 0.3 + 0.7 * work);
         const std::size_t number = jobs.size();
         jobsById[job.spec.id] = number;
         jobs.push_back(std::move(job));
@@ -1078,6 +1141,7 @@
               {Severity::Info, "job_answered", {{"job", job.spec.id}}});
         job.isAnswered = true;
         job.outcome = answer.outcome;
+        job.reason = answer.reason;
         job.answeredAt = now;
     }
 
@@ -1181,6 +1245,11 @@
         out.isOnTime = isDone && job.answeredAt <= job.objectiveAt;
         out.isLate = isDone && !out.isOnTime;
         out.isRefused = job.isAnswered && job.outcome == JobOutcome::Refused;
+        out.isCrashing = job.isCrashing;
+        out.crashes = job.crashes;
+        out.isGivenUp = isGivenUp(job);
+        out.answerTime
+            = job.isAnswered ? job.answeredAt - job.firstSentAt : PlayedJob::NeverAnswered;
         return out;
     }
 
@@ -1207,8 +1276,16 @@
         return sizes;
     }
 
-    void checkRefused()
+    static bool isGivenUp(const Job &job)
     {
+        return job.isAnswered && job.outcome == JobOutcome::Failed && job.reason != "task_failed";
+    }
+
+    void checkAnswers()
+    {
+        for (const Job &job : jobs)
+            if (isGivenUp(job) && !job.isCrashing)
+                violations.push_back(job.spec.id + " is sound and was given up");
         for (const Job &job : jobs)
             if (job.isAnswered && job.outcome == JobOutcome::Refused && job.wasOnlyRefused
                 && job.hasRun)
@@ -1235,6 +1312,7 @@
     std::uint64_t callerNumber = 0;
     std::uint64_t runNumber = 0;
     std::vector<std::pair<TimePoint, int>> starts; // time and worker of each run
+    std::size_t crashCount = 0;                    // crashes of workers by tasks
     OperatorRecords store;                         // evacuations in the operators' topic
     std::uint64_t storeEnd = 1; // offset of its next record, after a configuration
     bool isStoreAway = false;
@@ -1328,24 +1406,12 @@
 
 void DispatchFleet::crashWorker(int worker, Duration down)
 {
-    Impl::Worker &it = m_impl->workers[static_cast<std::size_t>(worker)];
-    it.isUp = false;
-    ++it.incarnation;
-    it.runs.clear();
-    it.ended.clear();
-    it.lastAttempts.clear();
-    it.waitingPolls.clear();
-    it.endNumber = 0;
-    it.sequence = 0;
-    const auto i = static_cast<std::size_t>(worker);
-    m_impl->post(m_impl->now + down, [this, i, incarnation = it.incarnation] {
-        Impl::Worker &restarted = m_impl->workers[i];
-        if (restarted.incarnation != incarnation)
-            return; // it crashed once more
-        restarted.isUp = true;
-        restarted.startedAt = restarted.progressAt = restarted.leaseEnd = m_impl->now;
-        m_impl->sendWorkerHeartbeat(i, restarted.incarnation);
-    });
+    m_impl->crash(static_cast<std::size_t>(worker), down);
+}
+
+void DispatchFleet::setCapacity(int worker, std::int64_t cpuMillis)
+{
+    m_impl->setCapacity(static_cast<std::size_t>(worker), cpuMillis);
 }
 
 void DispatchFleet::setSpeed(int worker, double speed)
@@ -1391,7 +1457,7 @@
 void DispatchFleet::run()
 {
     m_impl->runAll();
-    m_impl->checkRefused();
+    m_impl->checkAnswers();
 }
 
 std::map<std::string, KindResult> DispatchFleet::results() const
@@ -1441,6 +1507,11 @@
     return m_impl->starts.size();
 }
 
+std::size_t DispatchFleet::crashCount() const
+{
+    return m_impl->crashCount;
+}
+
 std::size_t DispatchFleet::startsIn(int dataCentre, Duration from, Duration to) const
 {
     return static_cast<std::size_t>(
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -32,6 +32,9 @@
     double meanTasks = 1;          // mean number of tasks in a job
     std::int64_t cpuMillis = 1000; // mean need of a task, in thousandths of a core
     double value = 1;              // value of a job with the mean amount of work
+    // Share of jobs whose first task crashes each worker that starts it. They count as worth
+    // nothing.
+    double crashingShare = 0;
 };
 
 // Size, load and faults of a fleet. Shares and rates are from 0 to 1.
@@ -65,6 +68,11 @@
     // A worker that is down refuses connections; otherwise its calls are not answered.
     bool refusesWhenDown = false;
     double failureRate = 0.002; // share of runs that fail
+    // From the start of a crashing task to the crash, and from there to the worker's next process.
+    Duration crashDelay = std::chrono::milliseconds(10);
+    Duration crashDowntime = std::chrono::milliseconds(3200);
+    // How long callers wait for an answer; none: as long as callers of the job's size do.
+    std::optional<Duration> callerTimeout;
     TaskRunnerSettings runner;
     std::optional<Duration> lostAgentTimeout; // lostAgentTimeout of the entries; none: the default
     std::uint64_t seed = 1;
@@ -127,6 +135,11 @@
     bool isOnTime = false;
     bool isLate = false; // completed after its objective
     bool isRefused = false;
+    bool isCrashing = false; // its first task crashes workers
+    int crashes = 0;         // of workers under its first task, if it is crashing
+    bool isGivenUp = false;  // answered as failed because of crashes
+    Duration answerTime{};   // from its first submission; NeverAnswered without a final answer
+    static constexpr Duration NeverAnswered = Duration::max();
 };
 
 // Runs once: plan the faults, call run(), then read the results.
@@ -153,6 +166,8 @@
     // The worker and its runs are gone at once; a new process of it starts after `down`.
     void crashWorker(int worker, Duration down);
     void setSpeed(int worker, double speed); // 0: tasks make no progress
+    // The worker has this capacity from now on; its next heartbeat reports it.
+    void setCapacity(int worker, std::int64_t cpuMillis);
     // While this is set, every run on the worker fails after a fifth of its work.
     void setFailing(int worker, bool isFailing);
     // Requests the evacuation of the data centre in the operators' topic, or withdraws it.
@@ -170,10 +185,13 @@
     std::map<std::string, KindResult> results() const;
     std::vector<PlayedJob> jobs() const;
     double valueShare() const; // the same as KindResult::valueShare, over all kinds
-    // One text for each violated guarantee: two runs of a task at the same time, a worker over its
-    // capacity, or a job that was refused although a task of it ran.
+    // One text for each violated guarantee: two runs of a task at the same time, a start over the
+    // worker's capacity (one that has shrunk counts after CapacityGrace), a job that was refused
+    // although a task of it ran, a start of a task under which three workers have crashed, or a
+    // sound job that was given up for crashes.
     const std::vector<std::string> &violations() const;
     std::size_t startCount() const; // runs that workers have started
+    std::size_t crashCount() const; // crashes of workers by tasks
     // The same in a data centre, between two times after the start of the load.
     std::size_t startsIn(int dataCentre, Duration from, Duration to) const;
     Duration slowestAnswer() const; // longest time from the objective of a job to its answer
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -352,12 +352,17 @@
     return found
 
 
-def untrue_answers(history, jobs, max_failures=3):
+def crashes_of(history):
+    """Number of workers that crashed under each task, by the name of the task."""
+    return collections.Counter(it.task for it in history if it.how == "crashed")
+
+
+def untrue_answers(history, jobs, max_failures=3, min_crashes=2):
     """Checks that the answer of each job agrees with the runs of its tasks.
 
     Of a job whose submissions were all rejected, no task may have run. Of a job answered as
     completed, every task must have a run that ended as done. Of a job answered as failed, some task
-    must have failed max_failures times.
+    must have failed max_failures times, or min_crashes workers must have crashed under it.
     """
     found = []
     for job in jobs:
@@ -375,8 +380,11 @@
                 found.append(f"{text}, but only {len(done)} of {job.tasks} tasks are done")
         elif answer.state == "failed":
             failures = collections.Counter(it.task for it in runs if it.how == "failed")
-            if not failures or max(failures.values()) < max_failures:
-                found.append(f"{text}, but no task failed {max_failures} times")
+            crashes = crashes_of(runs)
+            if (max(failures.values(), default=0) < max_failures
+                    and max(crashes.values(), default=0) < min_crashes):
+                found.append(f"{text}, but no task failed {max_failures} times"
+                             f" or crashed {min_crashes} workers")
         elif answer.status != 504:
             found.append(text)
     return found
--- a/tests/system/platformstandin.py
+++ b/tests/system/platformstandin.py
@@ -17,6 +17,7 @@
 MAX_LEASE_MS = 1000  # longest time for which a call extends a worker's lease
 STOP_MS = 20         # time from a stop call to the end of the run
 HEARTBEAT_S = 0.7    # time between a worker's reports to its agent
+CRASH_DELAY_S = 0.01  # from the start of a task that crashes its worker to the crash
 
 # An ended run. `worker` is the id of the worker's incarnation; begin and end are monotonic times in
 # seconds; `how` is "done", "failed", "stopped" (by a call), "lapsed" (with the lease) or "crashed".
@@ -191,10 +192,12 @@
 
     crash() ends the current incarnation; the next one starts at the same address with a new id. The
     specification of a task is JSON with `cpu` (thousandths of a core) and `run_ms`; with `fails`, the
-    first that many runs of the task fail. Tests set these faults:
+    first that many runs of the task fail; with `crashes`, each run of the task crashes its worker. Tests
+    set these faults:
     slowness    factor of the run times, unless is_failing
     is_failing  runs end as failed
     is_hung     no run ends by itself
+    heartbeat_s time between its reports
 
     `address` is where it listens, `agent` where it sends its heartbeats, `announced` the address in
     the heartbeats if that differs. Its clock advances clock_rate seconds in each second.
@@ -211,6 +214,7 @@
         self.slowness = 1.0
         self.is_failing = False
         self.is_hung = False
+        self.heartbeat_s = HEARTBEAT_S
         self.is_closing = False
         self.overbooked = []  # (task, cpu in use before) of each start beyond the capacity
         self.changed = threading.Condition()  # guards the state of the incarnation
@@ -240,9 +244,14 @@
         """Whether the lease is in force: an agent has extended it within the last MAX_LEASE_MS."""
         return self.clock() < self.lease_until
 
-    def crash(self):
-        """Ends all runs and the incarnation at once, and begins the next incarnation."""
+    def crash(self, incarnation=None):
+        """Ends all runs and the incarnation at once, and begins the next incarnation.
+
+        With `incarnation`, only if that is the current one.
+        """
         with self.changed:
+            if incarnation not in (None, self.id):
+                return
             for task in list(self.active):
                 self.end(task, "crashed")
             self.begin_incarnation()
@@ -344,6 +353,8 @@
         if self.used() + spec["cpu"] > self.cpu:
             self.overbooked.append((task, self.used()))
         self.active[task] = ActiveRun(attempt, spec, time.monotonic(), spec["run_ms"] / 1000)
+        if spec.get("crashes"):
+            threading.Timer(CRASH_DELAY_S, self.crash, [self.id]).start()
         return answer_json(200, clock_ms=int(clock))
 
     def stop_run(self, fields):
@@ -397,4 +408,4 @@
                 pass  # the agent is down or unreachable; the next heartbeat reports the state again
             finally:
                 call.close()
-            time.sleep(HEARTBEAT_S)
+            time.sleep(self.heartbeat_s)
