Agents tell a refused call from one that is lost, and how long a run survived

A crash, a frozen worker and a cut one all ended as lease_expired, and the log did not tell which runs had just started. worker_refusing names the moment from which nothing listens at the worker's address, survived_ms of task_ended how long the worker is known to have run the task. Decisions are unchanged.

--- a/src/httpclient.cpp
+++ b/src/httpclient.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -106,7 +107,10 @@
         kind = HttpFailure::TimedOut;
     long opened = 0;
     curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &opened);
-    return {kind, curl_easy_strerror(code), sent > 0 && opened == 0};
+    long connectError = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &connectError);
+    return {kind, curl_easy_strerror(code), sent > 0 && opened == 0,
+            kind == HttpFailure::NotSent && connectError == ECONNREFUSED};
 }
 
 // Returns the "ip:port" of a URL "http://ip:port/path".
--- a/src/httpclient.h
+++ b/src/httpclient.h
@@ -57,6 +57,7 @@
     HttpFailure kind = HttpFailure::Broken;
     std::string detail;              // for logs
     bool isReusedConnection = false; // an earlier call had opened the connection
+    bool isRefused = false;          // NotSent: the host said that nothing listens at the address
 };
 
 using HttpCallId = StrongId<struct HttpCallIdTag>;
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -185,6 +185,11 @@
 
 // Ends and refusals of tasks
 
+Duration TaskRunner::survivedTime(const Worker &worker, const Task &task)
+{
+    return std::max<Duration>(worker.heardAt - task.firstSentAt, Duration{});
+}
+
 void TaskRunner::endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end,
                          TimePoint now, RunnerOutbox &out)
 {
@@ -203,6 +208,7 @@
                                {"end", std::string(nameOf(end))},
                                {"ran_ms", toMsString(runTime)},
                                {"expected_ms", toMsString(task.assignment.expectedRun)},
+                               {"survived_ms", toMsString(survivedTime(worker, task))},
                                {"start_calls", std::to_string(task.startCalls)}}});
     worker.performance.recordEnd(task.assignment.task, end, runTime, task.assignment.expectedRun,
                                  now);
@@ -388,6 +394,25 @@
                                {"unanswered", std::to_string(worker.unansweredPolls)}}});
 }
 
+void TaskRunner::onRefused(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    if (std::exchange(worker.isRefusing, true))
+        return;
+    out.emplace_back(LogEvent{Severity::Warning,
+                              "worker_refusing",
+                              {{"worker", worker.info.id},
+                               {"runs", std::to_string(openRuns(worker))},
+                               {"heard_ms", toMsString(now - worker.heardAt)},
+                               {"draining", std::to_string(worker.info.isDraining)}}});
+}
+
+std::size_t TaskRunner::openRuns(const Worker &worker)
+{
+    return static_cast<std::size_t>(
+        std::count_if(worker.tasks.begin(), worker.tasks.end(),
+                      [](const auto &it) { return it.second.state != State::Queued; }));
+}
+
 void TaskRunner::expireTasks(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     if (worker.unansweredPolls > 0 && now > worker.leaseEnd)
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -86,6 +86,7 @@
     Invalid,      // refused: malformed
     OtherProcess, // refused: the process at the address has another worker id
     NotSent,      // certainly not delivered
+    Refused,      // the same: nothing listens at the address
     NoAnswer,     // the start may have been carried out, or may be carried out later
 };
 
@@ -97,7 +98,14 @@
 };
 
 // What became of a stop or a poll; the values mean the same as in StartAnswer.
-enum class CallAnswer { Ok, OtherProcess, NotSent, NoAnswer };
+enum class CallAnswer { Ok, OtherProcess, NotSent, Refused, NoAnswer };
+
+// True for both kinds of answer if the call was certainly not delivered.
+template <typename Answer>
+constexpr bool isUndelivered(Answer answer)
+{
+    return answer == Answer::NotSent || answer == Answer::Refused;
+}
 
 // The reply to StopRun.
 struct StopReply
@@ -310,6 +318,7 @@
         TimePoint unansweredSince{}; // when the first of them was noticed
         TimePoint lastPollReplyAt{}; // newest reply to a poll
         bool isUnresponsive = false; // no reply to polls for too long
+        bool isRefusing = false;     // nothing listened at its address when it was called last
         // No starts are sent before this time, as one was refused or could not be delivered.
         TimePoint unhealthyUntil{};
         TimePoint coldUntil{};        // slower before this time; TimePoint{}: not cold
@@ -354,6 +363,11 @@
                        RunnerOutbox &out);
     // Counts a poll without a reply; too many make the worker unresponsive.
     void recordUnansweredPoll(Worker &worker, TimePoint now, RunnerOutbox &out);
+    static std::size_t openRuns(const Worker &worker); // tasks that are not queued
+    // How long the worker is known to have run the task.
+    static Duration survivedTime(const Worker &worker, const Task &task);
+    // To be called when nothing listens at the worker's address.
+    void onRefused(Worker &worker, TimePoint now, RunnerOutbox &out);
     void stopOrphans(Worker &worker, TimePoint now, RunnerOutbox &out);
     // Removes a task whose run has ended and reports the end to its entry.
     void endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end, TimePoint now,
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -227,6 +227,8 @@
     Worker *worker = endStartOrStop(call, reply, endedCall, now, out);
     if (!worker)
         return;
+    if (reply.answer == StartAnswer::Refused)
+        onRefused(*worker, now, out);
     Task *task = findTask(*worker, endedCall);
     if (task && reply.answer == StartAnswer::Accepted)
         markRunning(*worker, *task, now, out);
@@ -254,8 +256,7 @@
     const bool isLate = answer == StartAnswer::Late;
     const bool isOld = answer == StartAnswer::OldAttempt;
     if (!isLate && !isOld)
-        worker.unhealthyUntil
-            = now + (answer == StartAnswer::NotSent ? NotSentRetryDelay : UnhealthyPause);
+        worker.unhealthyUntil = now + (isUndelivered(answer) ? NotSentRetryDelay : UnhealthyPause);
     if (!isProof)
         return stopTask(worker, task, "start_unclear", now, out);
     const StartRefusal reason = isLate  ? StartRefusal::Expired
@@ -326,8 +327,10 @@
     if (reply.answer != CallAnswer::Ok) {
         if (isNewestPoll)
             recordUnansweredPoll(*worker, now, out);
-        if (isNewestPoll && reply.answer == CallAnswer::NotSent)
+        if (isNewestPoll && isUndelivered(reply.answer))
             worker->nextPollAt = now + NotSentRetryDelay;
+        if (reply.answer == CallAnswer::Refused)
+            onRefused(*worker, now, out);
         return;
     }
     // The worker restarted under its id; its heartbeat with the new start time follows. A record is
@@ -350,6 +353,7 @@
                                    {"listed_ms", toMsString(now - worker->lastPollReplyAt)}}});
         ++m_loadVersion;
     }
+    worker->isRefusing = false;
     worker->unansweredPolls = 0;
     worker->lastPollReplyAt = now;
     if (isNewestPoll)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -115,6 +115,8 @@
     const Reply refused = call({"GET", "http://127.0.0.1:1/"});
     ASSERT_FALSE(isOk(refused));
     EXPECT_EQ(errorOf(refused).kind, HttpFailure::NotSent);
+    EXPECT_TRUE(errorOf(refused).isRefused);
+    EXPECT_FALSE(errorOf(timedOut).isRefused);
 }
 
 // Server that answers the first request on a connection, reads the second one and then closes the
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -203,6 +203,8 @@
               StartAnswer::NoAnswer);
     EXPECT_EQ(parseStartReply(HttpCallError{HttpFailure::NotSent, ""}).answer,
               StartAnswer::NotSent);
+    EXPECT_EQ(parseStartReply(HttpCallError{HttpFailure::NotSent, "", false, true}).answer,
+              StartAnswer::Refused);
 }
 
 // Guards against characters of the payload that break the JSON of the call.
