--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -15,9 +15,10 @@
 } // namespace
 
 TaskRunnerSettings taskRunnerSettings(const platform::PlatformSettings &settings,
-                                      const FeatureFlags &features)
+                                      const FeatureFlags &features, Incarnation instance)
 {
     TaskRunnerSettings it;
+    it.instance = instance;
     it.hasScarcityControl = features.hasScarcityControl;
     it.listsEarlierRuns = features.hasWorkerRecords;
     it.dataCentre = settings.dataCentre;
--- a/src/agentsettings.h
+++ b/src/agentsettings.h
@@ -12,6 +12,6 @@
 // all tasks of a lost job must have ended before its caller submits it again. In the worst case the
 // silence, the lease and the time to stop a task follow one another.
 TaskRunnerSettings taskRunnerSettings(const platform::PlatformSettings &settings,
-                                      const FeatureFlags &features);
+                                      const FeatureFlags &features, Incarnation instance);
 
 } // namespace cactuscove
--- a/src/demandcontrol.cpp
+++ b/src/demandcontrol.cpp
@@ -94,9 +94,9 @@
          {"age_ms", toMsString(utilisation.age)}}};
 }
 
-std::vector<DemandReport> DemandControl::reports(const DispatchConfig &config,
-                                                 const WorkerDirectory &directory,
-                                                 const WaitingWork &waiting, TimePoint now) const
+std::vector<DemandReport> DemandControl::reports(
+    const DispatchConfig &config, const WorkerDirectory &directory, const WaitingWork &waiting,
+    const std::function<WorkerPool(std::string_view upstream)> &poolOf, TimePoint now) const
 {
     std::map<std::string_view, std::set<int>> priorities; // by upstream
     for (const QueueSettings &it : config.queues)
@@ -104,7 +104,9 @@
     std::vector<DemandReport> reports;
     for (const auto &[upstream, levels] : priorities) {
         const double cores
-            = static_cast<double>(directory.usableCapacity(upstream, now).total.cpuMillis) / 1000;
+            = static_cast<double>(
+                  directory.usableCapacity(upstream, now, poolOf(upstream)).total.cpuMillis)
+              / 1000;
         if (cores <= 0)
             continue;
         for (const int priority : levels) {
--- a/src/demandcontrol.h
+++ b/src/demandcontrol.h
@@ -12,6 +12,7 @@
 #include "dispatchtypes.h"
 #include "workerdirectory.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,10 +55,11 @@
     // Accepted work that waits for a worker, by upstream and priority.
     using WaitingWork = std::map<std::pair<std::string_view, int>, CoreMs>;
     // Demand for this entry's heartbeats: one report for each upstream and priority of the
-    // configuration, also if it is 0, but none for an upstream without usable workers.
-    std::vector<DemandReport> reports(const DispatchConfig &config,
-                                      const WorkerDirectory &directory, const WaitingWork &waiting,
-                                      TimePoint now) const;
+    // configuration, also if it is 0, but none for an upstream without usable workers. `poolOf`
+    // returns the workers that the demand at an upstream is for.
+    std::vector<DemandReport> reports(
+        const DispatchConfig &config, const WorkerDirectory &directory, const WaitingWork &waiting,
+        const std::function<WorkerPool(std::string_view upstream)> &poolOf, TimePoint now) const;
     // None if too few agents report.
     std::optional<FleetUtilisation> utilisation(std::string_view upstream,
                                                 const WorkerDirectory::UsableCapacity &capacity,
--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -46,7 +46,7 @@
     explicit DispatchAgent(LoadedSettings loaded)
         : DispatchProcess(Role::Agent, std::move(loaded.settings), std::move(loaded.path))
         , m_features(loaded.features)
-        , m_runner(taskRunnerSettings(m_settings, m_features), bootNow())
+        , m_runner(taskRunnerSettings(m_settings, m_features, m_incarnation), bootNow())
         , m_decisions(m_loop, m_runner, *this)
         , m_heartbeatTimer(m_loop, [this] { onHeartbeatTick(); })
         , m_loadTimer(m_loop, [this] { sendLoads(); })
@@ -144,6 +144,9 @@
                 continue;
             if (isReleasing(connection) && std::holds_alternative<WorkerUpdate>(effect.message))
                 return;
+            if (connection.entry->protocol < CrashReportsProtocol
+                && std::holds_alternative<CrashReport>(effect.message))
+                return;
             connection.link->send(std::move(effect.message));
             return;
         }
@@ -343,6 +346,9 @@
         m_demand.connected(hello.instance);
         sendHeartbeat(it, demandSums(now));
         sendEvacuations(it); // before the workers, so that a new entry places nothing on them
+        if (hello.protocol >= CrashReportsProtocol)
+            for (CrashReport &report : m_runner.crashReports(now))
+                it.link->send(std::move(report));
         sendInventory(it);
         sendWorkers(it);
     }
--- a/src/dispatchcodec.cpp
+++ b/src/dispatchcodec.cpp
@@ -81,6 +81,7 @@
 {
     a(it.task, it.attempt, it.workerId, it.queue, it.payload, it.needs, it.priority, it.expectedRun,
       it.startDeadline, it.endDeadline, it.objectiveTime, it.schedulingKey, it.assignmentNumber);
+    a.optional(it.runsAlone, it.isDistrusted);
 }
 
 template <typename A>
@@ -112,7 +113,7 @@
 {
     a(it.workerId, it.free, it.queued, it.coreReleaseRate, it.isUsable, it.slowness, it.failureRate,
       it.lastAssignmentNumber);
-    a.optional(it.releases);
+    a.optional(it.releases, it.isReserved, it.hasTrustedTasks);
 }
 
 template <typename A>
@@ -182,6 +183,18 @@
     a(it.evacuations, it.readUpTo.value);
 }
 
+template <typename A>
+void fields(A &a, InterruptedRun &it)
+{
+    a(it.task, it.queue, it.isRecent);
+}
+
+template <typename A>
+void fields(A &a, CrashReport &it)
+{
+    a(it.agent.value, it.number, it.state, it.age, it.runs);
+}
+
 // A type that has an overload of fields().
 template <typename T>
 concept HasFields
@@ -266,6 +279,9 @@
 template <>
 constexpr std::uint32_t MaxEnumValue<TaskEnd> = static_cast<std::uint32_t>(TaskEnd::Lost);
 template <>
+constexpr std::uint32_t
+    MaxEnumValue<CrashState> = static_cast<std::uint32_t>(CrashState::Withdrawn);
+template <>
 constexpr std::uint32_t
     MaxEnumValue<StartRefusal> = static_cast<std::uint32_t>(StartRefusal::Duplicate);
 
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -118,6 +118,14 @@
             m_links.at(it->second).link->send(std::move(effect.message));
     }
 
+    void perform(const SendToEntries &effect)
+    {
+        for (auto &[id, it] : m_links)
+            if (it.peer && it.peer->role == Role::Entry
+                && it.peer->protocol >= CrashReportsProtocol)
+                it.link->send(effect.message);
+    }
+
     void perform(LogEvent &effect) { log(effect); }
 
     void onPendingProcessed(TimePoint)
@@ -332,6 +340,8 @@
                         onEvacuationUpdate(it, *update);
                     else if (it.peer && it.peer->role == Role::Agent)
                         dispatcher.onAgentMessage(it.peer->instance, message, now, out);
+                    else if (const auto *crash = std::get_if<CrashReport>(&message))
+                        dispatcher.onCrashReport(*crash, now, out);
                     else if (it.peer)
                         m_operators.onPeerMessage(OperatorPeer{id}, message);
                 }
@@ -355,6 +365,9 @@
             if (!it.dialled.empty())
                 m_selection.onOpened(it.dialled);
             m_operators.peerConnected(OperatorPeer{id}, hello);
+            if (hello.protocol >= CrashReportsProtocol)
+                for (CrashReport &report : m_dispatcher.crashReports(now))
+                    it.link->send(std::move(report));
             return onEntryStarted({hello.address, hello.instance});
         }
         const auto [agent, isNew] = m_agentLinks.try_emplace(hello.instance, id);
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -27,10 +27,13 @@
 };
 
 // Sent by this version. Peers of protocol 1 close the connection on the message types after
-// EntriesStarted, so these are sent only to peers of protocol 2 or later.
-inline constexpr std::uint32_t ProtocolVersion = 2;
+// EntriesStarted, so these are sent only to peers of protocol 2 or later, and CrashReport to those
+// of protocol 3 or later.
+inline constexpr std::uint32_t ProtocolVersion = 3;
 // First protocol with the message types after EntriesStarted.
 inline constexpr std::uint32_t OperatorMessagesProtocol = 2;
+// First protocol with CrashReport.
+inline constexpr std::uint32_t CrashReportsProtocol = 3;
 
 // Load that callers ask for, relative to the capacity that can carry it.
 struct DemandReport
@@ -93,6 +96,9 @@
     // Agent's clock; when capacity is short, the task with the earliest key starts first.
     TimePoint schedulingKey;
     std::uint64_t assignmentNumber = 0; // number of this assignment on this connection, from 1
+    // The worker runs no other job meanwhile: the task may crash it.
+    bool runsAlone = false;
+    bool isDistrusted = false; // its queue's tasks crash workers
 };
 
 // Entry to agent: do not start this attempt, or stop it. The agent confirms with StartRefused or
@@ -138,6 +144,9 @@
     std::uint64_t lastAssignmentNumber = 0;
     // Expected ends of running tasks, the earliest first; empty if the agent does not report them.
     std::vector<ExpectedRelease> releases;
+    bool isReserved = false; // a task that runs alone waits or runs there
+    // A task of a queue that is not distrusted waits or runs there.
+    bool hasTrustedTasks = false;
 };
 
 // Agent to entry: the attempt runs.
@@ -223,10 +232,37 @@
     LogOffset readUpTo;
 };
 
+// What is known of a worker that went away while tasks ran on it. A later state replaces an earlier
+// one.
+enum class CrashState {
+    Suspected, // it has not answered until the lease of its runs was over
+    Confirmed, // nothing listens at its address, or another process does
+    Withdrawn, // the same process has answered again, or it left as planned
+};
+
+// A task that ran on the worker.
+struct InterruptedRun
+{
+    TaskId task;
+    std::string queue;
+    bool isRecent = false; // it had just started, so it is more likely to be the cause
+};
+
+// Agent to entry, and between entries: a worker went away without notice. Sent again when the state
+// changes and on new connections.
+struct CrashReport
+{
+    Incarnation agent;        // process that saw it
+    std::uint64_t number = 0; // among the reports of that process
+    CrashState state = CrashState::Suspected;
+    Duration age{}; // since the worker went away
+    std::vector<InterruptedRun> runs;
+};
+
 // New types must be added at the end: the position is the type's number in encoded messages.
-using PeerMessage
-    = std::variant<PeerHello, PeerHeartbeat, KnownEntries, AssignTask, WithdrawTask, WorkerUpdate,
-                   WorkerLoad, TaskStarted, TaskLate, TaskEnded, StartRefused, TaskInventory,
-                   EntriesStarted, OperatorOffer, OperatorRequest, OperatorState, EvacuationUpdate>;
+using PeerMessage = std::variant<PeerHello, PeerHeartbeat, KnownEntries, AssignTask, WithdrawTask,
+                                 WorkerUpdate, WorkerLoad, TaskStarted, TaskLate, TaskEnded,
+                                 StartRefused, TaskInventory, EntriesStarted, OperatorOffer,
+                                 OperatorRequest, OperatorState, EvacuationUpdate, CrashReport>;
 
 } // namespace cactuscove
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -89,6 +89,16 @@
     return {cores, cores * toMs(job.expectedRun)};
 }
 
+LoadControl &JobDispatcher::loadControlOf(const Job &job)
+{
+    return job.isQuarantined ? m_quarantineLoad : m_loadControl;
+}
+
+const LoadControl &JobDispatcher::loadControlOf(const Job &job) const
+{
+    return job.isQuarantined ? m_quarantineLoad : m_loadControl;
+}
+
 Duration JobDispatcher::expectedMakespan(const Job &job) const
 {
     const double doublings = std::log2(std::max<double>(job.spec.taskCount, 1));
@@ -107,9 +117,11 @@
         return {};
     DemandControl::WaitingWork waiting;
     for (const auto &[number, job] : m_jobs)
-        if (!job.closingAnswer)
+        if (!job.closingAnswer && !job.isQuarantined)
             waiting[{job.upstream, job.priority}] += workOf(job, job.waitingCount).coreMs;
-    return m_demand.reports(m_config, m_directory, waiting, now);
+    return m_demand.reports(
+        m_config, m_directory, waiting,
+        [&](std::string_view upstream) { return trustedPoolOf(upstream, now); }, now);
 }
 
 std::optional<FleetUtilisation> JobDispatcher::fleetUtilisation(std::string_view upstream,
@@ -127,12 +139,12 @@
     const bool wasReady = job.waitingCount > 0 && !job.closingAnswer;
     if (task.state == State::Waiting) {
         --job.waitingCount;
-        m_loadControl.removeWaiting(job.priority, workOf(job, 1));
+        loadControlOf(job).removeWaiting(job.priority, workOf(job, 1));
     }
     if (state == State::Waiting) {
         ++job.waitingCount;
         ++m_readyVersion;
-        m_loadControl.addWaiting(job.priority, workOf(job, 1));
+        loadControlOf(job).addWaiting(job.priority, workOf(job, 1));
     }
     m_agentLostTasks += (state == State::AgentLost) - (task.state == State::AgentLost);
     job.doneCount += (state == State::Done) - (task.state == State::Done);
@@ -231,7 +243,7 @@
                                {"attempt", std::to_string(attempt)},
                                {"config", std::to_string(m_config.version)}}});
     if (answer.outcome == JobOutcome::Completed)
-        m_loadControl.recordAnswer(now > job.objectiveAt);
+        loadControlOf(job).recordAnswer(now > job.objectiveAt);
     for (const CallerId caller : job.callers) {
         out.emplace_back(AnswerJob{caller, answer});
         m_jobsByCaller.erase(caller);
@@ -281,6 +293,8 @@
     m_lastInputAt = now;
     if (now >= m_nextExpiry)
         expireJobs(now, out);
+    if (now >= m_crashesSettleAt)
+        failGivenUpJobs(now, out);
     if (m_directory.hasEvacuations())
         refuseEvacuatedJobs(now, out);
     if (m_knowsEvacuations || !m_settings.hasEvacuations || !isStarting(now))
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -14,6 +14,7 @@
 
 #pragma once
 
+#include "crashhistory.h"
 #include "demandcontrol.h"
 #include "dispatchmessages.h"
 #include "loadcontrol.h"
@@ -39,7 +40,7 @@
 // How a best-effort job ended, as reported to its caller.
 enum class JobOutcome {
     Completed, // every task has ended as done
-    Failed,    // one task failed in as many attempts as its queue allows
+    Failed,    // one task failed in as many attempts as its queue allows, or crashed its workers
     Refused,   // no task was started, and none will be
     Unknown,   // given up; some tasks may have run
 };
@@ -70,9 +71,15 @@
     PeerMessage message;
 };
 
+// Effect: send a message to all entries that are connected.
+struct SendToEntries
+{
+    PeerMessage message;
+};
+
 // What the dispatcher asks its entry process to do. The effects of an outbox are carried out in
 // order.
-using DispatcherEffect = std::variant<AnswerJob, SendToAgent, LogEvent>;
+using DispatcherEffect = std::variant<AnswerJob, SendToAgent, SendToEntries, LogEvent>;
 using DispatcherOutbox = std::vector<DispatcherEffect>;
 
 struct DispatcherSettings
@@ -125,6 +132,8 @@
     // Any message of a connected agent but the hello.
     void onAgentMessage(Incarnation agent, const PeerMessage &message, TimePoint now,
                         DispatcherOutbox &out);
+    // A report of an agent or of another entry. Jobs of which a task is given up fail.
+    void onCrashReport(const CrashReport &report, TimePoint now, DispatcherOutbox &out);
     // The workers of these data centres get no tasks from now on; running tasks continue. Replaces
     // the earlier set. Jobs of which nothing has started are refused if all workers that could run
     // them are in these data centres. `isComplete`: no other one may be evacuated as well. Shortly
@@ -158,11 +167,18 @@
     // Part of the work of each queue that is accepted; without queues that had no job.
     std::map<std::string, double> acceptedParts() const { return m_demand.parts(); }
     const PlacementCounts &placementCounts() const { return m_placementCounts; }
+    // For another entry that has connected.
+    std::vector<CrashReport> crashReports(TimePoint now) const { return m_crashes.reports(now); }
     // Time of the next plan, timeout of a job or timeout of an attempt at a lost agent, as of the
     // newest processPending(); NeverTime if there is none.
-    TimePoint nextTimer() const { return std::min(m_nextExpiry, m_nextPlanAt); }
+    TimePoint nextTimer() const
+    {
+        return std::min({m_nextExpiry, m_nextPlanAt, m_crashesSettleAt});
+    }
 
 private:
+    // Reason of a job that failed because a task of it has crashed its workers.
+    static constexpr char CrashedWorkers[] = "crashed_workers";
     static constexpr Duration MinRetryAfter = std::chrono::milliseconds(200);
     // An evacuation lasts for an unknown time, so callers are told to come back after a moment.
     static constexpr Duration EvacuatedRetryAfter = std::chrono::seconds(1);
@@ -182,6 +198,7 @@
         State state = State::Waiting;
         std::uint32_t attempt = 0; // number of the newest attempt
         int failureCount = 0;      // attempts that ended as failed
+        bool runsAlone = false;    // in its newest attempt
         int moveCount = 0;         // times that it was stopped on a slow worker to run elsewhere
         WorkerKey worker;          // of the newest attempt
         std::string agentName;     // of the newest attempt; the same across restarts of the agent
@@ -215,6 +232,9 @@
         bool mayHaveStarted = false;
         // Set while the tasks are being withdrawn; sent when none of them may run any more.
         std::optional<DispatchAnswer> closingAnswer;
+        // Its queue was distrusted when it arrived; decides which of the two load controls counts
+        // it.
+        bool isQuarantined = false;
         // The closing answer is sent at this time even if tasks may still run.
         TimePoint closeDeadline{};
         std::vector<Task> tasks;
@@ -249,6 +269,17 @@
     Work workOf(const Job &job, std::size_t tasks) const; // demand of `tasks` tasks of the job
     // Changes the state and the counters, load figures and ready jobs that depend on it.
     void setState(JobNumber number, Job &job, Task &task, State state);
+    LoadControl &loadControlOf(const Job &job);
+    const LoadControl &loadControlOf(const Job &job) const;
+    WorkerPool poolOf(const Job &job, TimePoint now) const;
+    WorkerPool poolOf(std::string_view queue, std::string_view upstream, TimePoint now) const;
+    WorkerPool trustedPoolOf(std::string_view upstream, TimePoint now) const; // of other queues
+    // Of a waiting task; Never also for a task that does not wait.
+    StartRule startRuleOf(const Job &job, std::uint32_t index, TimePoint now) const;
+    // Waiting tasks that need not run alone.
+    std::vector<std::uint32_t> placeableTasks(const Job &job, TimePoint now) const;
+    // Sends the tasks that must run alone to the emptiest workers.
+    void placeTasksAlone(TimePoint now, DispatcherOutbox &out);
     // Assigns waiting tasks in the order of rank, as far as there is capacity.
     void placeWaitingTasks(TimePoint now, DispatcherOutbox &out);
     // Sends the task to a worker; false if none has capacity for it.
@@ -256,7 +287,7 @@
                    DispatcherOutbox &out);
     // Sends the task to this worker; false if its agent cannot be sent tasks.
     bool sendTask(JobNumber number, Job &job, std::uint32_t index, const WorkerKey &worker,
-                  TimePoint now, DispatcherOutbox &out);
+                  bool runsAlone, TimePoint now, DispatcherOutbox &out);
     // A task that has not started this long after it was sent is refused by its agent.
     Duration maxWaitAtAgent(const Job &job, TimePoint now) const;
     // Places the waiting jobs as PlacementPlan says.
@@ -347,6 +378,11 @@
     // Stops a run that belongs to no open job.
     void withdrawUnknownTask(Incarnation agent, const TaskStarted &task,
                              DispatcherOutbox &out) const;
+    // Ends the open jobs with a task that has crashed its workers.
+    void failGivenUpJobs(TimePoint now, DispatcherOutbox &out);
+    // Answers the caller and returns true if a task of the job has crashed its workers.
+    bool failIfGivenUp(CallerId caller, const BestEffortJob &job, TimePoint now,
+                       DispatcherOutbox &out) const;
     // An answer after this time is of no use.
     static TimePoint usefulEnd(const Job &job);
     // Run time of the job from its first start if all tasks run at once.
@@ -357,7 +393,10 @@
     DispatchConfig m_config;
     WorkerDirectory m_directory;
     LoadControl m_loadControl;
-    DemandControl m_demand; // used only with scarcity control
+    LoadControl m_quarantineLoad; // of the jobs of distrusted queues
+    CrashHistory m_crashes;
+    TimePoint m_crashesSettleAt = NeverTime; // when to call failGivenUpJobs() again
+    DemandControl m_demand;                  // used only with scarcity control
     RunTimeModel m_runTimes;
     ReturningJobs m_returningJobs;
     std::map<JobNumber, Job> m_jobs;
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -102,9 +102,26 @@
         onStartRefused(agent, *refused, now, out);
     } else if (const auto *inventory = std::get_if<TaskInventory>(&message)) {
         onInventory(agent, *inventory, now, out);
+    } else if (const auto *crash = std::get_if<CrashReport>(&message)) {
+        onCrashReport(*crash, now, out);
     }
 }
 
+void JobDispatcher::onCrashReport(const CrashReport &report, TimePoint now, DispatcherOutbox &out)
+{
+    expireAfterSuspension(now, out);
+    const bool wasDistrusting = m_crashes.hasDistrusted(now);
+    if (!m_crashes.merge(report, now))
+        return;
+    out.emplace_back(SendToEntries{report});
+    failGivenUpJobs(now, out);
+    if (wasDistrusting || !m_crashes.hasDistrusted(now))
+        return;
+    for (const QueueSettings &it : m_config.queues)
+        if (m_crashes.isDistrusted(it.name, now))
+            out.emplace_back(LogEvent{Severity::Warning, "queue_distrusted", {{"queue", it.name}}});
+}
+
 std::pair<JobDispatcher::JobNumber, JobDispatcher::Job *>
 JobDispatcher::findJob(const TaskId &task, Incarnation agent, std::uint32_t attempt)
 {
@@ -158,7 +175,7 @@
     if (!job || job->closingAnswer)
         return;
     Task &task = job->tasks[message.task.index];
-    if (task.state != State::Running || task.moveCount >= MaxMoves)
+    if (task.state != State::Running || task.moveCount >= MaxMoves || task.runsAlone)
         return;
     const Duration moveRunTime = MoveTime + job->expectedRun;
     const bool meetsObjective = now + moveRunTime <= job->objectiveAt;
@@ -320,6 +337,17 @@
     }
 }
 
+void JobDispatcher::failGivenUpJobs(TimePoint now, DispatcherOutbox &out)
+{
+    std::vector<JobNumber> givenUp;
+    for (const auto &[id, number] : m_jobsById)
+        if (m_crashes.hasGivenUp(id, now))
+            givenUp.push_back(number);
+    for (const JobNumber number : givenUp)
+        finish(number, {JobOutcome::Failed, CrashedWorkers, {}}, now, out);
+    m_crashesSettleAt = m_crashes.nextSettled(now);
+}
+
 // Evacuations
 
 void JobDispatcher::setEvacuated(std::set<std::string> dataCentres, bool isComplete, TimePoint now)
--- a/src/jobdispatcherarrivals.cpp
+++ b/src/jobdispatcherarrivals.cpp
@@ -61,6 +61,8 @@
         out.emplace_back(AnswerJob{caller, {JobOutcome::Unknown, "previous_closing", {}}});
         return;
     }
+    if (failIfGivenUp(caller, spec, now, out))
+        return;
     if (spec.taskCount == 0) {
         out.emplace_back(AnswerJob{caller, {JobOutcome::Completed, {}, {}}});
         return;
@@ -70,15 +72,31 @@
         return refuse(caller, spec, "cannot_run", {}, out);
     if (isEvacuated(queue->upstream, spec, now))
         return refuse(caller, spec, "evacuated", EvacuatedRetryAfter, out);
-    const WorkerDirectory::UsableCapacity usable = m_directory.usableCapacity(queue->upstream, now);
+    const WorkerPool pool = poolOf(queue->name, queue->upstream, now);
+    const WorkerDirectory::UsableCapacity usable
+        = m_directory.usableCapacity(queue->upstream, now, pool);
     if (!spec.needs.fitsIn(usable.total) && !isStarting(now))
-        return refuse(caller, spec, "no_upstream", NoWorkerRetryAfter, out);
+        return refuse(caller, spec, pool == WorkerPool::Quarantine ? "quarantined" : "no_upstream",
+                      NoWorkerRetryAfter, out);
 
     Job job = makeJob(caller, std::move(spec), *queue, callerTimeout, now);
+    job.isQuarantined = pool == WorkerPool::Quarantine;
     if (admit(caller, job, *queue, usable, now, out))
         accept(caller, std::move(job));
 }
 
+bool JobDispatcher::failIfGivenUp(CallerId caller, const BestEffortJob &job, TimePoint now,
+                                  DispatcherOutbox &out) const
+{
+    if (!m_crashes.hasGivenUp(job.id, now))
+        return false;
+    out.emplace_back(LogEvent{Severity::Info,
+                              "job_given_up",
+                              {{"job", job.id}, {"queue", job.queue}, {"reason", CrashedWorkers}}});
+    out.emplace_back(AnswerJob{caller, {JobOutcome::Failed, CrashedWorkers, {}}});
+    return true;
+}
+
 JobDispatcher::Job JobDispatcher::makeJob(CallerId caller, BestEffortJob spec,
                                           const QueueSettings &queue, Duration callerTimeout,
                                           TimePoint now)
@@ -106,12 +124,13 @@
                           DispatcherOutbox &out)
 {
     std::optional<FleetUtilisation> utilisation;
-    if (m_settings.hasScarcityControl)
+    if (m_settings.hasScarcityControl && !job.isQuarantined)
         utilisation = m_demand.utilisation(queue.upstream, usable, now);
     const AvailableCores available = availableCores(queue, usable, utilisation, now);
     if (m_returningJobs.isReturning(job.spec.id, now))
         return !refuseReturning(caller, job, available, out);
-    if (m_settings.hasScarcityControl && refuseOverQuota(caller, job, queue, utilisation, now, out))
+    if (m_settings.hasScarcityControl && !job.isQuarantined
+        && refuseOverQuota(caller, job, queue, utilisation, now, out))
         return false;
     const bool hasSpareCores = utilisation && utilisation->total() < TargetUtilisation;
     const bool mayWait = isStarting(now) && available.shareCores == 0;
@@ -163,8 +182,8 @@
 {
     const Duration makespan = expectedMakespan(job);
     const Duration allowed = usefulEnd(job) - now - makespan;
-    const Duration wait
-        = m_loadControl.expectedWait(job.priority, workOf(job, job.spec.taskCount), available, now);
+    const Duration wait = loadControlOf(job).expectedWait(
+        job.priority, workOf(job, job.spec.taskCount), available, now);
     if (wait * WaitSafetyFactor <= allowed)
         return false;
     if (hasSpareCores && wait * WaitSafetyFactor <= job.deadline - now - makespan) {
@@ -184,7 +203,7 @@
                   {"wait_ms", toMsString(wait)},
                   {"allowed_ms", toMsString(allowed)},
                   {"waiting_core_ms", std::to_string(static_cast<std::int64_t>(
-                                          m_loadControl.waitingWork(job.priority).coreMs))},
+                                          loadControlOf(job).waitingWork(job.priority).coreMs))},
                   {"free_cores", std::to_string(static_cast<std::int64_t>(available.freeCores))},
                   {"cores", std::to_string(static_cast<std::int64_t>(available.shareCores))},
                   {"config", std::to_string(m_config.version)}}});
@@ -196,8 +215,8 @@
                                     DispatcherOutbox &out)
 {
     const auto retryAfter = m_returningJobs.retryTime(
-        workOf(job, job.spec.taskCount), m_loadControl.waitingWork(std::numeric_limits<int>::max()),
-        available);
+        workOf(job, job.spec.taskCount),
+        loadControlOf(job).waitingWork(std::numeric_limits<int>::max()), available);
     if (retryAfter)
         refuse(caller, job.spec, "no_spare_capacity", *retryAfter, out);
     else
@@ -218,7 +237,7 @@
     for (Task &task : it.tasks)
         task.attempt = attempt;
     it.waitingCount = it.tasks.size();
-    m_loadControl.addWaiting(it.priority, workOf(it, it.waitingCount));
+    loadControlOf(it).addWaiting(it.priority, workOf(it, it.waitingCount));
     m_ready.insert(rankOf(number, it));
     ++m_readyVersion;
 }
--- a/src/jobdispatcherplacement.cpp
+++ b/src/jobdispatcherplacement.cpp
@@ -5,6 +5,7 @@
 #include "durations.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -17,6 +18,8 @@
 // A task that has not started this long after it was assigned is refused by its agent and assigned
 // again, maybe to another worker.
 constexpr Duration MaxWaitAtAgent = 150ms;
+// A task that runs alone waits until the other runs on its worker have ended.
+constexpr Duration MaxWaitToRunAlone = 1s;
 // With hasScarcityControl, a task waits at an agent for this share of its job's slack, so that it
 // can still meet its objective elsewhere; but not for less than the time.
 constexpr double WaitShareOfSlack = 0.75;
@@ -52,14 +55,76 @@
     request.requiredLabel = job.spec.requiredLabel;
     request.preferredLabel = job.spec.preferredLabel;
     request.maxSlowness = maxSlownessOf(job, now);
+    request.pool = poolOf(job, now);
     return request;
 }
 
+// While a queue is distrusted, its tasks and those of the other queues run on different workers.
+WorkerPool JobDispatcher::poolOf(std::string_view queue, std::string_view upstream,
+                                 TimePoint now) const
+{
+    return m_crashes.isDistrusted(queue, now) ? WorkerPool::Quarantine
+                                              : trustedPoolOf(upstream, now);
+}
+
+WorkerPool JobDispatcher::trustedPoolOf(std::string_view upstream, TimePoint now) const
+{
+    if (!m_crashes.hasDistrusted(now))
+        return WorkerPool::All;
+    const bool isShared
+        = std::any_of(m_config.queues.begin(), m_config.queues.end(), [&](const QueueSettings &it) {
+              return it.upstream == upstream && m_crashes.isDistrusted(it.name, now);
+          });
+    return isShared ? WorkerPool::General : WorkerPool::All;
+}
+
+WorkerPool JobDispatcher::poolOf(const Job &job, TimePoint now) const
+{
+    return poolOf(job.spec.queue, job.upstream, now);
+}
+
+StartRule JobDispatcher::startRuleOf(const Job &job, std::uint32_t index, TimePoint now) const
+{
+    if (job.tasks[index].state != State::Waiting)
+        return StartRule::Never;
+    return m_crashes.isEmpty() ? StartRule::Anywhere
+                               : m_crashes.startRuleOf({job.spec.id, index}, job.spec.queue, now);
+}
+
+std::vector<std::uint32_t> JobDispatcher::placeableTasks(const Job &job, TimePoint now) const
+{
+    std::vector<std::uint32_t> tasks;
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+        if (startRuleOf(job, i, now) == StartRule::Anywhere)
+            tasks.push_back(i);
+    return tasks;
+}
+
+// Nothing tells how many tasks of such a job end their worker, so all of them run on one.
+void JobDispatcher::placeTasksAlone(TimePoint now, DispatcherOutbox &out)
+{
+    if (m_crashes.isEmpty())
+        return;
+    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
+    for (const Rank &rank : ranks) {
+        Job &job = m_jobs.at(rank.number);
+        std::optional<WorkerKey> worker;
+        for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+            if (startRuleOf(job, i, now) != StartRule::Alone)
+                continue;
+            if (!worker && m_directory.canSpareWorker(job.upstream, poolOf(job, now), now))
+                worker = m_directory.chooseEmptiestWorker(requestOf(job, job.tasks[i], now), now);
+            if (!worker || !sendTask(rank.number, job, i, *worker, true, now, out))
+                break;
+        }
+    }
+}
+
 bool JobDispatcher::placeTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
                               DispatcherOutbox &out)
 {
     const auto worker = m_directory.chooseWorker(requestOf(job, job.tasks[index], now), now);
-    return worker && sendTask(number, job, index, *worker, now, out);
+    return worker && sendTask(number, job, index, *worker, false, now, out);
 }
 
 Duration JobDispatcher::maxWaitAtAgent(const Job &job, TimePoint now) const
@@ -71,19 +136,21 @@
 }
 
 bool JobDispatcher::sendTask(JobNumber number, Job &job, std::uint32_t index,
-                             const WorkerKey &worker, TimePoint now, DispatcherOutbox &out)
+                             const WorkerKey &worker, bool runsAlone, TimePoint now,
+                             DispatcherOutbox &out)
 {
-    const auto startDeadline
-        = m_directory.agentClockAt(worker.agent, now + maxWaitAtAgent(job, now));
+    const Duration maxWait = runsAlone ? MaxWaitToRunAlone : maxWaitAtAgent(job, now);
+    const auto startDeadline = m_directory.agentClockAt(worker.agent, now + maxWait);
     const auto endDeadline = m_directory.agentClockAt(worker.agent, job.deadline);
     if (!startDeadline || !endDeadline)
         return false;
     Task &task = job.tasks[index];
     ++task.attempt;
+    task.runsAlone = runsAlone;
     task.worker = worker;
     task.agentName = m_agents[worker.agent].name;
     setState(number, job, task, State::Assigned);
-    m_loadControl.recordStart(job.priority, workOf(job, 1), now);
+    loadControlOf(job).recordStart(job.priority, workOf(job, 1), now);
     AssignTask message;
     message.task = {job.spec.id, index};
     message.attempt = task.attempt;
@@ -97,7 +164,11 @@
     message.endDeadline = *endDeadline;
     message.objectiveTime = *m_directory.agentClockAt(worker.agent, job.objectiveAt);
     message.schedulingKey = *m_directory.agentClockAt(worker.agent, job.latestStart);
-    message.assignmentNumber = m_directory.reserve(worker, job.priority, job.spec.needs);
+    message.runsAlone = runsAlone;
+    message.isDistrusted = m_crashes.isDistrusted(job.spec.queue, now);
+    message.assignmentNumber = runsAlone
+                                   ? m_directory.reserveWhole(worker, job.priority)
+                                   : m_directory.reserve(worker, job.priority, job.spec.needs);
     out.emplace_back(SendToAgent{worker.agent, std::move(message)});
     return true;
 }
@@ -106,22 +177,22 @@
 // becomes free for it.
 void JobDispatcher::placeWaitingTasks(TimePoint now, DispatcherOutbox &out)
 {
+    placeTasksAlone(now, out);
     if (m_settings.hasScarcityControl)
         return planWaitingJobs(now, out);
-    std::set<std::string> fullUpstreams; // upstreams without capacity for their next job
+    // Without capacity for their next job.
+    std::set<std::pair<std::string, WorkerPool>> fullPools;
     const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
     for (const Rank &rank : ranks) {
         Job &job = m_jobs.at(rank.number);
-        if (fullUpstreams.count(job.upstream))
+        const std::pair pool{job.upstream, poolOf(job, now)};
+        if (fullPools.count(pool))
             continue;
-        for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
-            if (job.tasks[i].state != State::Waiting)
-                continue;
+        for (const std::uint32_t i : placeableTasks(job, now))
             if (!placeTask(rank.number, job, i, now, out)) {
-                fullUpstreams.insert(job.upstream);
+                fullPools.insert(pool);
                 break;
             }
-        }
     }
 }
 
@@ -176,13 +247,14 @@
     }
     m_plannedAt = now;
     m_plannedCapacityVersion = m_directory.capacityVersion();
-    std::map<std::string, PlacementPlan> plans; // by upstream
+    std::map<std::pair<std::string, WorkerPool>, PlacementPlan> plans;
     for (const JobNumber number : planOrder()) {
         Job &job = m_jobs.at(number);
-        auto plan = plans.find(job.upstream);
+        const std::pair pool{job.upstream, poolOf(job, now)};
+        auto plan = plans.find(pool);
         if (plan == plans.end())
             plan = plans
-                       .try_emplace(job.upstream, m_directory.planWorkers(job.upstream, now),
+                       .try_emplace(pool, m_directory.planWorkers(job.upstream, now, pool.second),
                                     m_settings.remoteSlowness, now, m_random)
                        .first;
         carryOut(plan->second, number, job, now, out);
@@ -195,9 +267,12 @@
 void JobDispatcher::carryOut(PlacementPlan &plan, JobNumber number, Job &job, TimePoint now,
                              DispatcherOutbox &out)
 {
+    const std::vector<std::uint32_t> tasks = placeableTasks(job, now);
+    if (tasks.empty())
+        return;
     PlanJob request;
     request.needs = job.spec.needs;
-    request.taskCount = job.waitingCount;
+    request.taskCount = tasks.size();
     request.expectedRun = job.expectedRun;
     request.objectiveAt = job.objectiveAt;
     request.hasStarted = isBegun(job);
@@ -206,18 +281,15 @@
     request.maxSlowness = maxSlownessOf(job, now);
     request.maxWaitAtAgent = maxWaitAtAgent(job, now);
     std::vector<WorkerKey> avoided;
-    for (const Task &it : job.tasks)
-        if (it.state == State::Waiting)
-            avoided.insert(avoided.end(), it.avoidedWorkers.begin(), it.avoidedWorkers.end());
+    for (const std::uint32_t i : tasks) {
+        const std::vector<WorkerKey> &workers = job.tasks[i].avoidedWorkers;
+        avoided.insert(avoided.end(), workers.begin(), workers.end());
+    }
     request.avoidedWorkers = avoided;
     const PlanDecision decision = plan.place(request);
-    std::uint32_t index = 0;
-    for (const WorkerKey &worker : decision.starts) {
-        while (job.tasks[index].state != State::Waiting)
-            ++index;
-        if (!sendTask(number, job, index++, worker, now, out))
+    for (std::size_t i = 0; i < decision.starts.size(); ++i)
+        if (!sendTask(number, job, tasks[i], decision.starts[i], false, now, out))
             break;
-    }
     if (!request.hasStarted && request.taskCount > 1)
         m_placementCounts.wholeStarts += decision.starts.size() == request.taskCount;
     m_placementCounts.backfills += decision.isBackfill;
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -70,6 +70,7 @@
 void TaskRunner::beginWorkerProcess(Worker &worker, const WorkerInfo &info, TimePoint now,
                                     RunnerOutbox &out)
 {
+    reportCrash(worker, CrashState::Confirmed, now, out);
     endAllRunsAsLost(worker, "worker_restarted", now, out);
     Worker fresh;
     for (auto &[id, task] : worker.tasks)
@@ -98,6 +99,7 @@
         beginWorkerProcess(worker, info, now, out);
     if (isFirst || isNewProcess) {
         dropUnconfirmed(info.id, out);
+        settleCrashes(info, now, out);
         out.emplace_back(LogEvent{Severity::Info,
                                   "worker_joined",
                                   {{"worker", info.id},
@@ -170,10 +172,18 @@
     const auto it = m_workers.find(workerId);
     if (it == m_workers.end())
         return;
-    Worker &worker = it->second;
-    if (worker.isUnconfirmed)
+    if (it->second.isUnconfirmed)
         return dropUnconfirmed({}, out);
-    endAllRunsAsLost(worker, "worker_left", now, out);
+    withdrawCrash(it->second, now, out);
+    removeWorker(workerId, "worker_left", now, out);
+}
+
+void TaskRunner::removeWorker(std::string_view workerId, std::string_view reason, TimePoint now,
+                              RunnerOutbox &out)
+{
+    const auto it = m_workers.find(workerId);
+    Worker &worker = it->second;
+    endAllRunsAsLost(worker, reason, now, out);
     while (!worker.tasks.empty())
         refuseTask(worker, worker.tasks.begin(), StartRefusal::NoWorker, out);
     for (const auto &[entry, state] : m_entries)
@@ -185,11 +195,6 @@
 
 // Ends and refusals of tasks
 
-Duration TaskRunner::survivedTime(const Worker &worker, const Task &task)
-{
-    return std::max<Duration>(worker.heardAt - task.firstSentAt, Duration{});
-}
-
 void TaskRunner::endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end,
                          TimePoint now, RunnerOutbox &out)
 {
@@ -356,7 +361,9 @@
         Worker &worker = (it++)->second;
         expireTasks(worker, now, out);
         if (now - worker.heardAt > WorkerTimeout)
-            return onWorkerLeft(std::string(worker.info.id), now, out);
+            return worker.isUnconfirmed
+                       ? dropUnconfirmed({}, out)
+                       : removeWorker(std::string(worker.info.id), "worker_silent", now, out);
         stopOrphans(worker, now, out);
         startQueued(worker, now, out);
         if (worker.coldUntil != TimePoint{} && now >= worker.coldUntil) {
@@ -394,29 +401,12 @@
                                {"unanswered", std::to_string(worker.unansweredPolls)}}});
 }
 
-void TaskRunner::onRefused(Worker &worker, TimePoint now, RunnerOutbox &out)
-{
-    if (std::exchange(worker.isRefusing, true))
-        return;
-    out.emplace_back(LogEvent{Severity::Warning,
-                              "worker_refusing",
-                              {{"worker", worker.info.id},
-                               {"runs", std::to_string(openRuns(worker))},
-                               {"heard_ms", toMsString(now - worker.heardAt)},
-                               {"draining", std::to_string(worker.info.isDraining)}}});
-}
-
-std::size_t TaskRunner::openRuns(const Worker &worker)
-{
-    return static_cast<std::size_t>(
-        std::count_if(worker.tasks.begin(), worker.tasks.end(),
-                      [](const auto &it) { return it.second.state != State::Queued; }));
-}
-
 void TaskRunner::expireTasks(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
-    if (worker.unansweredPolls > 0 && now > worker.leaseEnd)
+    if (worker.unansweredPolls > 0 && now > worker.leaseEnd) {
+        reportCrash(worker, CrashState::Suspected, now, out);
         endAllRunsAsLost(worker, "lease_expired", now, out);
+    }
     std::vector<std::pair<TaskId, StartRefusal>> refused;
     for (auto &[id, task] : worker.tasks) {
         const bool isEntryLost = isEntrySilent(task.entry, now);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -24,6 +24,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -160,6 +161,7 @@
 // shorter than the pause after which a caller repeats a job that it believes lost.
 struct TaskRunnerSettings
 {
+    Incarnation instance; // this process of the agent
     // Lease of all runs at a worker, from each renewal.
     Duration leaseTime = std::chrono::milliseconds(600);
     // The tasks of an entry are stopped after this time without a message from it.
@@ -237,6 +239,8 @@
     TaskInventory inventoryOf(Incarnation entry) const;
     // Ids of the workers at which nothing runs that an earlier process of this agent started.
     std::vector<std::string> orphanFreeWorkers() const;
+    // What is known of workers that went away, for an entry that has connected.
+    std::vector<CrashReport> crashReports(TimePoint now) const;
     // All known workers; as gone during a shutdown.
     std::vector<WorkerUpdate> workers() const;
     // Load of each worker; WorkerLoad::lastAssignmentNumber is not filled in, as it differs for
@@ -318,7 +322,10 @@
         TimePoint unansweredSince{}; // when the first of them was noticed
         TimePoint lastPollReplyAt{}; // newest reply to a poll
         bool isUnresponsive = false; // no reply to polls for too long
-        bool isRefusing = false;     // nothing listened at its address when it was called last
+        // Since when nothing listens at its address; NeverTime: it listened when called last.
+        TimePoint refusingSince = NeverTime;
+        // Number of the report that it went away; 0: none. While there is one, it has not answered.
+        std::uint64_t crashNumber = 0;
         // No starts are sent before this time, as one was refused or could not be delivered.
         TimePoint unhealthyUntil{};
         TimePoint coldUntil{};        // slower before this time; TimePoint{}: not cold
@@ -335,6 +342,14 @@
         std::uint64_t lastAssignment = 0; // newest number on its connection
     };
 
+    // A report that is kept for entries that connect.
+    struct SentCrashReport
+    {
+        CrashReport report;
+        TimePoint at{};    // when the worker went away
+        WorkerInfo worker; // as it was then
+    };
+
     // An end that is still listed in inventories.
     struct EndedTask
     {
@@ -349,10 +364,12 @@
     // Stops, refuses or repeats the calls of tasks whose time has come.
     void expireTasks(Worker &worker, TimePoint now, RunnerOutbox &out);
     // Sort key of queued tasks; the smallest starts first.
-    static std::pair<TimePoint, std::uint64_t> schedulingOrderOf(const Task &task);
+    using SchedulingOrder = std::tuple<bool, TimePoint, std::uint64_t>;
+    static SchedulingOrder schedulingOrderOf(const Task &task);
     void startQueued(Worker &worker, TimePoint now, RunnerOutbox &out);
     void sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
     void sendPoll(Worker &worker, TimePoint now, RunnerOutbox &out);
+    void pollSoon(Worker &worker, TimePoint now); // to be called when a task was started
     void stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
                   RunnerOutbox &out);
     void sendStop(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
@@ -363,7 +380,8 @@
                        RunnerOutbox &out);
     // Counts a poll without a reply; too many make the worker unresponsive.
     void recordUnansweredPoll(Worker &worker, TimePoint now, RunnerOutbox &out);
-    static std::size_t openRuns(const Worker &worker); // tasks that are not queued
+    // It is not certain that the worker, which has gone away, had started the task.
+    static bool mayNotHaveStarted(const Worker &worker, const Task &task);
     // How long the worker is known to have run the task.
     static Duration survivedTime(const Worker &worker, const Task &task);
     // To be called when nothing listens at the worker's address.
@@ -382,6 +400,25 @@
     // ended, because their lease has expired or the worker process is gone.
     void endAllRunsAsLost(Worker &worker, std::string_view reason, TimePoint now,
                           RunnerOutbox &out);
+    // The worker went away without notice. Reports it to the entries with the runs that it
+    // interrupted, or raises the state of the report; does nothing if no run was interrupted or the
+    // worker is leaving.
+    void reportCrash(Worker &worker, CrashState state, TimePoint now, RunnerOutbox &out);
+    // The same process has answered, or it has left as planned.
+    void withdrawCrash(Worker &worker, TimePoint now, RunnerOutbox &out);
+    // A process is new, or is known again after a silence: settles the reports about earlier
+    // processes at its address, or about itself.
+    void settleCrashes(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    void setCrashState(std::uint64_t number, CrashState state, TimePoint now, RunnerOutbox &out);
+    // The worker is gone: its runs have ended, and its queued tasks are refused.
+    void removeWorker(std::string_view workerId, std::string_view reason, TimePoint now,
+                      RunnerOutbox &out);
+    // Another process has answered at the worker's address.
+    void replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out);
+    // A task of another job runs there, and one of the two must run alone.
+    static bool isKeptApart(const Worker &worker, const Task &task);
+    // Some task on the worker, queued or not, must run alone.
+    static bool isReserved(const Worker &worker);
     // Handles a worker's first heartbeat, or a restart under the same id: runs are lost, queued
     // tasks stay queued.
     void beginWorkerProcess(Worker &worker, const WorkerInfo &info, TimePoint now,
@@ -440,8 +477,10 @@
     std::map<std::string, Worker, std::less<>> m_workers;
     std::map<Incarnation, Entry> m_entries;
     std::map<WorkerCallId, PendingCall> m_calls;
-    std::set<std::string> m_evacuated;  // data centres
-    std::deque<EndedTask> m_endedTasks; // oldest first
+    std::set<std::string> m_evacuated;                       // data centres
+    std::deque<EndedTask> m_endedTasks;                      // oldest first
+    std::map<std::uint64_t, SentCrashReport> m_crashReports; // by number, so the oldest first
+    std::uint64_t m_lastCrash = 0;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastArrival = 0;
     std::uint64_t m_loadVersion = 0;
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -64,7 +64,7 @@
     endedCall = std::move(node.mapped());
     if (!isOtherProcess)
         return worker;
-    onWorkerLeft(endedCall.workerId, now, out);
+    replaceWorker(*worker, now, out);
     return nullptr;
 }
 
@@ -175,10 +175,11 @@
     }
 }
 
-// Ties go to the task that was assigned first.
-std::pair<TimePoint, std::uint64_t> TaskRunner::schedulingOrderOf(const Task &task)
+// A task that runs alone comes first, as nothing starts before it has ended. Ties go to the task
+// that was assigned first.
+TaskRunner::SchedulingOrder TaskRunner::schedulingOrderOf(const Task &task)
 {
-    return {task.assignment.schedulingKey, task.arrivalNumber};
+    return {!task.assignment.runsAlone, task.assignment.schedulingKey, task.arrivalNumber};
 }
 
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
@@ -189,22 +190,39 @@
     Resources freeResources = worker.info.capacity - usedResources(worker);
     while (true) {
         Task *best = nullptr;
-        for (auto &[id, task] : worker.tasks) {
-            if (task.state != State::Queued)
-                continue;
-            if (!best || schedulingOrderOf(task) < schedulingOrderOf(*best))
+        for (auto &[id, task] : worker.tasks)
+            if (task.state == State::Queued
+                && (!best || schedulingOrderOf(task) < schedulingOrderOf(*best)))
                 best = &task;
-        }
         // Only the first in order may start: smaller tasks behind it must not keep it waiting for
         // ever.
-        if (!best || !best->assignment.needs.fitsIn(freeResources))
+        if (!best || !best->assignment.needs.fitsIn(freeResources) || isKeptApart(worker, *best))
             return;
         freeResources -= best->assignment.needs;
         best->firstSentAt = now;
         sendStart(worker, *best, now, out);
+        pollSoon(worker, now);
     }
 }
 
+bool TaskRunner::isKeptApart(const Worker &worker, const Task &task)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [&](const auto &it) {
+        return it.second.state != State::Queued && it.first.jobId != task.assignment.task.jobId
+               && (it.second.assignment.runsAlone || task.assignment.runsAlone);
+    });
+}
+
+// A poll of an idle worker is answered late, so until then a crash would not be noticed.
+void TaskRunner::pollSoon(Worker &worker, TimePoint now)
+{
+    const TimePoint soon = now + BusyPollWait + PollMargin;
+    if (worker.nextPollAt <= soon)
+        return;
+    worker.nextPollAt = soon;
+    worker.newestPoll = {};
+}
+
 void TaskRunner::markRunning(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
 {
     if (task.isStartConfirmed)
@@ -338,7 +356,8 @@
     const bool isSameProcess = reply.startedAtUnixMs == worker->info.startedAtUnixMs
                                || (reply.startedAtUnixMs == 0 && !worker->isUnconfirmed);
     if (!isSameProcess)
-        return onWorkerLeft(std::string(worker->info.id), now, out);
+        return replaceWorker(*worker, now, out);
+    withdrawCrash(*worker, now, out);
     if (std::exchange(worker->isUnconfirmed, false)) {
         out.emplace_back(LogEvent{Severity::Info,
                                   "worker_record_confirmed",
@@ -353,7 +372,7 @@
                                    {"listed_ms", toMsString(now - worker->lastPollReplyAt)}}});
         ++m_loadVersion;
     }
-    worker->isRefusing = false;
+    worker->refusingSince = NeverTime;
     worker->unansweredPolls = 0;
     worker->lastPollReplyAt = now;
     if (isNewestPoll)
--- /dev/null
+++ b/src/taskrunnercrashes.cpp
@@ -0,0 +1,159 @@
+// Workers that went away without notice: what the task runner reports of them to the entries.
+
+#include "durations.h"
+#include "taskrunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuscove {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A task that its worker is not known to have run for this long is more likely to have ended it
+// than the others there.
+constexpr Duration RecentRunTime = 25ms;
+// A worker that refuses calls for this long has ended.
+constexpr Duration RefusalProofTime = 15ms;
+// Entries keep reports for longer; these are for entries that have lost theirs.
+constexpr Duration ReportRetention = 60s;
+
+std::string_view nameOf(CrashState state)
+{
+    switch (state) {
+    case CrashState::Suspected:
+        return "suspected";
+    case CrashState::Confirmed:
+        return "confirmed";
+    case CrashState::Withdrawn:
+        return "withdrawn";
+    }
+    return "?";
+}
+
+} // namespace
+
+Duration TaskRunner::survivedTime(const Worker &worker, const Task &task)
+{
+    return std::max<Duration>(worker.heardAt - task.firstSentAt, Duration{});
+}
+
+// A start that was refused is no run by the time that a refusing worker is reported. Without
+// refusals, the next process may have got the only call, or the worker was gone before it.
+bool TaskRunner::mayNotHaveStarted(const Worker &worker, const Task &task)
+{
+    return worker.refusingSince == NeverTime && !task.isStartConfirmed
+           && (task.startCalls == 1 || task.firstSentAt > worker.heardAt + RecentRunTime);
+}
+
+// The worker is on the same machine, so no network failure refuses a call in its place: its process
+// has ended, and its runs with it. By the second refusal, starts that were under way have been
+// refused as well.
+void TaskRunner::onRefused(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    if (worker.refusingSince != NeverTime) {
+        if (now - worker.refusingSince < RefusalProofTime)
+            return;
+        reportCrash(worker, CrashState::Confirmed, now, out);
+        endAllRunsAsLost(worker, "worker_refusing", now, out);
+        return;
+    }
+    worker.refusingSince = now;
+    out.emplace_back(LogEvent{Severity::Warning,
+                              "worker_refusing",
+                              {{"worker", worker.info.id},
+                               {"heard_ms", toMsString(now - worker.heardAt)},
+                               {"draining", std::to_string(worker.info.isDraining)}}});
+    worker.isUnresponsive = true;
+    ++m_loadVersion;
+}
+
+void TaskRunner::reportCrash(Worker &worker, CrashState state, TimePoint now, RunnerOutbox &out)
+{
+    if (worker.crashNumber != 0)
+        return setCrashState(worker.crashNumber, state, now, out);
+    if (worker.info.isDraining)
+        return;
+    CrashReport report{m_settings.instance, m_lastCrash + 1, state, now - worker.heardAt, {}};
+    std::size_t recent = 0;
+    for (const auto &[id, task] : worker.tasks) {
+        if (task.state == State::Queued || mayNotHaveStarted(worker, task))
+            continue;
+        const bool isRecent = survivedTime(worker, task) < RecentRunTime;
+        recent += isRecent;
+        report.runs.push_back({id, task.assignment.queue, isRecent});
+    }
+    if (report.runs.empty())
+        return;
+    worker.crashNumber = ++m_lastCrash;
+    out.emplace_back(LogEvent{Severity::Warning,
+                              "worker_crashed",
+                              {{"worker", worker.info.id},
+                               {"number", std::to_string(report.number)},
+                               {"state", std::string(nameOf(state))},
+                               {"runs", std::to_string(report.runs.size())},
+                               {"recent", std::to_string(recent)},
+                               {"heard_ms", toMsString(report.age)}}});
+    for (const auto &[entry, it] : m_entries)
+        out.emplace_back(SendToEntry{entry, report});
+    m_crashReports[report.number] = {std::move(report), worker.heardAt, worker.info};
+    while (now - m_crashReports.begin()->second.at > ReportRetention)
+        m_crashReports.erase(m_crashReports.begin());
+}
+
+void TaskRunner::setCrashState(std::uint64_t number, CrashState state, TimePoint now,
+                               RunnerOutbox &out)
+{
+    const auto found = m_crashReports.find(number);
+    if (found == m_crashReports.end() || state <= found->second.report.state)
+        return;
+    CrashReport &report = found->second.report;
+    report.state = state;
+    report.age = now - found->second.at;
+    out.emplace_back(
+        LogEvent{Severity::Info,
+                 "worker_crash_revised",
+                 {{"number", std::to_string(number)}, {"state", std::string(nameOf(state))}}});
+    for (const auto &[entry, it] : m_entries)
+        out.emplace_back(SendToEntry{entry, report});
+}
+
+void TaskRunner::replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    if (worker.isUnconfirmed)
+        return dropUnconfirmed({}, out);
+    reportCrash(worker, CrashState::Confirmed, now, out);
+    removeWorker(std::string(worker.info.id), "worker_replaced", now, out);
+}
+
+void TaskRunner::withdrawCrash(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    if (worker.crashNumber != 0)
+        setCrashState(std::exchange(worker.crashNumber, 0), CrashState::Withdrawn, now, out);
+}
+
+void TaskRunner::settleCrashes(const WorkerInfo &info, TimePoint now, RunnerOutbox &out)
+{
+    for (const auto &[number, it] : m_crashReports) {
+        if (it.worker.address != info.address)
+            continue;
+        const bool isSameProcess
+            = it.worker.id == info.id && it.worker.startedAtUnixMs == info.startedAtUnixMs;
+        setCrashState(number, isSameProcess ? CrashState::Withdrawn : CrashState::Confirmed, now,
+                      out);
+    }
+}
+
+std::vector<CrashReport> TaskRunner::crashReports(TimePoint now) const
+{
+    std::vector<CrashReport> reports;
+    for (const auto &[number, it] : m_crashReports) {
+        reports.push_back(it.report);
+        reports.back().age = now - it.at;
+    }
+    return reports;
+}
+
+} // namespace cactuscove
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -133,13 +133,27 @@
         if (now < worker.coldUntil)
             load.slowness = std::max(load.slowness, m_settings.coldSlowness);
         load.failureRate = worker.performance.failureRate(now);
-        if (m_settings.hasScarcityControl && isNearlyFull(worker))
+        load.isReserved = isReserved(worker);
+        load.hasTrustedTasks
+            = std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                          [](const auto &it) { return !it.second.assignment.isDistrusted; });
+        if (load.isReserved) {
+            load.free = {};
+            load.coreReleaseRate = 0;
+        } else if (m_settings.hasScarcityControl && isNearlyFull(worker)) {
             load.releases = expectedReleases(worker, now);
+        }
         loads.push_back(std::move(load));
     }
     return loads;
 }
 
+bool TaskRunner::isReserved(const Worker &worker)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                       [](const auto &it) { return it.second.assignment.runsAlone; });
+}
+
 bool TaskRunner::isNearlyFull(const Worker &worker) const
 {
     return static_cast<double>(usedResources(worker).cpuMillis)
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -27,6 +27,13 @@
     auto operator<=>(const WorkerKey &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
+// The workers that a task may run on while a queue is distrusted (crashhistory.h).
+enum class WorkerPool {
+    All,
+    Quarantine, // few workers, for the tasks of distrusted queues
+    General,    // the others
+};
+
 // A usable worker, as PlacementPlan sees it.
 struct PlanWorker
 {
@@ -74,6 +81,8 @@
     // Counts `needs` as used at the worker until a load report includes them. Returns the number of
     // the assignment on this connection, from 1.
     std::uint64_t reserve(const WorkerKey &key, int priority, const Resources &needs);
+    // The same for a task that runs alone, which takes the whole worker.
+    std::uint64_t reserveWhole(const WorkerKey &key, int priority);
     // Sends the worker no task before `until`; to be called when it has refused one.
     void pauseWorker(const WorkerKey &key, TimePoint until);
     // The workers of these data centres get no tasks and do not count as usable capacity. Replaces
@@ -105,7 +114,13 @@
         // Slowness as in WorkerLoad. Slower workers are left out, as the task would miss its
         // objective there; 0: any worker is fast enough.
         double maxSlowness = 0;
+        WorkerPool pool = WorkerPool::All;
     };
+    // The worker with the largest share of free cores, busy or not, for a task that is to run alone
+    // there; none if such tasks wait or run on all workers.
+    std::optional<WorkerKey> chooseEmptiestWorker(const Request &request, TimePoint now) const;
+    // The pool keeps another worker that is up if one of them crashes, or never has more than one.
+    bool canSpareWorker(std::string_view upstream, WorkerPool pool, TimePoint now) const;
     // A worker with free capacity for the task, else one that is expected to have it within 8 ms,
     // else none. Among workers with capacity the choice is random, weighted by free capacity and
     // speed.
@@ -123,9 +138,11 @@
         double freeCores = 0;
         std::map<Incarnation, double> coresByAgent; // sum of these is the cores in `total`
     };
-    UsableCapacity usableCapacity(std::string_view upstream, TimePoint now) const;
+    UsableCapacity usableCapacity(std::string_view upstream, TimePoint now,
+                                  WorkerPool pool = WorkerPool::All) const;
     // The workers of the upstream that take tasks and do not fail them.
-    std::vector<PlanWorker> planWorkers(std::string_view upstream, TimePoint now) const;
+    std::vector<PlanWorker> planWorkers(std::string_view upstream, TimePoint now,
+                                        WorkerPool pool = WorkerPool::All) const;
     // Increases when a worker may have more free capacity than before.
     std::uint64_t capacityVersion() const { return m_capacityVersion; }
     // What the agent's clock shows at time `at`, or a little less; none before the agent's first
@@ -148,6 +165,7 @@
         TimePoint clock{};                // the agent's clock in its newest heartbeat
         TimePoint clockAt{};              // when that heartbeat was received
         std::uint64_t lastAssignment = 0; // newest number on this connection
+        std::set<std::string> upstreams;  // of its workers so far on this connection
     };
 
     struct Worker
@@ -157,9 +175,10 @@
         bool hasLoad = false;
         // Assignments that `load` does not include yet, by number.
         std::map<std::uint64_t, QueuedDemand> unreported;
-        bool isEvacuated = false; // its data centre is in m_evacuated
-        TimePoint pausedUntil{};  // chosen for no task before this time
-        TimePoint loadAt{};       // when `load` was received
+        std::uint64_t lastWhole = 0; // newest assignment of a task that runs alone; 0: none
+        bool isEvacuated = false;    // its data centre is in m_evacuated
+        TimePoint pausedUntil{};     // chosen for no task before this time
+        TimePoint loadAt{};          // when `load` was received
     };
 
     // A worker that failed, hung or went away lately. Kept while the worker is unknown.
@@ -175,6 +194,18 @@
     // The worker takes tasks, is not in an evacuated data centre, and its agent is in contact with
     // this entry.
     bool isUsable(const WorkerKey &key, const Worker &worker, TimePoint now) const;
+    // Ranks the agents of an upstream by a hash of their names, so that all entries that know the
+    // same agents rank them in the same order, also while their workers are away.
+    void rankAgents(const std::string &upstream);
+    // Agents of the pool: the first in rank, as many as needed for some workers to be up.
+    std::set<Incarnation> agentsOf(WorkerPool pool, std::string_view upstream, TimePoint now) const;
+    bool hasWorkerUp(Incarnation agent, std::string_view upstream, TimePoint now) const;
+    // Its agent hears from it, and neither the worker nor the agent is away or leaving.
+    bool isUp(const WorkerKey &key, const Worker &worker, TimePoint now) const;
+    // Tasks of other queues still run there, and would be lost with the worker.
+    static bool mustEmptyFirst(const Worker &worker, WorkerPool pool);
+    // A task that runs alone waits or runs there.
+    static bool isReserved(const Worker &worker);
     // Free capacity for a task of this priority, less the needs of waiting and unreported tasks
     // that are at least as urgent; may be negative.
     static Resources freeResources(const Worker &worker, int priority);
@@ -195,6 +226,8 @@
     std::map<Incarnation, Agent> m_agents; // connected agents
     std::map<WorkerKey, Worker> m_workers; // workers of connected agents
     std::set<std::string> m_evacuated;     // data centres
+    // Agents in the order of rank, by upstream.
+    std::map<std::string, std::vector<Incarnation>, std::less<>> m_ranks;
     // By worker id, so that they outlive the agent's process. Of workers with a fault since their
     // newest success.
     std::map<std::string, FaultRecord, std::less<>> m_faults;
