Starts need a description of the worker that is recent

A restarted agent knew its worker by the record in the store, which said nothing of its age: a capacity that had shrunk while the agent was away was filled as before, and the worker was over its room (LIMIT). Class of fault: a cached value used without a bound on its age. The same cause elsewhere: an agent that resumes from a suspension, and one whose worker's heartbeats are lost, use what they knew before; both are covered by the same bound.

Agents write the record again with each heartbeat, so that its time tells the age. A clock that was set back by more than that while the agent was away can still hide it; the bound does not cover that.

--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -24,6 +24,8 @@
     it.dataCentre = settings.dataCentre;
     if (settings.hasEvacuations)
         it.coldSlowness = settings.coldSlowness;
+    // A start may be under way for the start window.
+    it.maxDescriptionAge = std::max<Duration>(settings.capacityGrace - it.startWindow, Duration{});
     const Duration spare = settings.resubmitDelay - settings.maxStopTime - ResubmitSafetyMargin;
     it.entryTimeout = std::min<Duration>(it.entryTimeout, spare / 2);
     it.leaseTime
--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -67,8 +67,11 @@
         if (m_features.hasWorkerRecords)
             m_workerRecord = std::make_unique<WorkerRecordClient>(
                 m_loop, m_http, m_metrics, m_settings, m_incarnation.value,
-                WorkerRecordClient::Handlers{[this](const WorkerInfo &it) { onWorkerRecord(it); },
-                                             [this](const LogEvent &event) { log(event); }});
+                WorkerRecordClient::Handlers{
+                    [this](const WorkerInfo &it, std::optional<Duration> age) {
+                        onWorkerRecord(it, age);
+                    },
+                    [this](const LogEvent &event) { log(event); }});
         m_heartbeatTimer.startIn(LinkHeartbeatInterval);
         return std::nullopt;
     }
@@ -176,10 +179,10 @@
         m_server->respond(id, {200, "{}"});
     }
 
-    void onWorkerRecord(const WorkerInfo &worker)
+    void onWorkerRecord(const WorkerInfo &worker, std::optional<Duration> age)
     {
         m_decisions.handleInput([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
-            runner.onWorkerRecord(worker, now, out);
+            runner.onWorkerRecord(worker, age, now, out);
         });
     }
 
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -109,7 +109,7 @@
                                    {"born_ms", std::to_string(info.startedAtUnixMs)}}});
     }
     WorkerInfo previous = std::exchange(worker.info, info);
-    worker.heardAt = now;
+    worker.heardAt = worker.describedAt = now;
     worker.isUnconfirmed = false;
     previous.sequence = info.sequence;
     if (isFirst || isNewProcess || previous != info) {
@@ -129,7 +129,13 @@
     ++m_loadVersion;
 }
 
-void TaskRunner::onWorkerRecord(const WorkerInfo &info, TimePoint now, RunnerOutbox &out)
+bool TaskRunner::isDescriptionOld(const Worker &worker, TimePoint now) const
+{
+    return now - worker.describedAt > m_settings.maxDescriptionAge;
+}
+
+void TaskRunner::onWorkerRecord(const WorkerInfo &info, std::optional<Duration> age, TimePoint now,
+                                RunnerOutbox &out)
 {
     expireAfterSuspension(now, out);
     if (!m_workers.empty() || m_shuttingDown)
@@ -137,6 +143,7 @@
     Worker &worker = m_workers[info.id];
     beginWorkerProcess(worker, info, now, out);
     worker.isUnconfirmed = true;
+    worker.describedAt = age ? now - *age : TimePoint{};
 }
 
 void TaskRunner::dropUnconfirmed(std::string_view keptId, RunnerOutbox &out)
@@ -366,6 +373,10 @@
                        : removeWorker(std::string(worker.info.id), "worker_silent", now, out);
         stopOrphans(worker, now, out);
         startQueued(worker, now, out);
+        if (worker.isDescriptionOld != isDescriptionOld(worker, now)) {
+            worker.isDescriptionOld = !worker.isDescriptionOld;
+            ++m_loadVersion;
+        }
         if (worker.coldUntil != TimePoint{} && now >= worker.coldUntil) {
             worker.coldUntil = {};
             ++m_loadVersion;
@@ -457,6 +468,8 @@
             if (!it.stopAcknowledged)
                 next = std::min(next, it.retryAt);
         next = std::min(next, worker.heardAt + WorkerTimeout + Duration(1));
+        if (!worker.isDescriptionOld)
+            next = std::min(next, worker.describedAt + m_settings.maxDescriptionAge + Duration(1));
         if (worker.tasks.empty())
             continue;
         if (worker.unansweredPolls > 0)
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -169,6 +169,9 @@
     // A worker carries out a start within this time or refuses it. Longer than the repeats of an
     // unanswered start take, and shorter than the pause after which a caller repeats a lost job.
     Duration startWindow = std::chrono::milliseconds(250);
+    // A worker's capacity may shrink while it runs. By a description that is older than this
+    // nothing is started.
+    Duration maxDescriptionAge = std::chrono::milliseconds(4250);
     bool hasScarcityControl = false; // see FeatureFlags
     // Of the machine; counts for workers that name none.
     std::string dataCentre;
@@ -194,10 +197,12 @@
     // The worker runs tasks more slowly for this long, because it has started recently. Ignored for
     // an unknown worker.
     void onWorkerCold(std::string_view workerId, Duration remaining, TimePoint now);
-    // The worker as an earlier process of this agent knew it. Ignored if a worker is known. The
-    // worker is polled at once. It becomes known, and entries learn of it, when its reply or a
-    // heartbeat shows the same process; else it is dropped.
-    void onWorkerRecord(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    // The worker as an earlier process of this agent knew it, with the age of the description if
+    // that is known. Ignored if a worker is known. The worker is polled at once. It becomes known,
+    // and entries learn of it, when its reply or a heartbeat shows the same process; else it is
+    // dropped.
+    void onWorkerRecord(const WorkerInfo &info, std::optional<Duration> age, TimePoint now,
+                        RunnerOutbox &out);
     // The worker has said that it leaves. Its runs are reported as lost, its queued tasks are
     // refused.
     void onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out);
@@ -310,9 +315,11 @@
         // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
         // this agent sent can start after it. No start is sent before that.
         bool hasFinalList = false;
-        WorkerClock clock;   // the worker's clock in its newest reply
-        TimePoint clockAt{}; // when that reply was received
-        TimePoint heardAt{}; // newest heartbeat or reply
+        WorkerClock clock;             // the worker's clock in its newest reply
+        TimePoint clockAt{};           // when that reply was received
+        TimePoint heardAt{};           // newest heartbeat or reply
+        TimePoint describedAt{};       // when `info` was reported last
+        bool isDescriptionOld = false; // as of the newest processPending()
         // Latest possible end of any lease or start window that the worker was sent.
         TimePoint leaseEnd{};
         std::uint64_t acknowledged = 0; // number of the last end received
@@ -446,6 +453,7 @@
     const std::string &dataCentreOf(const Worker &worker) const;
     // The worker starts no tasks: it is leaving, or its data centre is evacuated.
     bool isDraining(const Worker &worker) const;
+    bool isDescriptionOld(const Worker &worker, TimePoint now) const;
     bool isEntrySilent(Incarnation entry, TimePoint now) const;
     bool isNearlyFull(const Worker &worker) const; // more than NearlyFullShare of its cores in use
     // Remaining run time of a task that is not queued, by the worker's slowness and its progress.
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -185,7 +185,7 @@
 void TaskRunner::startQueued(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     if (!worker.hasFinalList || isDraining(worker) || !worker.orphans.empty() || !m_startsAllowed
-        || now < worker.unhealthyUntil || worker.isUnresponsive)
+        || now < worker.unhealthyUntil || worker.isUnresponsive || isDescriptionOld(worker, now))
         return;
     Resources freeResources = worker.info.capacity - usedResources(worker);
     while (true) {
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -118,7 +118,8 @@
         load.workerId = id;
         load.free = worker.info.capacity - usedResources(worker);
         load.isUsable = m_startsAllowed && worker.hasFinalList && worker.orphans.empty()
-                        && !isDraining(worker) && !worker.isUnresponsive && !m_shuttingDown;
+                        && !isDraining(worker) && !worker.isUnresponsive
+                        && !isDescriptionOld(worker, now) && !m_shuttingDown;
         std::map<int, Resources> queued;
         for (const auto &[taskId, task] : worker.tasks) {
             if (task.state == State::Queued)
--- a/src/workerrecord.h
+++ b/src/workerrecord.h
@@ -19,8 +19,9 @@
 
 struct WorkerRecord
 {
-    WorkerInfo worker;                  // without the sequence number of its heartbeats
-    std::int64_t describedAtUnixMs = 0; // when the worker first described itself in this way
+    WorkerInfo worker; // without the sequence number of its heartbeats
+    // When the worker described itself in this way last, but for the newest heartbeats.
+    std::int64_t describedAtUnixMs = 0;
 
     bool operator==(const WorkerRecord &) const = default;
 };
--- a/src/workerrecordclient.h
+++ b/src/workerrecordclient.h
@@ -10,6 +10,7 @@
 #include "workerrecordsync.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace cactuscove {
@@ -20,7 +21,8 @@
     // Called from the event loop.
     struct Handlers
     {
-        std::function<void(const WorkerInfo &worker)> onRecord; // a record is to be used
+        // A record is to be used, with the age of its description if that is known.
+        std::function<void(const WorkerInfo &worker, std::optional<Duration> age)> onRecord;
         std::function<void(const LogEvent &event)> log;
     };
 
@@ -37,7 +39,7 @@
 
     void perform(const ReadWorkerRecord &effect);
     void perform(const WriteWorkerRecord &effect);
-    void perform(const UseWorkerRecord &effect) { m_handlers.onRecord(effect.worker); }
+    void perform(const UseWorkerRecord &effect) { m_handlers.onRecord(effect.worker, effect.age); }
     void perform(const LogEvent &effect) { m_handlers.log(effect); }
     void onPendingProcessed(TimePoint) {}
 
--- a/src/workerrecordsync.cpp
+++ b/src/workerrecordsync.cpp
@@ -18,6 +18,10 @@
 // interval is 1.5 s.
 constexpr Duration ReadPeriod = 3s;
 
+// Restarted agents use the capacity of a recent description only. Less than the interval of
+// heartbeats, so that each is written.
+constexpr Duration RefreshInterval = 1400ms;
+
 // What a record says of the worker.
 WorkerInfo descriptionOf(const WorkerInfo &info)
 {
@@ -42,10 +46,12 @@
     if (info.startedAtUnixMs <= 0)
         return;
     const WorkerInfo description = descriptionOf(info);
-    if (m_current
-        && (m_current->worker == description
-            || info.startedAtUnixMs < m_current->worker.startedAtUnixMs))
+    if (m_current && info.startedAtUnixMs < m_current->worker.startedAtUnixMs)
         return;
+    if (m_current && m_current->worker == description) {
+        m_current->describedAtUnixMs = unixMs;
+        return scheduleWrite(now);
+    }
     if (!m_current && m_readState == State::Due && m_readFailures > 0) {
         out.emplace_back(LogEvent{Severity::Info,
                                   "worker_record_not_needed",
@@ -83,8 +89,12 @@
     const std::string age = std::to_string(unixMs - record.describedAtUnixMs);
     const bool isForeign
         = !m_settings.workerAddress.empty() && worker.address != m_settings.workerAddress;
-    if (!isForeign)
+    if (!isForeign) {
         m_stored = worker;
+        m_writtenAt = now
+                      - std::chrono::milliseconds(
+                          std::max<std::int64_t>(unixMs - record.describedAtUnixMs, 0));
+    }
     if (isForeign || m_current) {
         out.emplace_back(
             LogEvent{isForeign ? Severity::Warning : Severity::Info,
@@ -104,7 +114,10 @@
                                {"age_ms", age},
                                {"read_failures", std::to_string(m_readFailures)},
                                {"since_start_ms", toMsString(now - m_startedAt)}}});
-    out.emplace_back(UseWorkerRecord{worker});
+    const std::int64_t ageMs = unixMs - record.describedAtUnixMs;
+    out.emplace_back(UseWorkerRecord{
+        worker,
+        ageMs < 0 ? std::nullopt : std::optional<Duration>(std::chrono::milliseconds(ageMs))});
 }
 
 void WorkerRecordSync::onReadFailed(std::string_view detail, TimePoint now, WorkerRecordOutbox &out)
@@ -130,8 +143,9 @@
 
 void WorkerRecordSync::scheduleWrite(TimePoint now)
 {
-    if (m_readState != State::Idle || m_writeState != State::Idle || !m_current
-        || m_stored == m_current->worker)
+    const bool isStored
+        = m_current && m_stored == m_current->worker && now - m_writtenAt < RefreshInterval;
+    if (m_readState != State::Idle || m_writeState != State::Idle || !m_current || isStored)
         return;
     m_writeState = State::Due;
     m_writeAt = now;
@@ -139,14 +153,16 @@
 
 void WorkerRecordSync::onWritten(TimePoint now, WorkerRecordOutbox &out)
 {
+    const bool isRefresh = m_stored == m_writing && m_writeFailures == 0;
     m_stored = std::move(m_writing);
     m_writing.reset();
     m_writeState = State::Idle;
-    out.emplace_back(LogEvent{Severity::Info,
-                              "worker_record_written",
-                              {{"worker", m_stored->id},
-                               {"born_ms", std::to_string(m_stored->startedAtUnixMs)},
-                               {"write_failures", std::to_string(m_writeFailures)}}});
+    if (!isRefresh)
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "worker_record_written",
+                                  {{"worker", m_stored->id},
+                                   {"born_ms", std::to_string(m_stored->startedAtUnixMs)},
+                                   {"write_failures", std::to_string(m_writeFailures)}}});
     m_writeFailures = 0;
     scheduleWrite(now);
 }
@@ -188,6 +204,7 @@
     }
     m_writeState = State::UnderWay;
     m_writing = m_current->worker;
+    m_writtenAt = now;
     out.emplace_back(WriteWorkerRecord{std::move(valueOf(value))});
 }
 
--- a/src/workerrecordsync.h
+++ b/src/workerrecordsync.h
@@ -1,7 +1,8 @@
 // Decides when an agent reads and writes the record of its worker, and whether a record that it
 // read is used. The record is read once after the start of the process. It is used only until the
-// first heartbeat of a worker. It is written once for each change of the worker's description, with
-// one write at a time; while a write is under way or has failed, only the newest description is
+// first heartbeat of a worker. It is written once for each change of the worker's description, and
+// again after RefreshInterval so that its age tells how old the description is, with one write at a
+// time; while a write is under way or has failed, only the newest description is
 // kept.
 //
 // Does no I/O and reads no clock: inputs carry the time, and the Unix time for the age of records.
@@ -34,6 +35,7 @@
 struct UseWorkerRecord
 {
     WorkerInfo worker;
+    std::optional<Duration> age; // of the description; none if the clock was set back
 };
 
 using WorkerRecordEffect
@@ -80,7 +82,8 @@
                    WorkerRecordOutbox &out);
     // Ends the reads; from then on descriptions are written.
     void endReading();
-    // Makes a write due if the store is not known to hold the newest description.
+    // Makes a write due if the store is not known to hold the newest description, or holds it with
+    // an old time.
     void scheduleWrite(TimePoint now);
 
     WorkerRecordSettings m_settings;
@@ -96,6 +99,7 @@
     std::optional<WorkerRecord> m_current;
     std::optional<WorkerInfo> m_stored;  // the description that the store is known to hold
     std::optional<WorkerInfo> m_writing; // the description of the write that is under way
+    TimePoint m_writtenAt{};             // when the newest write started
 };
 
 } // namespace cactuscove
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -99,6 +99,7 @@
         TimePoint startedAt = Start;
         std::unique_ptr<EntrySelection> selection;
         std::optional<WorkerInfo> record; // of its worker, in the store
+        TimePoint recordAt;               // when it was written
         DemandTable demand;               // of the connected entries
     };
 
@@ -364,8 +365,8 @@
             post(now + fromMs(uniform() * toMs(MaxRecordReadTime)),
                  [this, i, incarnation = it.incarnation, record = *it.record] {
                      if (agents[i].incarnation == incarnation)
-                         stepAgent(i, [this, record](TaskRunner &runner, RunnerOutbox &out) {
-                             runner.onWorkerRecord(record, now, out);
+                         stepAgent(i, [this, i, record](TaskRunner &runner, RunnerOutbox &out) {
+                             runner.onWorkerRecord(record, now - agents[i].recordAt, now, out);
                          });
                  });
         it.demand = {};
@@ -680,6 +681,7 @@
         info.sequence = ++it.sequence;
         stepAgent(i, [this, i, info](TaskRunner &runner, RunnerOutbox &out) {
             agents[i].record = info;
+            agents[i].recordAt = now;
             runner.onWorkerInfo(info, now, out);
         });
     }
--- a/tests/workerrecord_test.cpp
+++ b/tests/workerrecord_test.cpp
@@ -155,6 +155,22 @@
               changed.capacity.cpuMillis);
 }
 
+// Guards against a record from which a restarted agent cannot tell how old the description is.
+TEST_F(WorkerRecordSyncTest, RefreshesTheTimeOfTheDescriptionSilently)
+{
+    advance(0s);
+    read({});
+    for (int i = 0; i < 4; ++i) {
+        heartbeat(worker());
+        advance(0s);
+        if (i < 4 && writes() > static_cast<std::size_t>(i))
+            sync.onWritten(now, out);
+        advance(1500ms);
+    }
+    EXPECT_EQ(writes(), 4u);
+    EXPECT_EQ(countEvents(out, "worker_record_written"), 1);
+}
+
 // Guards against writes and log lines without limit while the store is down.
 TEST_F(WorkerRecordSyncTest, RepeatsFailedWritesWithDelays)
 {
@@ -235,7 +251,7 @@
     RunnerFixture()
     {
         runner.onEntryHello(entry, "entry", Start, out);
-        runner.onWorkerRecord(worker(), Start, out);
+        runner.onWorkerRecord(worker(), 0s, Start, out);
         runner.processPending(Start, out);
     }
 
@@ -320,7 +336,7 @@
         TaskRunner fresh({}, Start);
         RunnerOutbox events;
         fresh.onEntryHello(entry, "entry", Start, events);
-        fresh.onWorkerRecord(worker(), Start, events);
+        fresh.onWorkerRecord(worker(), 0s, Start, events);
         fresh.processPending(Start, events);
         fresh.onPollReply(effectsOf<PollRuns>(events).back().call, reply, Start + 1ms, events);
         fresh.processPending(Start + 1s, events);
@@ -340,12 +356,12 @@
     EXPECT_EQ(countEvents(out, "worker_joined"), 1);
     TaskRunner fresh({}, Start);
     RunnerOutbox events;
-    fresh.onWorkerRecord(worker(), Start, events);
+    fresh.onWorkerRecord(worker(), 0s, Start, events);
     earlier.id = "i-2";
     fresh.onWorkerInfo(earlier, Start, events);
     EXPECT_EQ(fresh.workers().size(), 1u);
     EXPECT_EQ(countEvents(events, "worker_record_dropped"), 1);
-    fresh.onWorkerRecord(worker(), Start, events);
+    fresh.onWorkerRecord(worker(), 0s, Start, events);
     EXPECT_EQ(countEvents(events, "worker_record_dropped"), 1);
     EXPECT_EQ(fresh.loads(Start).size(), 1u);
 }
