--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -105,7 +105,7 @@
                                {"heard_ms", toMsString(report.age)}}});
     for (const auto &[entry, it] : m_entries)
         out.emplace_back(SendToEntry{entry, report});
-    m_crashReports[report.number] = {std::move(report), worker.heardAt, worker.info};
+    m_crashReports[worker.crashNumber] = {std::move(report), worker.heardAt, worker.info};
     while (now - m_crashReports.begin()->second.at > ReportRetention)
         m_crashReports.erase(m_crashReports.begin());
 }
