Only tasks that may crash their worker are watched closely; a quarter of the fleet for them

The poll is now sent after starts of tasks that run alone or belong to a distrusted queue, and after a refused call. An ordinary task that crashes an idle worker is then noticed at the next start there, or after 0.4 s.

At most a quarter of the agents now.

--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -377,7 +377,8 @@
     void startQueued(Worker &worker, TimePoint now, RunnerOutbox &out);
     void sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
     void sendPoll(Worker &worker, TimePoint now, RunnerOutbox &out);
-    void pollSoon(Worker &worker, TimePoint now); // to be called when a task was started
+    // To be called when a task was started that may crash the worker, or a call was refused.
+    void pollSoon(Worker &worker, TimePoint now);
     void stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
                   RunnerOutbox &out);
     void sendStop(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -201,7 +201,8 @@
         freeResources -= best->assignment.needs;
         best->firstSentAt = now;
         sendStart(worker, *best, now, out);
-        pollSoon(worker, now);
+        if (best->assignment.runsAlone || best->assignment.isDistrusted)
+            pollSoon(worker, now);
     }
 }
 
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -75,6 +75,7 @@
                                {"draining", std::to_string(worker.info.isDraining)}}});
     worker.isUnresponsive = true;
     ++m_loadVersion;
+    pollSoon(worker, now);
 }
 
 void TaskRunner::reportCrash(Worker &worker, CrashState state, TimePoint now, RunnerOutbox &out)
--- a/src/workerdirectorypools.cpp
+++ b/src/workerdirectorypools.cpp
@@ -16,7 +16,7 @@
 // Share of the agents whose workers are WorkerPool::Quarantine and are up. With those whose workers
 // have crashed, the pool has MaxQuarantineShare at most: the others must carry the other queues.
 constexpr double QuarantineShare = 0.2;
-constexpr double MaxQuarantineShare = 0.36;
+constexpr double MaxQuarantineShare = 0.25;
 
 } // namespace
 
