No set of agents is made where all workers may be chosen

Found on reading the change again: agentsOf() made a set of all agents on each choice of a worker and each look at the capacity, also for WorkerPool::All, the usual case. And the age of a worker's record was computed three times. No behaviour changes.

--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -34,6 +34,12 @@
 // One failed task may be the task's fault; with so many in a row the worker is on record.
 constexpr int MaxFaultsInARow = 2;
 
+// Usually all workers may be chosen, and there are no agents of a pool to look up.
+bool isLimited(WorkerPool pool)
+{
+    return pool != WorkerPool::All;
+}
+
 } // namespace
 
 bool WorkerDirectory::hasLabel(const WorkerInfo &worker, std::string_view label)
@@ -242,13 +248,16 @@
     std::vector<Candidate> notAvoided;
     std::vector<Candidate> avoided;
     bool hasAlternative = false; // some worker is not avoided, even if it is busy now
-    const std::set<Incarnation> agents = agentsOf(request.pool, request.upstream, now);
+    const std::set<Incarnation> agents = isLimited(request.pool)
+                                             ? agentsOf(request.pool, request.upstream, now)
+                                             : std::set<Incarnation>();
     const double unlimited = std::numeric_limits<double>::infinity();
     const Limits limits
         = limitsOf(request.upstream, request.maxSlowness > 0 ? request.maxSlowness : unlimited);
     for (const auto &[key, worker] : m_workers) {
         if (worker.info.upstream != request.upstream || !isUsable(key, worker, now)
-            || agents.count(key.agent) == 0 || mustEmptyFirst(worker, request.pool))
+            || (isLimited(request.pool) && agents.count(key.agent) == 0)
+            || mustEmptyFirst(worker, request.pool))
             continue;
         if (!request.requiredLabel.empty() && !hasLabel(worker.info, request.requiredLabel))
             continue;
@@ -351,12 +360,13 @@
 WorkerDirectory::usableCapacity(std::string_view upstream, TimePoint now, WorkerPool pool) const
 {
     const Limits limits = limitsOf(upstream, MaxUsableSlowness);
-    const std::set<Incarnation> agents = agentsOf(pool, upstream, now);
+    const std::set<Incarnation> agents
+        = isLimited(pool) ? agentsOf(pool, upstream, now) : std::set<Incarnation>();
     UsableCapacity usable;
     std::int64_t freeMillis = 0;
     for (const auto &[key, worker] : m_workers) {
         if (worker.info.upstream != upstream || !isUsable(key, worker, now)
-            || agents.count(key.agent) == 0 || mustEmptyFirst(worker, pool)
+            || (isLimited(pool) && agents.count(key.agent) == 0) || mustEmptyFirst(worker, pool)
             || worker.load.failureRate > limits.maxFailureRate
             || worker.load.slowness > limits.maxSlowness)
             continue;
@@ -374,11 +384,12 @@
                                                      WorkerPool pool) const
 {
     const Limits limits = limitsOf(upstream, std::numeric_limits<double>::infinity());
-    const std::set<Incarnation> agents = agentsOf(pool, upstream, now);
+    const std::set<Incarnation> agents
+        = isLimited(pool) ? agentsOf(pool, upstream, now) : std::set<Incarnation>();
     std::vector<PlanWorker> out;
     for (const auto &[key, worker] : m_workers) {
         if (worker.info.upstream != upstream || !isUsable(key, worker, now)
-            || agents.count(key.agent) == 0 || mustEmptyFirst(worker, pool)
+            || (isLimited(pool) && agents.count(key.agent) == 0) || mustEmptyFirst(worker, pool)
             || worker.load.failureRate > limits.maxFailureRate)
             continue;
         PlanWorker &it = out.emplace_back();
--- a/src/workerrecordsync.cpp
+++ b/src/workerrecordsync.cpp
@@ -86,14 +86,13 @@
                                  WorkerRecordOutbox &out)
 {
     const WorkerInfo &worker = record.worker;
-    const std::string age = std::to_string(unixMs - record.describedAtUnixMs);
+    const std::int64_t ageMs = unixMs - record.describedAtUnixMs;
+    const std::string age = std::to_string(ageMs);
     const bool isForeign
         = !m_settings.workerAddress.empty() && worker.address != m_settings.workerAddress;
     if (!isForeign) {
         m_stored = worker;
-        m_writtenAt = now
-                      - std::chrono::milliseconds(
-                          std::max<std::int64_t>(unixMs - record.describedAtUnixMs, 0));
+        m_writtenAt = now - std::chrono::milliseconds(std::max<std::int64_t>(ageMs, 0));
     }
     if (isForeign || m_current) {
         out.emplace_back(
@@ -114,7 +113,6 @@
                                {"age_ms", age},
                                {"read_failures", std::to_string(m_readFailures)},
                                {"since_start_ms", toMsString(now - m_startedAt)}}});
-    const std::int64_t ageMs = unixMs - record.describedAtUnixMs;
     out.emplace_back(UseWorkerRecord{
         worker,
         ageMs < 0 ? std::nullopt : std::optional<Duration>(std::chrono::milliseconds(ageMs))});
