Review: stand-ins end their processes and folders on SIGTERM and need no tomllib

Cause: a case that is ended from outside left its processes and its folder. Change: review/lib/deployment.py.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,9 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 - <<'EOF'
-import ast, pathlib, sys
-if sys.version_info < (3, 11):
-    sys.exit("Python 3.11 or newer is needed (tomllib)")
+import ast, pathlib
 for path in sorted(pathlib.Path(".").rglob("*.py")):
     ast.parse(path.read_text(encoding="utf-8"), str(path))
     print("ok", path)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -12,6 +12,8 @@
 import http.server
 import json
 import os
+import re
+import shutil
 import signal
 import socket
 import struct
@@ -20,7 +22,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 import urllib.parse
 import uuid
 
@@ -47,6 +48,21 @@
     """The case could not be played."""
 
 
+def read_roles():
+    """The roles of deploy/system.toml with the fields `run`, `on` and `serves`."""
+    roles, role = {}, None
+    with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
+        for line in file:
+            section = re.match(r"\[(.*)\]\s*$", line)
+            field = re.match(r"(run|on|serves)\s*=\s*(.*)$", line)
+            if section:
+                name = section.group(1)
+                role = roles.setdefault(name[6:], {}) if name.startswith("roles.") else None
+            elif field and role is not None:
+                role[field.group(1)] = json.loads(field.group(2))
+    return roles
+
+
 def free_ports(ips, count):
     """The first of `count` neighbouring ports that are free at all the addresses."""
     for first in range(21000, 31000, 10):
@@ -474,8 +490,7 @@
         self.record = Record()
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.timeout_ms = timeout_ms
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            self.roles = tomllib.load(file)["roles"]
+        self.roles = read_roles()
         net = f"127.{20 + os.getpid() % 200}"
         self.store = Store(f"{net}.9.1")
         entry_ips = [f"{net}.1.{n + 1}" for n in range(entries)]
@@ -544,7 +559,7 @@
             limit = time.monotonic() + 20
             while True:
                 if time.monotonic() > limit:
-                    raise NotRun(f"the deployment is not ready; output in {self.directory}")
+                    raise NotRun("the deployment is not ready; KEEP=1 keeps the output of its processes")
                 if all(it and it.status == 200 for it in self.ready_entries()) and all(
                         it.clock() < it.lease_until for it in self.workers):
                     break
@@ -566,6 +581,8 @@
                 it.process.kill()
                 it.process.wait()
         self.store.stop()
+        if "KEEP" not in os.environ:  # the output of the processes
+            shutil.rmtree(self.directory, ignore_errors=True)
 
     # Clients
 
@@ -630,8 +647,9 @@
 
 
 def play(folder, case):
-    """Runs case(has_trouble, record_writer) and ends the process with the status of the case."""
+    """Runs case(has_trouble), writes record.txt and ends the process with the status of the case."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # ends the processes as well
     try:
         status, deployment, text = case(has_trouble)
     except (NotRun, OSError, KeyError) as error:
