--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,6 +24,7 @@
 
     def restart(self):
         with self.changed:
+            self.server.refuse()
             self.record.add(self.name, f"process {self.id} ends")
             for task in list(self.active):
                 self.finish(task, "crashed")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 
 RUN_MS = 6000
 DEADLINE_MS = 20000
-END_S = 0.04  # from the answer to DELETE to the end of the process and its runs
+END_S = 0.01  # from the answer to DELETE to the end of the process and its runs
 
 
 class LeavingWorker(Worker):
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -124,7 +124,15 @@
             self.open.discard(request)
         super().shutdown_request(request)
 
+    def refuse(self):
+        """From now on the port refuses connections."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
     def stop(self):
+        self.refuse()
         self.shutdown()
         self.server_close()
         with self.lock:
