A leaving worker's runs go on until their end is proved

Cause: a DELETE was taken as the end of the worker's runs. It says that the worker is about to end; the runs end with the process, later. The same step stood in the removal of a silent worker, and in a 421 from a worker whose address is not on the agent's machine.

Change: a worker that leaves is gone for the entries and starts nothing, but the agent keeps its runs, and their room, until the worker lists their end, calls are refused, another worker answers at its address, or their lease has expired. It is polled at once, and a poll that breaks off is repeated at once, so that the end of a process is seen within some milliseconds, not after the wait of the poll. A heartbeat after a late DELETE takes the worker back. onWorkerLeft handles the timeouts of a suspension first, like the other inputs.

--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -55,7 +55,8 @@
 
 bool TaskRunner::isDraining(const Worker &worker) const
 {
-    return worker.info.isDraining || m_evacuated.count(dataCentreOf(worker)) > 0;
+    return worker.info.isDraining || worker.isLeaving
+           || m_evacuated.count(dataCentreOf(worker)) > 0;
 }
 
 Resources TaskRunner::usedResources(const Worker &worker) const
@@ -146,8 +147,10 @@
     worker.heardAt = worker.describedAt = now;
     worker.isUnconfirmed = false;
     worker.isDescribed = true;
+    // It goes on after a DELETE: that came late, from the process before.
+    const bool hasReturned = std::exchange(worker.isLeaving, false);
     previous.sequence = info.sequence;
-    if (isFirstOfProcess || previous != info) {
+    if (isFirstOfProcess || hasReturned || previous != info) {
         if (info.isDraining && !previous.isDraining)
             out.emplace_back(
                 LogEvent{Severity::Info,
@@ -213,27 +216,31 @@
 
 void TaskRunner::onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out)
 {
-    const auto it = m_workers.find(workerId);
-    if (it == m_workers.end())
+    expireAfterSuspension(now, out);
+    Worker *worker = findWorker(workerId);
+    if (!worker)
         return;
-    if (it->second.isUnconfirmed)
+    if (worker->isUnconfirmed)
         return dropUnconfirmed({}, out);
-    withdrawCrash(it->second, now, out);
-    removeWorker(workerId, EndProof::OtherWorker, now, out);
+    withdrawCrash(*worker, now, out);
+    beginLeave(*worker, "worker_left", now, out);
 }
 
-void TaskRunner::removeWorker(std::string_view workerId, EndProof proof, TimePoint now,
-                              RunnerOutbox &out)
+// Polled at once, so that the end of its process is noticed as soon as it happens.
+void TaskRunner::beginLeave(Worker &worker, std::string_view reason, TimePoint now,
+                            RunnerOutbox &out)
 {
-    const auto it = m_workers.find(workerId);
-    Worker &worker = it->second;
-    endProvenRuns(worker, proof, now, out);
-    while (!worker.tasks.empty())
-        refuseTask(worker, worker.tasks.begin(), StartRefusal::NoWorker, out);
+    if (std::exchange(worker.isLeaving, true))
+        return;
+    refuseQueued(worker, out);
     for (const auto &[entry, state] : m_entries)
         out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
-    out.emplace_back(LogEvent{Severity::Info, "worker_gone", {{"worker", worker.info.id}}});
-    m_workers.erase(it);
+    out.emplace_back(LogEvent{Severity::Info,
+                              "worker_gone",
+                              {{"worker", worker.info.id},
+                               {"reason", std::string(reason)},
+                               {"runs", std::to_string(worker.tasks.size())}}});
+    pollSoon(worker, now);
     ++m_loadVersion;
 }
 
@@ -278,6 +285,16 @@
                                {"reason", std::string(nameOf(reason))}}});
 }
 
+void TaskRunner::refuseQueued(Worker &worker, RunnerOutbox &out)
+{
+    std::vector<TaskId> queued;
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state == State::Queued)
+            queued.push_back(id);
+    for (const TaskId &id : queued)
+        refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
+}
+
 void TaskRunner::refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it,
                             StartRefusal reason, RunnerOutbox &out)
 {
@@ -374,7 +391,7 @@
     Worker *worker = findWorker(assignment.workerId);
     if (now > assignment.startDeadline)
         return refuse(entry, assignment, StartRefusal::Expired, assignment.workerId, out);
-    if (!worker || m_shuttingDown)
+    if (!worker || worker->isLeaving || m_shuttingDown)
         return refuse(entry, assignment, StartRefusal::NoWorker, assignment.workerId, out);
     if (isDraining(*worker))
         return refuse(entry, assignment, StartRefusal::Draining, assignment.workerId, out);
@@ -436,12 +453,19 @@
         ++m_loadVersion;
     }
     for (auto it = m_workers.begin(); it != m_workers.end();) {
-        Worker &worker = (it++)->second;
+        const auto current = it++;
+        Worker &worker = current->second;
         expireTasks(worker, now, out);
-        if (now - worker.heardAt > WorkerTimeout)
-            return worker.isUnconfirmed ? dropUnconfirmed({}, out)
-                                        : removeWorker(std::string(worker.info.id),
-                                                       EndProof::LeaseExpired, now, out);
+        if (now - worker.heardAt > WorkerTimeout) {
+            if (worker.isUnconfirmed)
+                return dropUnconfirmed({}, out);
+            beginLeave(worker, "worker_silent", now, out);
+        }
+        if (worker.isLeaving && worker.tasks.empty() && worker.orphans.empty()) {
+            m_workers.erase(current);
+            ++m_loadVersion;
+            continue;
+        }
         stopOrphans(worker, now, out);
         startQueued(worker, now, out);
         if (worker.isDescriptionOld != isDescriptionOld(worker, now)) {
@@ -548,7 +572,8 @@
         for (const Orphan &it : worker.orphans)
             if (!it.stopAcknowledged)
                 next = std::min(next, it.retryAt);
-        next = std::min(next, worker.heardAt + WorkerTimeout + Duration(1));
+        if (!worker.isLeaving)
+            next = std::min(next, worker.heardAt + WorkerTimeout + Duration(1));
         if (!worker.isDescriptionOld)
             next = std::min(next, worker.describedAt + m_settings.maxDescriptionAge + Duration(1));
         if (worker.tasks.empty())
@@ -577,12 +602,7 @@
 {
     m_shuttingDown = true;
     for (auto &[workerId, worker] : m_workers) {
-        std::vector<TaskId> waiting;
-        for (const auto &[id, task] : worker.tasks)
-            if (task.state == State::Queued)
-                waiting.push_back(id);
-        for (const TaskId &id : waiting)
-            refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
+        refuseQueued(worker, out);
         for (const auto &[entry, state] : m_entries)
             out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
     }
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -207,8 +207,8 @@
     // dropped.
     void onWorkerRecord(const WorkerInfo &info, std::optional<Duration> age, TimePoint now,
                         RunnerOutbox &out);
-    // The worker has said that it leaves. Its runs are reported as lost, its queued tasks are
-    // refused.
+    // The worker has said that it leaves, and ends soon: its queued tasks are refused, and entries
+    // are told that it is gone. Its runs go on until they have ended or their end is proved.
     void onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out);
     // Replies to the calls of this runner, each at most once. A call without a reply is reported as
     // NoAnswer. Replies to unknown calls are ignored.
@@ -327,7 +327,9 @@
         std::uint64_t process = 0;
         // The clock in a reply has shown that the process is new. `info` is of the one before.
         bool isStartTimeUnknown = false;
-        bool isDescribed = false;         // `info` is of the known process
+        bool isDescribed = false; // `info` is of the known process
+        // It is gone for the entries, and is removed once its runs have ended.
+        bool isLeaving = false;
         std::optional<TimePoint> aliveAt; // when the newest call was sent that the process answered
         bool isSynced = false;            // a list of its runs was received from this process
         // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
@@ -384,7 +386,7 @@
     };
 
     // Handles the timeouts that passed while the process was suspended. Each input that carries the
-    // time calls it first, except onWorkerLeft().
+    // time calls it first.
     void expireAfterSuspension(TimePoint now, RunnerOutbox &out);
     // Stops, refuses or repeats the calls of tasks whose time has come.
     void expireTasks(Worker &worker, TimePoint now, RunnerOutbox &out);
@@ -394,6 +396,8 @@
     void startQueued(Worker &worker, TimePoint now, RunnerOutbox &out);
     void sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
     void sendPoll(Worker &worker, TimePoint now, RunnerOutbox &out);
+    // The newest poll was not answered.
+    static void repeatPoll(Worker &worker, CallAnswer answer, TimePoint now);
     // To be called when a task was started that may crash the worker, or a call was refused.
     void pollSoon(Worker &worker, TimePoint now);
     void stopTask(Worker &worker, Task &task, std::string_view reason, TimePoint now,
@@ -448,8 +452,9 @@
     // processes at its address, or about itself.
     void settleCrashes(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
     void setCrashState(std::uint64_t number, CrashState state, TimePoint now, RunnerOutbox &out);
-    // The worker is gone: its runs have ended, and its queued tasks are refused.
-    void removeWorker(std::string_view workerId, EndProof proof, TimePoint now, RunnerOutbox &out);
+    // The worker takes no tasks any more. It is removed once it has no runs.
+    void beginLeave(Worker &worker, std::string_view reason, TimePoint now, RunnerOutbox &out);
+    void refuseQueued(Worker &worker, RunnerOutbox &out);
     // A process with another worker id has answered at the worker's address.
     void replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out);
     // A task of another job runs there, and one of the two must run alone.
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -399,8 +399,8 @@
     if (reply.answer != CallAnswer::Ok) {
         if (isNewestPoll)
             recordUnansweredPoll(*worker, now, out);
-        if (isNewestPoll && isUndelivered(reply.answer))
-            worker->nextPollAt = now + NotSentRetryDelay;
+        if (isNewestPoll)
+            repeatPoll(*worker, reply.answer, now);
         if (reply.answer == CallAnswer::Refused)
             onRefused(*worker, endedCall, now, out);
         return;
@@ -435,6 +435,17 @@
         applyPollReply(*worker, reply, askedAt, now, out);
 }
 
+// A poll that breaks off may show the end of the process, so it is repeated at once, and then with
+// growing delays.
+void TaskRunner::repeatPoll(Worker &worker, CallAnswer answer, TimePoint now)
+{
+    const Duration delay
+        = isUndelivered(answer)
+              ? NotSentRetryDelay
+              : PollMargin * (std::min(worker.unansweredPolls, MaxPollBackOff) - 1);
+    worker.nextPollAt = std::min(worker.nextPollAt, now + delay);
+}
+
 bool TaskRunner::identifyProcess(Worker &worker, const PendingCall &call, const PollReply &reply,
                                  TimePoint now, RunnerOutbox &out)
 {
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -92,7 +92,7 @@
 {
     for (const std::uint64_t number : worker.crashNumbers)
         setCrashState(number, state, now, out);
-    if (worker.info.isDraining)
+    if (worker.info.isDraining || worker.isLeaving)
         return;
     CrashReport report{m_settings.instance, m_lastCrash + 1, state, now - worker.heardAt, {}};
     std::size_t recent = 0;
@@ -145,7 +145,9 @@
     if (worker.isUnconfirmed)
         return dropUnconfirmed({}, out);
     reportCrash(worker, CrashState::Confirmed, runsOf(worker), now, out);
-    removeWorker(std::string(worker.info.id), EndProof::OtherWorker, now, out);
+    if (isOnThisMachine(worker))
+        endProvenRuns(worker, EndProof::OtherWorker, now, out);
+    beginLeave(worker, "worker_replaced", now, out);
 }
 
 void TaskRunner::withdrawCrash(Worker &worker, TimePoint now, RunnerOutbox &out)
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -97,7 +97,7 @@
 {
     std::vector<WorkerUpdate> updates;
     for (const auto &[id, worker] : m_workers)
-        if (!worker.isUnconfirmed)
+        if (!worker.isUnconfirmed && !worker.isLeaving)
             updates.push_back({worker.info, m_shuttingDown});
     return updates;
 }
@@ -112,7 +112,7 @@
 {
     std::vector<WorkerLoad> loads;
     for (const auto &[id, worker] : m_workers) {
-        if (worker.isUnconfirmed)
+        if (worker.isUnconfirmed || worker.isLeaving)
             continue;
         WorkerLoad load;
         load.workerId = id;
--- a/tests/runends_test.cpp
+++ b/tests/runends_test.cpp
@@ -311,6 +311,84 @@
     EXPECT_EQ(runner.workers().size(), 1u);
 }
 
+// Guards against a task that starts elsewhere between the DELETE of its worker and the worker's
+// end.
+TEST_F(RunEnds, TheRunsOfALeavingWorkerEndWithItsProcess)
+{
+    runOnFirstProcess(0);
+    heartbeat(FirstProcess, 2, true);
+    leave();
+    EXPECT_TRUE(ends().empty());
+    EXPECT_TRUE(sent<WorkerUpdate>().back().isGone);
+    advance(10ms);
+    EXPECT_TRUE(ends().empty());
+    failPoll(CallAnswer::NoAnswer);
+    advanceUntilEnd(50ms, [this] { failPoll(CallAnswer::Refused); });
+    ASSERT_EQ(ends().size(), 1u);
+    EXPECT_EQ(ends()[0].end, TaskEnd::Lost);
+    EXPECT_LE(now - Start, 150ms);
+    EXPECT_TRUE(runner.workers().empty());
+    EXPECT_EQ(crashedRuns(), 0u);
+}
+
+// Guards against a run that is reported as lost although a leaving worker still finishes it.
+TEST_F(RunEnds, ARunThatALeavingWorkerFinishesIsDone)
+{
+    runOnFirstProcess(0);
+    leave();
+    advance(5ms);
+    answerPoll(newestPoll(), FirstProcess, firstClock(), {}, {{1, {"job", 0}, 1, TaskEnd::Done}});
+    ASSERT_EQ(ends().size(), 1u);
+    EXPECT_EQ(ends()[0].end, TaskEnd::Done);
+    EXPECT_TRUE(runner.workers().empty());
+}
+
+// Guards against tasks that are queued at a worker that has said that it leaves.
+TEST_F(RunEnds, ALeavingWorkerStartsNothing)
+{
+    runOnFirstProcess(0);
+    assign(1, 4000);
+    leave();
+    EXPECT_EQ(refusals(), 1u);
+    assign(2);
+    EXPECT_EQ(refusals(), 2u);
+    EXPECT_EQ(starts(), 0u);
+}
+
+// Guards against a late DELETE of the process before that ends the runs of the present one.
+TEST_F(RunEnds, ALateDeleteDoesNotEndTheRunsOfTheNextProcess)
+{
+    heartbeat(NextProcess, 1);
+    answerPoll(newestPoll(), NextProcess, nextClock(20ms), {});
+    answerPoll(newestPoll(), NextProcess, nextClock(20ms), {});
+    assign(0);
+    answerStart(newestStart(), StartAnswer::Accepted, nextClock(20ms));
+    leave();
+    advance(10ms);
+    answerPoll(newestPoll(), NextProcess, nextClock(30ms), {0});
+    heartbeat(NextProcess, 2);
+    EXPECT_TRUE(ends().empty());
+    EXPECT_FALSE(sent<WorkerUpdate>().back().isGone);
+    advance(40ms);
+    answerPoll(newestPoll(), NextProcess, nextClock(70ms), {}, {{1, {"job", 0}, 1, TaskEnd::Done}});
+    ASSERT_EQ(ends().size(), 1u);
+    EXPECT_EQ(ends()[0].end, TaskEnd::Done);
+}
+
+// Guards against a worker that never says that it leaves, or never ends after it.
+TEST_F(RunEnds, ALeavingWorkerThatGoesSilentEndsWithItsLease)
+{
+    advance(1200ms); // the leases of an earlier process of the agent have ended
+    answerPoll({});
+    runOnFirstProcess(0);
+    const TimePoint left = now;
+    leave();
+    advanceUntilEnd(2s, [] {});
+    ASSERT_EQ(ends().size(), 1u);
+    EXPECT_GE(now - left, 500ms);
+    EXPECT_LE(now - left, 900ms);
+}
+
 // Guards against a refusal from before the restart that ends the runs of the next process.
 TEST_F(RunEnds, ARefusedCallEndsNothingThatAnsweredAfterIt)
 {
@@ -353,4 +431,15 @@
     EXPECT_FALSE(runner.orphanFreeWorkers().empty());
 }
 
+// Guards against ends that are reported by the clock of before a suspension: a DELETE that waited
+// in the socket is handled after what has expired meanwhile.
+TEST_F(RunEnds, ADeleteAfterASuspensionFindsExpiredLeasesEnded)
+{
+    runOnFirstProcess(0);
+    now += 3s;
+    leave();
+    advance(1ms);
+    EXPECT_EQ(ends().size(), 1u);
+}
+
 } // namespace cactuscove
--- a/tests/workerends_test.cpp
+++ b/tests/workerends_test.cpp
@@ -73,4 +73,22 @@
     }
 }
 
+// Guards against a task that starts elsewhere while the worker that has said that it leaves still
+// runs it.
+TEST(WorkerEnds, ALeavingWorkerNeverDoublesARun)
+{
+    for (const std::uint64_t seed : {35, 36, 37, 38}) {
+        for (const Duration endTime : {3ms, 10ms, 50ms, 700ms}) {
+            DispatchFleetOptions options = busyFleet(4000, seed);
+            DispatchFleet fleet(options);
+            scheduleFaults(fleet, options, [endTime](DispatchFleet &it, int worker) {
+                it.leaveWorker(worker, 300ms, endTime, 100ms);
+            });
+            fleet.run();
+            EXPECT_EQ(firstViolation(fleet), "")
+                << "seed " << seed << ", ends after " << endTime / 1ms << " ms";
+        }
+    }
+}
+
 } // namespace cactuscove
