A worker's clock need not begin at zero

A reply counted as one of the known process if its clock was beyond the time since that process was last known to be up. A process in its first 10 s now proves by its list alone that it has accepted a start.

--- a/src/endproof.cpp
+++ b/src/endproof.cpp
@@ -17,8 +17,8 @@
 // A call is given up after this time without a reply, and the worker's machine is this one: a start
 // that is carried out at all is at the worker by then, except where the network delays it.
 constexpr Duration DeliveryTime = 300ms;
-// Clocks in replies are whole milliseconds.
-constexpr Duration ClockResolution = 1ms;
+// The clock of a process begins anew, below this value.
+constexpr Duration MaxFirstClock = 10s;
 
 } // namespace
 
@@ -64,14 +64,14 @@
     return calledAt - refusingSince >= RefusalProofTime;
 }
 
-// The clock of one process never goes back. A process that started after `aliveAt` is younger than
-// the time since then.
+// The clock of one process never goes back. That of a process which started after `aliveAt` has
+// advanced by less than the time since then.
 ReplySource sourceOf(WorkerClock clock, const CallContext &call, std::optional<TimePoint> aliveAt,
                      TimePoint now)
 {
     if (clock < call.clock)
         return ReplySource::NextProcess;
-    if (aliveAt && clock.value > toWholeMs(now - *aliveAt + ClockResolution))
+    if (aliveAt && clock.value > toWholeMs(now - *aliveAt + MaxFirstClock))
         return ReplySource::KnownProcess;
     return ReplySource::Unclear;
 }
