Soak: workers restart under their ids, and leave as planned

The next incarnation of a restarted worker answers at once and sends its heartbeat when one is due; a leaving worker ends 3, 10 or 300 ms after the answer to its DELETE.

--- a/tests/system/platformstandin.py
+++ b/tests/system/platformstandin.py
@@ -192,8 +192,8 @@
     """One worker, which runs tasks by waiting for their run time and reports to one agent.
 
     set_capacity() changes the capacity; a smaller one counts after CAPACITY_GRACE_S.
-    crash() ends the current incarnation; the next one starts at the same address with a new id. The
-    specification of a task is JSON with `cpu` (thousandths of a core) and `run_ms`; with `fails`, the
+    crash() ends the current incarnation; the next one starts at the same address with a new id, and
+    after restart() with the same id. leave() ends it as planned. The specification of a task is JSON with `cpu` (thousandths of a core) and `run_ms`; with `fails`, the
     first that many runs of the task fail; with `crashes`, each run of the task crashes its worker. Tests
     set these faults:
     slowness    factor of the run times, unless is_failing
@@ -218,6 +218,7 @@
         self.is_failing = False
         self.is_hung = False
         self.heartbeat_s = HEARTBEAT_S
+        self.id = ""
         self.is_closing = False
         self.overbooked = []  # (task, cpu in use before) of each start beyond the capacity
         self.changed = threading.Condition()  # guards the state of the incarnation
@@ -227,9 +228,10 @@
         threading.Thread(target=self.run_tasks, daemon=True).start()
         threading.Thread(target=self.send_heartbeats, daemon=True).start()
 
-    def begin_incarnation(self):
+    def begin_incarnation(self, keeps_id=False):
         """Sets the state that a crash loses."""
-        self.id = "i-" + uuid.uuid4().hex[:8]
+        self.id = self.id if keeps_id else "i-" + uuid.uuid4().hex[:8]
+        self.state = "ready"    # in heartbeats; None: it has left, and sends no more of them
         self.born = int(time.time() * 1000)  # start of the incarnation, ms since 1970
         self.started = time.monotonic()
         self.lease_until = 0.0  # clock() at which all runs end unless the lease is extended, ms
@@ -255,10 +257,36 @@
         with self.changed:
             if incarnation not in (None, self.id):
                 return
-            for task in list(self.active):
-                self.end(task, "crashed")
-            self.begin_incarnation()
-            self.changed.notify_all()
+            self.end_incarnation()
+
+    def restart(self):
+        """The same, but the next incarnation keeps the id. It sends its first heartbeat when one is due."""
+        with self.changed:
+            self.end_incarnation(keeps_id=True)
+
+    def end_incarnation(self, keeps_id=False):
+        """Ends all runs and begins the next incarnation. The caller holds `changed`."""
+        for task in list(self.active):
+            self.end(task, "crashed")
+        self.begin_incarnation(keeps_id)
+        self.changed.notify_all()
+
+    def leave(self, drain_s, end_s):
+        """Leaves as planned: drains, sends DELETE, and ends `end_s` after the answer to it."""
+        with self.changed:
+            incarnation = self.id, self.born
+            self.state = "draining"
+        self.send_heartbeat()
+        time.sleep(drain_s)
+        with self.changed:
+            if (self.id, self.born) != incarnation:
+                return
+            self.state = None
+        self.say("DELETE", incarnation[0])
+        time.sleep(end_s)
+        with self.changed:
+            if (self.id, self.born) == incarnation:
+                self.end_incarnation()
 
     def set_capacity(self, cpu):
         """Changes the capacity; the next heartbeat reports it."""
@@ -387,12 +415,13 @@
 
         Forgets ended runs up to `acked_through`, and waits up to `wait_ms` for a run to report.
         """
-        incarnation = self.id
+        incarnation = self.id, self.born
         self.ended = [it for it in self.ended if it[0] > fields["acked_through"]]
         self.extend_lease(fields)
-        self.changed.wait_for(lambda: self.ended or self.id != incarnation or self.is_closing,
-                              timeout=fields.get("wait_ms", 0) / 1000)
-        if self.id != incarnation:
+        self.changed.wait_for(
+            lambda: self.ended or (self.id, self.born) != incarnation or self.is_closing,
+            timeout=fields.get("wait_ms", 0) / 1000)
+        if (self.id, self.born) != incarnation:
             return None
         now = time.monotonic()
         return answer_json(
@@ -407,20 +436,31 @@
     def send_heartbeats(self):
         """Sends the worker's state to its agent every HEARTBEAT_S; has its own thread."""
         while not self.is_closing:
-            with self.changed:
-                self.sequence += 1
-                path = "/-/instances/" + self.id
-                body = json.dumps({
-                    "service": self.service, "address": self.announced, "zone": self.zone,
-                    "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-                    "capacity": {"cpu": self.cpu, "mem_mb": 8192, "gpu": 0}, "labels": ["a", "r1"],
-                    "born": self.born, "clock_ms": int(self.clock()), "seq_num": self.sequence})
-            call = http.client.HTTPConnection(self.agent, timeout=1)
-            try:
-                call.request("PUT", path, body, {"Content-Type": "application/json"})
-                call.getresponse().read()
-            except (OSError, http.client.HTTPException):
-                pass  # the agent is down or unreachable; the next heartbeat reports the state again
-            finally:
-                call.close()
+            self.send_heartbeat()
             time.sleep(self.heartbeat_s)
+
+    def send_heartbeat(self):
+        """Sends the worker's state, unless it has left."""
+        with self.changed:
+            if self.state is None:
+                return
+            self.sequence += 1
+            worker = self.id
+            body = json.dumps({
+                "service": self.service, "address": self.announced, "zone": self.zone,
+                "version": "v1", "slots": 8, "state": self.state, "cold_left_ms": 0,
+                "capacity": {"cpu": self.cpu, "mem_mb": 8192, "gpu": 0}, "labels": ["a", "r1"],
+                "born": self.born, "clock_ms": int(self.clock()), "seq_num": self.sequence})
+        self.say("PUT", worker, body)
+
+    def say(self, method, worker, body=None):
+        """Makes one call about the worker with this id to the agent."""
+        call = http.client.HTTPConnection(self.agent, timeout=1)
+        try:
+            call.request(method, "/-/instances/" + worker, body,
+                         {"Content-Type": "application/json"})
+            call.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            pass  # the agent is down or unreachable; the next heartbeat reports the state again
+        finally:
+            call.close()
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -37,9 +37,11 @@
     34,  # the same with SIGTERM
     500,  # a deeply nested heartbeat ended agents
     600,  # the first with tasks that crash their workers
+    700,  # the first with workers that restart under their ids or leave as planned
 ]
 FIRST_LATER_SEED = 500
 FIRST_CRASH_SEED = 600
+FIRST_LEAVE_SEED = 700
 MAX_CRASHES = 5  # of workers under one task
 CALLERS = 8
 RECOVERY_S = 8      # includes a worker's next heartbeat and one full proof time
@@ -178,6 +180,19 @@
         worker.crash()
         return worker.announced, None
 
+    def restart_worker(self):
+        """Ends all runs of a worker; its next incarnation keeps the id."""
+        worker = self.random.choice(self.fleet.workers)
+        worker.restart()
+        return worker.announced, None
+
+    def leave_worker(self):
+        """Lets a worker leave as planned; its next incarnation has a new id."""
+        worker = self.random.choice(self.fleet.workers)
+        drain_s, end_s = self.random.choice([0.2, 1.0]), self.random.choice([0.003, 0.01, 0.3])
+        in_threads([lambda: worker.leave(drain_s, end_s)])
+        return f"{worker.announced} after {drain_s} s, ends {end_s} s later", None
+
     def submit_crashing(self):
         """Submits a job whose tasks crash their workers."""
         job = self.fleet.make_job(tasks=self.random.choice([1, 3]), crashes=True)
@@ -228,11 +243,14 @@
     LATER_FAULTS = (*FAULTS, silence_all, send_odd)
     CRASH_FAULTS = (*LATER_FAULTS, submit_crashing, submit_crashing, change_capacity,
                     change_capacity)
+    LEAVE_FAULTS = (*CRASH_FAULTS, restart_worker, restart_worker, restart_worker, leave_worker,
+                    leave_worker, leave_worker)
 
     def schedule(self):
         """Schedules the begins of all faults: groups of one to three, with pauses between them."""
         faults = (self.FAULTS if self.seed < FIRST_LATER_SEED
-                  else self.LATER_FAULTS if self.seed < FIRST_CRASH_SEED else self.CRASH_FAULTS)
+                  else self.LATER_FAULTS if self.seed < FIRST_CRASH_SEED
+                  else self.CRASH_FAULTS if self.seed < FIRST_LEAVE_SEED else self.LEAVE_FAULTS)
         at = 1.0
         while at < self.seconds:
             for _ in range(self.random.randint(1, 3)):
