The poll that waits at a leaving worker shows the end of its process

The leave replaced that poll by one 46 ms later, so the break of the first was not noticed. A broken poll is repeated at once also if a newer one is planned, not sent.

--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -223,12 +223,11 @@
     if (worker->isUnconfirmed)
         return dropUnconfirmed({}, out);
     withdrawCrash(*worker, now, out);
-    beginLeave(*worker, "worker_left", now, out);
+    beginLeave(*worker, "worker_left", out);
 }
 
-// Polled at once, so that the end of its process is noticed as soon as it happens.
-void TaskRunner::beginLeave(Worker &worker, std::string_view reason, TimePoint now,
-                            RunnerOutbox &out)
+// The poll that waits at the worker breaks off when its process ends.
+void TaskRunner::beginLeave(Worker &worker, std::string_view reason, RunnerOutbox &out)
 {
     if (std::exchange(worker.isLeaving, true))
         return;
@@ -240,7 +239,6 @@
                               {{"worker", worker.info.id},
                                {"reason", std::string(reason)},
                                {"runs", std::to_string(worker.tasks.size())}}});
-    pollSoon(worker, now);
     ++m_loadVersion;
 }
 
@@ -459,7 +457,7 @@
         if (now - worker.heardAt > WorkerTimeout) {
             if (worker.isUnconfirmed)
                 return dropUnconfirmed({}, out);
-            beginLeave(worker, "worker_silent", now, out);
+            beginLeave(worker, "worker_silent", out);
         }
         if (worker.isLeaving && worker.tasks.empty() && worker.orphans.empty()) {
             m_workers.erase(current);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -396,7 +396,7 @@
     void startQueued(Worker &worker, TimePoint now, RunnerOutbox &out);
     void sendStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
     void sendPoll(Worker &worker, TimePoint now, RunnerOutbox &out);
-    // The newest poll was not answered.
+    // A poll was not answered, and no newer one is open.
     static void repeatPoll(Worker &worker, CallAnswer answer, TimePoint now);
     // To be called when a task was started that may crash the worker, or a call was refused.
     void pollSoon(Worker &worker, TimePoint now);
@@ -453,7 +453,7 @@
     void settleCrashes(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
     void setCrashState(std::uint64_t number, CrashState state, TimePoint now, RunnerOutbox &out);
     // The worker takes no tasks any more. It is removed once it has no runs.
-    void beginLeave(Worker &worker, std::string_view reason, TimePoint now, RunnerOutbox &out);
+    void beginLeave(Worker &worker, std::string_view reason, RunnerOutbox &out);
     void refuseQueued(Worker &worker, RunnerOutbox &out);
     // A process with another worker id has answered at the worker's address.
     void replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -399,7 +399,7 @@
     if (reply.answer != CallAnswer::Ok) {
         if (isNewestPoll)
             recordUnansweredPoll(*worker, now, out);
-        if (isNewestPoll)
+        if (worker->newestPoll.value == 0)
             repeatPoll(*worker, reply.answer, now);
         if (reply.answer == CallAnswer::Refused)
             onRefused(*worker, endedCall, now, out);
@@ -442,7 +442,7 @@
     const Duration delay
         = isUndelivered(answer)
               ? NotSentRetryDelay
-              : PollMargin * (std::min(worker.unansweredPolls, MaxPollBackOff) - 1);
+              : PollMargin * (std::clamp(worker.unansweredPolls, 1, MaxPollBackOff) - 1);
     worker.nextPollAt = std::min(worker.nextPollAt, now + delay);
 }
 
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -147,7 +147,7 @@
     reportCrash(worker, CrashState::Confirmed, runsOf(worker), now, out);
     if (isOnThisMachine(worker))
         endProvenRuns(worker, EndProof::OtherWorker, now, out);
-    beginLeave(worker, "worker_replaced", now, out);
+    beginLeave(worker, "worker_replaced", out);
 }
 
 void TaskRunner::withdrawCrash(Worker &worker, TimePoint now, RunnerOutbox &out)
