--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -140,16 +140,6 @@
         out.emplace_back(SendToEntry{entry, report});
 }
 
-void TaskRunner::replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out)
-{
-    if (worker.isUnconfirmed)
-        return dropUnconfirmed({}, out);
-    reportCrash(worker, CrashState::Confirmed, runsOf(worker), now, out);
-    if (isOnThisMachine(worker))
-        endProvenRuns(worker, EndProof::OtherWorker, now, out);
-    beginLeave(worker, "worker_replaced", out);
-}
-
 void TaskRunner::withdrawCrash(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     for (const std::uint64_t number : std::exchange(worker.crashNumbers, {}))
--- /dev/null
+++ b/src/taskrunnerends.cpp
@@ -0,0 +1,118 @@
+// Ends and refusals of tasks, and the runs whose end is proved by what became of their worker.
+
+#include "durations.h"
+#include "taskrunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuscove {
+
+void TaskRunner::endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end,
+                         TimePoint now, RunnerOutbox &out)
+{
+    const auto node = worker.tasks.extract(it);
+    const Task &task = node.mapped();
+    rememberLateStart(worker, task);
+    const Duration runTime = now - task.firstSentAt;
+    const TaskEnded message{task.assignment.task, task.assignment.attempt, end, runTime};
+    m_endedTasks.push_back({task.entry, message, now});
+    out.emplace_back(SendToEntry{task.entry, message});
+    out.emplace_back(LogEvent{Severity::Info,
+                              "task_ended",
+                              {{"job", task.assignment.task.jobId},
+                               {"task", std::to_string(task.assignment.task.index)},
+                               {"attempt", std::to_string(task.assignment.attempt)},
+                               {"worker", worker.info.id},
+                               {"end", std::string(nameOf(end))},
+                               {"ran_ms", toMsString(runTime)},
+                               {"expected_ms", toMsString(task.assignment.expectedRun)},
+                               {"survived_ms", toMsString(survivedTime(worker, task))},
+                               {"start_calls", std::to_string(task.startCalls)}}});
+    worker.performance.recordEnd(task.assignment.task, end, runTime, task.assignment.expectedRun,
+                                 now);
+    ++m_loadVersion;
+}
+
+void TaskRunner::refuse(Incarnation entry, const AssignTask &assignment, StartRefusal reason,
+                        std::string_view workerId, RunnerOutbox &out)
+{
+    out.emplace_back(SendToEntry{entry, StartRefused{assignment.task, assignment.attempt, reason}});
+    out.emplace_back(LogEvent{Severity::Info,
+                              "task_refused",
+                              {{"job", assignment.task.jobId},
+                               {"task", std::to_string(assignment.task.index)},
+                               {"attempt", std::to_string(assignment.attempt)},
+                               {"worker", std::string(workerId)},
+                               {"reason", std::string(nameOf(reason))}}});
+}
+
+void TaskRunner::refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it,
+                            StartRefusal reason, RunnerOutbox &out)
+{
+    const auto node = worker.tasks.extract(it);
+    rememberLateStart(worker, node.mapped());
+    refuse(node.mapped().entry, node.mapped().assignment, reason, worker.info.id, out);
+    ++m_loadVersion;
+}
+
+void TaskRunner::refuseQueued(Worker &worker, RunnerOutbox &out)
+{
+    std::vector<TaskId> queued;
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state == State::Queued)
+            queued.push_back(id);
+    for (const TaskId &id : queued)
+        refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
+}
+
+TimePoint TaskRunner::leaseEndOf(const Worker &worker, const Task &task) const
+{
+    return cactuscove::leaseEndOf(task.starts, worker.leaseEnd, longestLease());
+}
+
+void TaskRunner::rememberLateStart(const Worker &worker, const Task &task)
+{
+    if (task.starts.unanswered > 0)
+        m_lateStarts.push_back({worker.info.id, task.assignment.task, task.assignment.attempt,
+                                m_lastInputAt + LateStartTime});
+}
+
+std::vector<TaskId> TaskRunner::runsOf(const Worker &worker)
+{
+    std::vector<TaskId> runs;
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state != State::Queued)
+            runs.push_back(id);
+    return runs;
+}
+
+std::vector<TaskId> TaskRunner::runsEndedBy(const Worker &worker, EndProof proof,
+                                            TimePoint now) const
+{
+    std::vector<TaskId> ended = runsOf(worker);
+    std::erase_if(ended, [&](const TaskId &id) {
+        const Task &task = worker.tasks.at(id);
+        return !provesEnd(proof, task.starts, leaseEndOf(worker, task), now);
+    });
+    return ended;
+}
+
+void TaskRunner::endProvenRuns(Worker &worker, EndProof proof, TimePoint now, RunnerOutbox &out)
+{
+    const std::vector<TaskId> ended = runsEndedBy(worker, proof, now);
+    const std::size_t open = runsOf(worker).size();
+    if (!ended.empty() || (open > 0 && proof != EndProof::LeaseExpired))
+        out.emplace_back(LogEvent{Severity::Warning,
+                                  "runs_lost",
+                                  {{"worker", worker.info.id},
+                                   {"reason", std::string(nameOf(proof))},
+                                   {"count", std::to_string(ended.size())},
+                                   {"unproven", std::to_string(open - ended.size())},
+                                   {"heard_ms", toMsString(now - worker.heardAt)}}});
+    for (const TaskId &id : ended)
+        endTask(worker, worker.tasks.find(id), TaskEnd::Lost, now, out);
+    worker.orphans.clear();
+}
+
+} // namespace cactuscove
--- /dev/null
+++ b/src/taskrunnerworkers.cpp
@@ -0,0 +1,259 @@
+// Processes of the workers: heartbeats, restarts and leaves, and which process has sent a reply.
+
+#include "durations.h"
+#include "taskrunner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuscove {
+
+void TaskRunner::beginWorkerProcess(Worker &worker, std::optional<std::int64_t> startedAtUnixMs,
+                                    TimePoint now, RunnerOutbox &out)
+{
+    reportCrash(worker, CrashState::Confirmed, runsEndedBy(worker, EndProof::NextProcess, now), now,
+                out);
+    endProvenRuns(worker, EndProof::NextProcess, now, out);
+    Worker fresh;
+    fresh.process = ++m_lastProcess;
+    fresh.info = worker.info;
+    fresh.info.sequence = 0;
+    fresh.info.startedAtUnixMs = startedAtUnixMs.value_or(worker.info.startedAtUnixMs);
+    fresh.isStartTimeUnknown = !startedAtUnixMs;
+    fresh.heardAt = now;
+    fresh.lastPollReplyAt = now;
+    // Calls that were under way may have reached it.
+    fresh.leaseEnd = now + longestLease();
+    for (auto &[id, task] : worker.tasks)
+        if (task.state != State::Queued)
+            carryOver(worker, task, now);
+    fresh.tasks = std::move(worker.tasks);
+    for (const LateStart &it : m_lateStarts)
+        if (it.workerId == fresh.info.id)
+            fresh.orphans.push_back({it.task, it.attempt});
+    worker = std::move(fresh);
+    if (startedAtUnixMs)
+        settleCrashes(worker.info, now, out);
+    ++m_loadVersion;
+}
+
+// A start is not repeated at another process: it may have ended the one before.
+void TaskRunner::carryOver(const Worker &worker, Task &task, TimePoint now) const
+{
+    if (!worker.info.isDraining && !task.isCarriedOver && !mayNotHaveStarted(worker, task))
+        task.earlierRunTime = survivedTime(worker, task);
+    task.isCarriedOver = true;
+    task.starts.isInKnownProcess = false;
+    task.starts.lastSentAt = now;
+    if (task.state != State::Stopping)
+        return;
+    task.stopAcknowledged = false;
+    task.retryAt = now;
+}
+
+void TaskRunner::onWorkerInfo(const WorkerInfo &info, TimePoint now, RunnerOutbox &out)
+{
+    expireAfterSuspension(now, out);
+    const auto [it, isNew] = m_workers.try_emplace(info.id);
+    Worker &worker = it->second;
+    const bool isNewProcess = !isNew && info.startedAtUnixMs != worker.info.startedAtUnixMs;
+    const bool isFirst = isNew || worker.isUnconfirmed;
+    // A heartbeat that was overtaken by a newer one is out of date.
+    if (!isFirst
+        && (info.startedAtUnixMs < worker.info.startedAtUnixMs
+            || (!isNewProcess
+                && (worker.isStartTimeUnknown || info.sequence < worker.info.sequence))))
+        return;
+    const bool isFirstOfProcess = isFirst || isNewProcess || !worker.isDescribed;
+    if (isNew)
+        worker.info = info;
+    if (isNew || (isNewProcess && !worker.isStartTimeUnknown))
+        beginWorkerProcess(worker, info.startedAtUnixMs, now, out);
+    worker.isStartTimeUnknown = false;
+    if (isFirstOfProcess) {
+        dropUnconfirmed(info.id, out);
+        settleCrashes(info, now, out);
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "worker_joined",
+                                  {{"worker", info.id},
+                                   {"upstream", info.upstream},
+                                   {"address", info.address},
+                                   {"cpu", std::to_string(info.capacity.cpuMillis)},
+                                   {"born_ms", std::to_string(info.startedAtUnixMs)}}});
+    }
+    WorkerInfo previous = std::exchange(worker.info, info);
+    worker.heardAt = worker.describedAt = now;
+    worker.isUnconfirmed = false;
+    worker.isDescribed = true;
+    // It goes on after a DELETE: that came late, from the process before.
+    const bool hasReturned = std::exchange(worker.isLeaving, false);
+    previous.sequence = info.sequence;
+    if (isFirstOfProcess || hasReturned || previous != info) {
+        if (info.isDraining && !previous.isDraining)
+            out.emplace_back(
+                LogEvent{Severity::Info,
+                         "worker_draining",
+                         {{"worker", info.id}, {"sequence", std::to_string(info.sequence)}}});
+        announce(worker, out);
+    }
+}
+
+void TaskRunner::announce(const Worker &worker, RunnerOutbox &out)
+{
+    for (const auto &[entry, state] : m_entries)
+        out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, false}});
+    ++m_loadVersion;
+}
+
+void TaskRunner::onWorkerRecord(const WorkerInfo &info, std::optional<Duration> age, TimePoint now,
+                                RunnerOutbox &out)
+{
+    expireAfterSuspension(now, out);
+    if (!m_workers.empty() || m_shuttingDown)
+        return;
+    Worker &worker = m_workers[info.id];
+    worker.info = info;
+    beginWorkerProcess(worker, info.startedAtUnixMs, now, out);
+    worker.isUnconfirmed = true;
+    worker.isDescribed = true;
+    worker.describedAt = age ? now - *age : TimePoint{};
+}
+
+void TaskRunner::dropUnconfirmed(std::string_view keptId, RunnerOutbox &out)
+{
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        const Worker &worker = it->second;
+        if (!worker.isUnconfirmed || it->first == keptId) {
+            ++it;
+            continue;
+        }
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "worker_record_dropped",
+                                  {{"worker", worker.info.id},
+                                   {"born_ms", std::to_string(worker.info.startedAtUnixMs)},
+                                   {"unanswered", std::to_string(worker.unansweredPolls)}}});
+        it = m_workers.erase(it);
+    }
+}
+
+void TaskRunner::onWorkerCold(std::string_view workerId, Duration remaining, TimePoint now)
+{
+    Worker *worker = findWorker(workerId);
+    if (!worker || m_settings.coldSlowness <= 1)
+        return;
+    const bool wasCold = worker->coldUntil != TimePoint{};
+    worker->coldUntil = remaining > Duration{} ? now + remaining : TimePoint{};
+    if (wasCold != (worker->coldUntil != TimePoint{}))
+        ++m_loadVersion;
+}
+
+void TaskRunner::onWorkerLeft(std::string_view workerId, TimePoint now, RunnerOutbox &out)
+{
+    expireAfterSuspension(now, out);
+    Worker *worker = findWorker(workerId);
+    if (!worker)
+        return;
+    if (worker->isUnconfirmed)
+        return dropUnconfirmed({}, out);
+    withdrawCrash(*worker, now, out);
+    beginLeave(*worker, "worker_left", out);
+}
+
+// The poll that waits at the worker breaks off when its process ends.
+void TaskRunner::beginLeave(Worker &worker, std::string_view reason, RunnerOutbox &out)
+{
+    if (std::exchange(worker.isLeaving, true))
+        return;
+    refuseQueued(worker, out);
+    for (const auto &[entry, state] : m_entries)
+        out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
+    out.emplace_back(LogEvent{Severity::Info,
+                              "worker_gone",
+                              {{"worker", worker.info.id},
+                               {"reason", std::string(reason)},
+                               {"runs", std::to_string(worker.tasks.size())}}});
+    ++m_loadVersion;
+}
+
+bool TaskRunner::identifyProcess(Worker &worker, const PendingCall &call, const PollReply &reply,
+                                 TimePoint now, RunnerOutbox &out)
+{
+    const std::int64_t known = worker.info.startedAtUnixMs;
+    const std::int64_t startedAt = reply.startedAtUnixMs;
+    const bool isCallToKnown = call.context.process == worker.process;
+    if (worker.isUnconfirmed) {
+        // A record is confirmed only by a reply that contains the start time.
+        if (startedAt != known)
+            dropUnconfirmed({}, out);
+        return startedAt == known;
+    }
+    if (startedAt == 0) {
+        if (isCallToKnown)
+            identifyByClock(worker, call, reply.clock, now, out);
+        worker.isStartTimeUnknown &= !isCallToKnown;
+        return isCallToKnown;
+    }
+    if (startedAt == known) {
+        worker.isStartTimeUnknown &= !isCallToKnown;
+        return !worker.isStartTimeUnknown;
+    }
+    // A call that was sent when an earlier process was known may have been answered by that one.
+    if (!isCallToKnown && startedAt < known)
+        return false;
+    if (std::exchange(worker.isStartTimeUnknown, false)) {
+        worker.info.startedAtUnixMs = startedAt;
+        settleCrashes(worker.info, now, out);
+    } else {
+        beginWorkerProcess(worker, startedAt, now, out);
+        out.emplace_back(
+            LogEvent{Severity::Warning,
+                     "worker_restarted",
+                     {{"worker", worker.info.id}, {"born_ms", std::to_string(startedAt)}}});
+    }
+    return true;
+}
+
+bool TaskRunner::identifyByClock(Worker &worker, const PendingCall &call, WorkerClock clock,
+                                 TimePoint now, RunnerOutbox &out)
+{
+    if (call.context.process != worker.process)
+        return false;
+    if (call.context.sentAt >= worker.refusingSince)
+        worker.refusingSince = NeverTime;
+    const ReplySource source = sourceOf(clock, call.context, worker.aliveAt, now);
+    if (source == ReplySource::NextProcess) {
+        beginWorkerProcess(worker, std::nullopt, now, out);
+        out.emplace_back(
+            LogEvent{Severity::Warning,
+                     "worker_restarted",
+                     {{"worker", worker.info.id},
+                      {"clock_ms", std::to_string(clock.value)},
+                      {"previous_clock_ms", std::to_string(call.context.clock.value)}}});
+    }
+    updateClock(worker, clock, now);
+    if (source != ReplySource::KnownProcess)
+        return false;
+    worker.aliveAt = std::max(*worker.aliveAt, call.context.sentAt);
+    return true;
+}
+
+void TaskRunner::updateClock(Worker &worker, WorkerClock clock, TimePoint now)
+{
+    worker.heardAt = now;
+    if (clock < worker.clock)
+        return; // replies on different connections may overtake each other
+    worker.clock = clock;
+    worker.clockAt = now;
+}
+
+void TaskRunner::replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out)
+{
+    if (worker.isUnconfirmed)
+        return dropUnconfirmed({}, out);
+    reportCrash(worker, CrashState::Confirmed, runsOf(worker), now, out);
+    if (isOnThisMachine(worker))
+        endProvenRuns(worker, EndProof::OtherWorker, now, out);
+    beginLeave(worker, "worker_replaced", out);
+}
+
+} // namespace cactuscove
