One silence of a worker is one crash report

Cause: runs whose start is unanswered end by a later lease bound than the others, and each end was reported as a crash of its own (one crash of w1-1: three reports, two of them with a single run). A report with one run that had just started counts as a crash of that run alone, which is taken as proof that it is the cause.

Change: when the lease is over, all runs that the worker had are reported at once, as before; a run that was carried over to the next process and is reported later does not count as one that had just started.

Evidence: RunEnds.OneSilenceIsReportedOnce fails without the change (2 reports) and passes with it; the eight tests of BoundOfThePromise and DispatchFleet.Keeps* pass.

--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -212,8 +212,7 @@
 void TaskRunner::expireTasks(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     if (worker.unansweredPolls > 0 && now > worker.leaseEnd) {
-        reportCrash(worker, CrashState::Suspected, runsEndedBy(worker, EndProof::LeaseExpired, now),
-                    now, out);
+        reportCrash(worker, CrashState::Suspected, runsOf(worker), now, out);
         endProvenRuns(worker, EndProof::LeaseExpired, now, out);
     }
     std::vector<std::pair<TaskId, StartRefusal>> refused;
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -101,7 +101,10 @@
         const auto ran = interruptedAfter(worker, task);
         if (!ran || std::exchange(task.isCrashReported, true))
             continue;
-        const bool isRecent = *ran < RecentRunTime;
+        // A run that was carried over is reported without those that ran beside it, so it must not
+        // seem to be the cause.
+        const bool isLate = task.isCarriedOver && !task.starts.isInKnownProcess;
+        const bool isRecent = *ran < RecentRunTime && !isLate;
         recent += isRecent;
         report.runs.push_back({id, task.assignment.queue, isRecent});
     }
--- a/tests/runends_test.cpp
+++ b/tests/runends_test.cpp
@@ -417,6 +417,21 @@
     EXPECT_LE(now - Start, 1600ms);
 }
 
+// Guards against several reports of one silence, each with a single run that then seems to be its
+// cause.
+TEST_F(RunEnds, OneSilenceIsReportedOnce)
+{
+    advance(1200ms); // the leases of an earlier process of the agent have ended
+    answerPoll({});
+    runOnFirstProcess(0);
+    answerPoll({0});
+    assign(1);
+    for (const TimePoint end = now + 3s; now < end;)
+        advance(1ms);
+    EXPECT_EQ(ends().size() + refusals(), 2u);
+    EXPECT_EQ(sent<CrashReport>().size(), 1u);
+}
+
 // Guards against runs of an earlier process of the agent that count as ended once their silent
 // worker has not answered for a moment.
 TEST_F(RunEnds, OrphansOfASilentWorkerKeepTheirLease)
