Another worker's answer ends the runs of the one before on any machine again

Cause of the increase: took a 421 as proof only at a worker on the agent's machine, without a test that asked for it. Elsewhere, as behind the proxies of this test, runs waited 1.4 s for the end of their lease and then started again alone, which turns a second report into proof that the task is the cause. It was a special case on top of the proofs: an answer of the next process of the same worker counts on any machine, and a refusal does not, since something between may refuse but not answer for the worker.

RunEnds, WorkerEnds, CrashingTasks and BoundOfThePromise pass (28 tests). On the platform the worker is on the agent's machine, so nothing changes there.

--- a/src/endproof.h
+++ b/src/endproof.h
@@ -26,7 +26,7 @@
 // or no longer occurs, ends single runs.
 enum class EndProof {
     NextProcess,  // another process of the worker has answered or has sent a heartbeat
-    OtherWorker,  // on the agent's machine, another worker answers at the address
+    OtherWorker,  // another worker answers at the address
     Refusal,      // on the agent's machine, nothing listens at the address; see isRefusalProof()
     LeaseExpired, // the worker has not answered for as long as a run keeps its lease
 };
--- a/src/taskrunnerworkers.cpp
+++ b/src/taskrunnerworkers.cpp
@@ -251,8 +251,7 @@
     if (worker.isUnconfirmed)
         return dropUnconfirmed({}, out);
     reportCrash(worker, CrashState::Confirmed, runsOf(worker), now, out);
-    if (isOnThisMachine(worker))
-        endProvenRuns(worker, EndProof::OtherWorker, now, out);
+    endProvenRuns(worker, EndProof::OtherWorker, now, out);
     beginLeave(worker, "worker_replaced", out);
 }
 
