Run ends: the lease bound and the time of a call stand once, crashes are settled once

The formula of the lease bound stood in sendPoll() and longestLease(), the timeout of calls again as DeliveryTime; a restart that a heartbeat showed settled the crash reports twice.

--- a/src/endproof.cpp
+++ b/src/endproof.cpp
@@ -14,9 +14,6 @@
 
 // A worker that refuses calls for this long has ended.
 constexpr Duration RefusalProofTime = 15ms;
-// A call is given up after this time without a reply, and the worker's machine is this one: a start
-// that is carried out at all is at the worker by then, except where the network delays it.
-constexpr Duration DeliveryTime = 300ms;
 // The clock of a process begins anew, below this value.
 constexpr Duration MaxFirstClock = 10s;
 
@@ -37,11 +34,11 @@
     return "?";
 }
 
-TimePoint leaseEndOf(const RunStarts &run, TimePoint knownProcessLeaseEnd, Duration longestLease)
+TimePoint leaseEndOf(const RunStarts &run, TimePoint knownProcessLeaseEnd, Duration longestRun)
 {
     if (run.isInKnownProcess)
         return knownProcessLeaseEnd;
-    return std::max(knownProcessLeaseEnd, run.lastSentAt + DeliveryTime + longestLease);
+    return std::max(knownProcessLeaseEnd, run.lastSentAt + longestRun);
 }
 
 bool provesEnd(EndProof proof, const RunStarts &run, TimePoint leaseEnd, TimePoint now)
--- a/src/endproof.h
+++ b/src/endproof.h
@@ -37,16 +37,17 @@
 // The starts that were sent for a run.
 struct RunStarts
 {
-    TimePoint lastSentAt{};
-    int unanswered = 0; // may still be carried out
+    TimePoint lastSentAt{}; // or when the known process was noticed, if that was later
+    int unanswered = 0;     // may still be carried out
     // The known process has accepted or listed the run. Unknown while it is false: the run may
     // also be in a process that has started since.
     bool isInKnownProcess = false;
 };
 
 // When a run has lost its lease, whichever process has it. `knownProcessLeaseEnd` is for a run in
-// the known process, `longestLease` what any process grants from the moment of a start.
-TimePoint leaseEndOf(const RunStarts &run, TimePoint knownProcessLeaseEnd, Duration longestLease);
+// the known process, `longestRun` the time from a start until any process that it reaches has ended
+// the run.
+TimePoint leaseEndOf(const RunStarts &run, TimePoint knownProcessLeaseEnd, Duration longestRun);
 
 // The run has ended, or was not started and never will be. `leaseEnd` counts for LeaseExpired.
 bool provesEnd(EndProof proof, const RunStarts &run, TimePoint leaseEnd, TimePoint now);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -325,8 +325,6 @@
     // Ends these tasks as lost. The others wait for another proof, and hold their room until then.
     void endProvenRuns(Worker &worker, EndProof proof, TimePoint now, RunnerOutbox &out);
     TimePoint leaseEndOf(const Worker &worker, const Task &task) const;
-    // The longest time that a worker keeps a run after a start or renewal that is sent now.
-    Duration longestLease() const;
     // The worker went away without notice. Reports it to the entries with those of `runs` that it
     // interrupted, and raises the state of earlier reports; does nothing if no run was interrupted
     // or the worker is leaving.
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -27,11 +27,6 @@
 
 } // namespace
 
-Duration TaskRunner::longestLease() const
-{
-    return m_settings.maxLeaseTime + m_settings.maxLeaseTime / 50 + LeaseMargin;
-}
-
 WorkerCallId TaskRunner::registerCall(const Worker &worker, const TaskId &task,
                                       std::uint32_t attempt, TimePoint now)
 {
--- a/src/taskrunnerends.cpp
+++ b/src/taskrunnerends.cpp
@@ -68,7 +68,8 @@
 
 TimePoint TaskRunner::leaseEndOf(const Worker &worker, const Task &task) const
 {
-    return cactuscove::leaseEndOf(task.starts, worker.leaseEnd, longestLease());
+    return cactuscove::leaseEndOf(task.starts, worker.leaseEnd,
+                                  CallTimeout + longestRunTime(m_settings.maxLeaseTime));
 }
 
 void TaskRunner::rememberLateStart(const Worker &worker, const Task &task)
--- a/src/taskrunnerpolls.cpp
+++ b/src/taskrunnerpolls.cpp
@@ -53,8 +53,7 @@
     if (worker.isSynced && worker.orphans.empty() && !worker.isUnresponsive) {
         poll.leaseUntil
             = WorkerClock{workerClockAt(worker, now).value + toWholeMs(m_settings.leaseTime)};
-        worker.leaseEnd = std::max(worker.leaseEnd, now + m_settings.leaseTime
-                                                        + m_settings.leaseTime / 50 + LeaseMargin);
+        worker.leaseEnd = std::max(worker.leaseEnd, now + longestRunTime(m_settings.leaseTime));
     }
     out.emplace_back(std::move(poll));
 }
--- a/src/taskrunnerworkers.cpp
+++ b/src/taskrunnerworkers.cpp
@@ -23,7 +23,7 @@
     fresh.heardAt = now;
     fresh.lastPollReplyAt = now;
     // Calls that were under way may have reached it.
-    fresh.leaseEnd = now + longestLease();
+    fresh.leaseEnd = now + longestRunTime(m_settings.maxLeaseTime);
     for (auto &[id, task] : worker.tasks)
         if (task.state != State::Queued)
             carryOver(worker, task, now);
@@ -32,8 +32,6 @@
         if (it.workerId == fresh.info.id)
             fresh.orphans.push_back({it.task, it.attempt});
     worker = std::move(fresh);
-    if (startedAtUnixMs)
-        settleCrashes(worker.info, now, out);
     ++m_loadVersion;
 }
 
@@ -202,7 +200,6 @@
         return false;
     if (std::exchange(worker.isStartTimeUnknown, false)) {
         worker.info.startedAtUnixMs = startedAt;
-        settleCrashes(worker.info, now, out);
     } else {
         beginWorkerProcess(worker, startedAt, now, out);
         out.emplace_back(
@@ -210,6 +207,7 @@
                      "worker_restarted",
                      {{"worker", worker.info.id}, {"born_ms", std::to_string(startedAt)}}});
     }
+    settleCrashes(worker.info, now, out);
     return true;
 }
 
--- a/src/workercalls.h
+++ b/src/workercalls.h
@@ -18,9 +18,15 @@
 // After a call that could not be delivered.
 inline constexpr Duration NotSentRetryDelay = std::chrono::milliseconds(20);
 // Added to the end of a lease or a start window, for calls that are under way. For a start window
-// it also covers the worker's clock, which may be 2% slow; for a lease sendPoll() adds the 2%.
+// it also covers the worker's clock, which may be 2% slow.
 inline constexpr Duration LeaseMargin = std::chrono::milliseconds(60);
 
+// How long a run may keep a lease of this length, from the call that asks for it.
+constexpr Duration longestRunTime(Duration lease)
+{
+    return lease + lease / 50 + LeaseMargin;
+}
+
 // Identifies a call to a worker; from 1 in each process of the agent.
 using WorkerCallId = StrongId<struct WorkerCallIdTag>;
 
