--- a/src/outbox.h
+++ b/src/outbox.h
@@ -62,12 +62,15 @@
 
 enum class Severity { Info, Warning, Error };
 
+// Names and values of a log event, in the order in which they are written.
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
 // Writes one line to the process's own log of events.
 struct LogEvent
 {
     Severity severity = Severity::Info;
-    std::string name;                                        // for example "claim_shards"
-    std::vector<std::pair<std::string, std::string>> fields; // names and values
+    std::string name; // for example "claim_shards"
+    LogFields fields;
 };
 
 // Exports a finished trace span of a step that the decision code measured itself.
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -308,6 +308,10 @@
     // To be called when nothing listens at the worker's address.
     void onRefused(Worker &worker, const PendingCall &call, TimePoint now, RunnerOutbox &out);
     void stopOrphans(Worker &worker, TimePoint now, RunnerOutbox &out);
+    // An event about one attempt of a task at a worker, with `more` fields after those that name
+    // it.
+    static LogEvent taskEvent(std::string name, const TaskId &task, std::uint32_t attempt,
+                              std::string_view workerId, LogFields more = {});
     // Removes a task whose run has ended and reports the end to its entry.
     void endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end, TimePoint now,
                  RunnerOutbox &out);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -119,15 +119,11 @@
     const auto entry = m_entries.find(task.entry);
     const Duration heardAgo
         = entry == m_entries.end() ? Duration::max() : now - entry->second.heardAt;
-    out.emplace_back(LogEvent{Severity::Info,
-                              "task_stopping",
-                              {{"job", task.assignment.task.jobId},
-                               {"task", std::to_string(task.assignment.task.index)},
-                               {"attempt", std::to_string(task.assignment.attempt)},
-                               {"worker", worker.info.id},
-                               {"reason", std::string(reason)},
-                               {"ran_ms", toMsString(now - task.firstSentAt)},
-                               {"entry_heard_ms", toMsString(heardAgo)}}});
+    out.emplace_back(taskEvent("task_stopping", task.assignment.task, task.assignment.attempt,
+                               worker.info.id,
+                               {{"reason", std::string(reason)},
+                                {"ran_ms", toMsString(now - task.firstSentAt)},
+                                {"entry_heard_ms", toMsString(heardAgo)}}));
     task.state = State::Stopping;
     task.stopAcknowledged = false;
     sendStop(worker, task, now, out);
@@ -139,12 +135,7 @@
         if (it.stopAcknowledged || now < it.retryAt)
             continue;
         if (it.retryAt == TimePoint{})
-            out.emplace_back(LogEvent{Severity::Info,
-                                      "orphan_stopping",
-                                      {{"job", it.task.jobId},
-                                       {"task", std::to_string(it.task.index)},
-                                       {"attempt", std::to_string(it.attempt)},
-                                       {"worker", worker.info.id}}});
+            out.emplace_back(taskEvent("orphan_stopping", it.task, it.attempt, worker.info.id));
         it.retryAt = now + MaxRetryDelay;
         out.emplace_back(makeStop(worker, it.task, it.attempt, now));
     }
--- a/src/taskrunnerends.cpp
+++ b/src/taskrunnerends.cpp
@@ -4,10 +4,24 @@
 #include "taskrunner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cactuscove {
 
+LogEvent TaskRunner::taskEvent(std::string name, const TaskId &task, std::uint32_t attempt,
+                               std::string_view workerId, LogFields more)
+{
+    LogEvent event{Severity::Info,
+                   std::move(name),
+                   {{"job", task.jobId},
+                    {"task", std::to_string(task.index)},
+                    {"attempt", std::to_string(attempt)},
+                    {"worker", std::string(workerId)}}};
+    std::move(more.begin(), more.end(), std::back_inserter(event.fields));
+    return event;
+}
+
 void TaskRunner::endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end,
                          TimePoint now, RunnerOutbox &out)
 {
@@ -18,17 +32,13 @@
     const TaskEnded message{task.assignment.task, task.assignment.attempt, end, runTime};
     m_endedTasks.push_back({task.entry, message, now});
     out.emplace_back(SendToEntry{task.entry, message});
-    out.emplace_back(LogEvent{Severity::Info,
-                              "task_ended",
-                              {{"job", task.assignment.task.jobId},
-                               {"task", std::to_string(task.assignment.task.index)},
-                               {"attempt", std::to_string(task.assignment.attempt)},
-                               {"worker", worker.info.id},
-                               {"end", std::string(nameOf(end))},
-                               {"ran_ms", toMsString(runTime)},
-                               {"expected_ms", toMsString(task.assignment.expectedRun)},
-                               {"survived_ms", toMsString(survivedTime(worker, task))},
-                               {"start_calls", std::to_string(task.startCalls)}}});
+    out.emplace_back(taskEvent("task_ended", task.assignment.task, task.assignment.attempt,
+                               worker.info.id,
+                               {{"end", std::string(nameOf(end))},
+                                {"ran_ms", toMsString(runTime)},
+                                {"expected_ms", toMsString(task.assignment.expectedRun)},
+                                {"survived_ms", toMsString(survivedTime(worker, task))},
+                                {"start_calls", std::to_string(task.startCalls)}}));
     worker.performance.recordEnd(task.assignment.task, end, runTime, task.assignment.expectedRun,
                                  now);
     ++m_loadVersion;
@@ -38,13 +48,8 @@
                         std::string_view workerId, RunnerOutbox &out)
 {
     out.emplace_back(SendToEntry{entry, StartRefused{assignment.task, assignment.attempt, reason}});
-    out.emplace_back(LogEvent{Severity::Info,
-                              "task_refused",
-                              {{"job", assignment.task.jobId},
-                               {"task", std::to_string(assignment.task.index)},
-                               {"attempt", std::to_string(assignment.attempt)},
-                               {"worker", std::string(workerId)},
-                               {"reason", std::string(nameOf(reason))}}});
+    out.emplace_back(taskEvent("task_refused", assignment.task, assignment.attempt, workerId,
+                               {{"reason", std::string(nameOf(reason))}}));
 }
 
 void TaskRunner::refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it,
--- a/src/taskrunnerpolls.cpp
+++ b/src/taskrunnerpolls.cpp
@@ -241,16 +241,11 @@
         task.isLateReported = true;
         out.emplace_back(SendToEntry{task.entry, TaskLate{id, task.assignment.attempt, remaining}});
         out.emplace_back(
-            LogEvent{Severity::Info,
-                     "task_late",
-                     {{"job", id.jobId},
-                      {"task", std::to_string(id.index)},
-                      {"attempt", std::to_string(task.assignment.attempt)},
-                      {"worker", worker.info.id},
-                      {"ran_ms", toMsString(elapsed)},
-                      {"percent", std::to_string(task.percentDone)},
-                      {"slowness_percent", std::to_string(static_cast<std::int64_t>(
-                                               worker.performance.runningSlowness() * 100))}}});
+            taskEvent("task_late", id, task.assignment.attempt, worker.info.id,
+                      {{"ran_ms", toMsString(elapsed)},
+                       {"percent", std::to_string(task.percentDone)},
+                       {"slowness_percent", std::to_string(static_cast<std::int64_t>(
+                                                worker.performance.runningSlowness() * 100))}}));
     }
 }
 
--- a/tests/fleetstart_test.cpp
+++ b/tests/fleetstart_test.cpp
@@ -4,6 +4,7 @@
 // each 100 ms.
 
 #include "dispatchfleet.h"
+#include "effects.h"
 
 #include <gtest/gtest.h>
 
@@ -130,17 +131,6 @@
     return text ? std::strtoull(text, nullptr, 10) : defaultValue;
 }
 
-// The effects of this type, in order.
-template <typename T, typename Effects>
-std::vector<T> effectsOf(const std::vector<Effects> &out)
-{
-    std::vector<T> found;
-    for (const Effects &it : out)
-        if (const auto *effect = std::get_if<T>(&it))
-            found.push_back(*effect);
-    return found;
-}
-
 } // namespace
 
 // Guards against returning jobs that take more than a small part of the free cores, against callers
--- a/tests/runends_test.cpp
+++ b/tests/runends_test.cpp
@@ -2,6 +2,7 @@
 // leaves, refused calls, expired leases. A run that is reported too early starts elsewhere while it
 // still runs.
 
+#include "effects.h"
 #include "taskrunner.h"
 
 #include <gtest/gtest.h>
@@ -20,16 +21,6 @@
 constexpr std::int64_t NextProcess = FirstProcess + 60'000;
 constexpr Duration FirstProcessAge = 50s; // at Start
 
-template <typename T>
-std::vector<T> effectsOf(const RunnerOutbox &out)
-{
-    std::vector<T> found;
-    for (const RunnerEffect &it : out)
-        if (const auto *effect = std::get_if<T>(&it))
-            found.push_back(*effect);
-    return found;
-}
-
 // An agent with one entry and one worker, whose first process has listed its runs.
 struct RunEnds : testing::Test
 {
--- a/tests/workerrecord_test.cpp
+++ b/tests/workerrecord_test.cpp
@@ -1,6 +1,7 @@
 // Worker records: encoding, when they are read, written and used, and the start of a task runner
 // from one.
 
+#include "effects.h"
 #include "platform.h"
 #include "taskrunner.h"
 #include "workerrecord.h"
@@ -38,16 +39,6 @@
     return valueOf(encodeWorkerRecord({info, UnixMs}));
 }
 
-template <typename T, typename Effects>
-std::vector<T> effectsOf(const std::vector<Effects> &out)
-{
-    std::vector<T> found;
-    for (const Effects &it : out)
-        if (const auto *effect = std::get_if<T>(&it))
-            found.push_back(*effect);
-    return found;
-}
-
 template <typename Effects>
 int countEvents(const std::vector<Effects> &out, std::string_view name)
 {
