A job is refused although its task has started: a refusal needs a proof

Cause: endMissingRuns() reported an attempt as refused because its start was never confirmed, when the worker's next process had acknowledged the stop and did not list it. That proves nothing of the process before. Evidence: task_refused 58 ms after task_stopping reason=start_unanswered, for a run that the same agent had reported in worker_crashed runs=1 recent=1; first_start_ms=-1 at the entry. Ruled out: an entry that forgets a start (it was never told), a lost connection (it was up).

Change: startproof.h decides what proves that an attempt was never started and never will be: no start was sent, or each was answered as not carried out. refuse() takes the proof as an argument, so no path can refuse on a guess. What has ended without it is reported as ended, at the same moment. The same step without a restart is mended with it: a start without an answer that the same process has barred may still be carried out by the next one. Starts that were all declined need no stop any more. The log says what a refusal rests on.

--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -165,7 +165,8 @@
     Duration remaining{}; // remaining run time by its progress so far
 };
 
-// Agent to entry: the run has ended.
+// Agent to entry: the run has ended, or the attempt may have been started and will not run any
+// more.
 struct TaskEnded
 {
     TaskId task;
--- a/src/dispatchtypes.h
+++ b/src/dispatchtypes.h
@@ -89,7 +89,7 @@
     auto operator<=>(const TaskId &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
-// How a started task ended.
+// How an attempt ended that was started, or may have been.
 enum class TaskEnd {
     Done,
     Failed, // by a fault of the task or of its worker
@@ -102,7 +102,7 @@
 };
 
 // Why an attempt of a task was not started. After any of these refusals it will not be started
-// later either.
+// later either; startproof.h says what proves that.
 enum class StartRefusal {
     Expired,    // its deadline for starting has passed
     Draining,   // its worker is leaving
@@ -110,7 +110,7 @@
     OldAttempt, // the worker has ended or stopped this or a later attempt
     Unhealthy,  // the worker refuses starts
     // Before the start its entry withdrew or replaced it, or sent nothing for too long; or it was
-    // stopped before its start was confirmed, and the worker does not list it.
+    // being stopped when the worker declined its last start.
     Withdrawn,
     Duplicate, // another attempt of the same task may still run at this agent
 };
--- a/src/endproof.h
+++ b/src/endproof.h
@@ -1,5 +1,6 @@
 // What proves that runs at a worker have ended, so that their tasks may start elsewhere. Each
 // report of a run as lost rests on one of these proofs; docs/design/run-ends.md describes them.
+// Whether a run that has ended so had ever started is another question: startproof.h.
 //
 // A worker is known by its id. Its process may end, and another one may start under the same id.
 // Calls name only the id, so a start that was under way when a process ended may be carried out by
@@ -11,6 +12,7 @@
 #pragma once
 
 #include "dispatchtypes.h"
+#include "startproof.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,16 +36,6 @@
 // For logs, for example "lease_expired".
 std::string_view nameOf(EndProof proof);
 
-// The starts that were sent for a run.
-struct RunStarts
-{
-    TimePoint lastSentAt{}; // or when the known process was noticed, if that was later
-    int unanswered = 0;     // may still be carried out
-    // The known process has accepted or listed the run. Unknown while it is false: the run may
-    // also be in a process that has started since.
-    bool isInKnownProcess = false;
-};
-
 // When a run has lost its lease, whichever process has it. `knownProcessLeaseEnd` is for a run in
 // the known process, `longestRun` the time from a start until any process that it reaches has ended
 // the run.
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -106,12 +106,15 @@
         = std::max(from->second.lastAssignment, assignment.assignmentNumber);
     ++m_loadVersion;
     Worker *worker = findWorker(assignment.workerId);
+    const auto refuseNew = [&](StartRefusal reason) {
+        refuse(entry, assignment, NeverStarted::notSent(), reason, assignment.workerId, out);
+    };
     if (now > assignment.startDeadline)
-        return refuse(entry, assignment, StartRefusal::Expired, assignment.workerId, out);
+        return refuseNew(StartRefusal::Expired);
     if (!worker || worker->isLeaving || m_shuttingDown)
-        return refuse(entry, assignment, StartRefusal::NoWorker, assignment.workerId, out);
+        return refuseNew(StartRefusal::NoWorker);
     if (isDraining(*worker))
-        return refuse(entry, assignment, StartRefusal::Draining, assignment.workerId, out);
+        return refuseNew(StartRefusal::Draining);
     for (auto &[workerId, other] : m_workers) {
         const auto same = other.tasks.find(assignment.task);
         if (same == other.tasks.end())
@@ -120,10 +123,10 @@
         if (task.entry == entry && task.assignment.attempt == assignment.attempt)
             return;
         if (task.state == State::Queued)
-            refuseTask(other, same, StartRefusal::Withdrawn, out);
+            refuseQueued(other, same, StartRefusal::Withdrawn, out);
         else
             stopTask(other, task, "superseded", now, out);
-        return refuse(entry, assignment, StartRefusal::Duplicate, assignment.workerId, out);
+        return refuseNew(StartRefusal::Duplicate);
     }
     Task task;
     task.entry = entry;
@@ -143,7 +146,7 @@
             || it->second.assignment.attempt != request.attempt)
             continue;
         if (it->second.state == State::Queued)
-            refuseTask(worker, it, StartRefusal::Withdrawn, out);
+            refuseQueued(worker, it, StartRefusal::Withdrawn, out);
         else
             stopTask(worker, it->second, "withdrawn", now, out);
         return;
@@ -239,13 +242,13 @@
         }
     }
     for (const auto &[id, reason] : refused)
-        refuseTask(worker, worker.tasks.find(id), reason, out);
+        refuseQueued(worker, worker.tasks.find(id), reason, out);
 }
 
 // Until it is known whether the worker has ended, a start would only reach its next process.
 void TaskRunner::repeatStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
 {
-    if (task.startCalls >= MaxStartCalls || task.isCarriedOver)
+    if (task.starts.sent >= MaxStartCalls || task.isCarriedOver)
         stopTask(worker, task, "start_unanswered", now, out);
     else if (worker.refusingSince != NeverTime)
         task.retryAt = now + RefusedStartDelay;
@@ -303,7 +306,7 @@
 {
     m_shuttingDown = true;
     for (auto &[workerId, worker] : m_workers) {
-        refuseQueued(worker, out);
+        refuseAllQueued(worker, out);
         for (const auto &[entry, state] : m_entries)
             out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
     }
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -164,11 +164,9 @@
         std::uint64_t arrivalNumber = 0; // order in which tasks were assigned
         TimePoint firstSentAt{};         // when the first start was sent
         TimePoint startedAt{};           // when it was first known that the run had started
-        int startCalls = 0;              // starts sent so far
         int stopCalls = 0;               // stops sent so far
         // When to send the start or stop again if it is not answered by then.
         TimePoint retryAt = NeverTime;
-        bool isStartConfirmed = false; // a start was accepted, or the run was listed
         bool stopAcknowledged = false;
         TimePoint stopAcknowledgedAt{};
         int percentDone = 0;         // of its work, 0 to 100, by the newest list
@@ -293,9 +291,12 @@
                      TimePoint now);
     // A start has had no answer for some time.
     void repeatStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
-    // Handles a start that was not accepted, as long as no other call has shown that the task runs.
-    void onStartFailed(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
-                       RunnerOutbox &out);
+    // To be called when a start was not accepted. Refuses the task if none of its starts was.
+    void onStartDeclined(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
+                         RunnerOutbox &out);
+    // The same for a task of which another start may have been carried out.
+    void onStartUnclear(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
+                        RunnerOutbox &out);
     // Counts a poll without a reply; too many make the worker unresponsive.
     void recordUnansweredPoll(Worker &worker, TimePoint now, RunnerOutbox &out);
     // It is not certain that the worker, which has gone away, had started the task.
@@ -312,15 +313,23 @@
     // it.
     static LogEvent taskEvent(std::string name, const TaskId &task, std::uint32_t attempt,
                               std::string_view workerId, LogFields more = {});
+    // Removes a task that neither runs nor will run. Its entry is told that the attempt was never
+    // started, with the reason, if that is proved; else that its run has ended.
+    void settleTask(Worker &worker, std::map<TaskId, Task>::iterator it, StartRefusal reason,
+                    TaskEnd end, TimePoint now, RunnerOutbox &out);
     // Removes a task whose run has ended and reports the end to its entry.
     void endTask(Worker &worker, std::map<TaskId, Task>::iterator it, TaskEnd end, TimePoint now,
                  RunnerOutbox &out);
-    // Removes a task that was not started and never will be, and sends its entry the reason.
-    void refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it, StartRefusal reason,
-                    RunnerOutbox &out);
+    // Removes a task that was never started, and sends its entry the reason.
+    void refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it, const NeverStarted &proof,
+                    StartRefusal reason, RunnerOutbox &out);
+    // The same for a queued task.
+    void refuseQueued(Worker &worker, std::map<TaskId, Task>::iterator it, StartRefusal reason,
+                      RunnerOutbox &out);
+    void refuseAllQueued(Worker &worker, RunnerOutbox &out);
     // Reports the refusal of an assignment whose task was not queued or has been removed.
-    void refuse(Incarnation entry, const AssignTask &assignment, StartRefusal reason,
-                std::string_view workerId, RunnerOutbox &out);
+    void refuse(Incarnation entry, const AssignTask &assignment, const NeverStarted &proof,
+                StartRefusal reason, std::string_view workerId, RunnerOutbox &out);
     static std::vector<TaskId> runsOf(const Worker &worker); // the tasks that are not queued
     // Those whose end is proved.
     std::vector<TaskId> runsEndedBy(const Worker &worker, EndProof proof, TimePoint now) const;
@@ -342,7 +351,6 @@
     void setCrashState(std::uint64_t number, CrashState state, TimePoint now, RunnerOutbox &out);
     // The worker takes no tasks any more. It is removed once it has no runs.
     void beginLeave(Worker &worker, std::string_view reason, RunnerOutbox &out);
-    void refuseQueued(Worker &worker, RunnerOutbox &out);
     // A process with another worker id has answered at the worker's address.
     void replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out);
     // A task of another job runs there, and one of the two must run alone.
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -82,10 +82,9 @@
 {
     const AssignTask &it = task.assignment;
     task.state = State::Starting;
-    task.retryAt = now + retryDelay(task.startCalls++);
+    task.retryAt = now + retryDelay(task.starts.sent);
     worker.leaseEnd = std::max(worker.leaseEnd, now + m_settings.startWindow + LeaseMargin);
-    task.starts.lastSentAt = now;
-    ++task.starts.unanswered;
+    task.starts.addSent(now);
     out.emplace_back(
         StartRun{registerCall(worker, it.task, it.attempt, now), worker.info.id,
                  worker.info.address, it.task, it.attempt, it.payload,
@@ -182,9 +181,9 @@
 
 void TaskRunner::markRunning(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
 {
-    if (task.isStartConfirmed)
+    if (task.starts.isConfirmed)
         return;
-    task.isStartConfirmed = true;
+    task.starts.isConfirmed = true;
     task.startedAt = now;
     if (task.state != State::Starting)
         return;
@@ -204,48 +203,55 @@
     if (!worker)
         return;
     if (Task *task = findTask(*worker, endedCall); task && reply.answer != StartAnswer::NoAnswer)
-        --task->starts.unanswered;
+        task->starts.addAnswer();
     if (reply.answer == StartAnswer::Refused)
         onRefused(*worker, endedCall, now, out);
     Task *task = findTask(*worker, endedCall); // onRefused() may have ended it
     if (task && reply.answer == StartAnswer::Accepted) {
         task->starts.isInKnownProcess |= isFromKnownProcess;
         markRunning(*worker, *task, now, out);
-    } else if (task && task->state == State::Starting) {
-        onStartFailed(*worker, *task, reply.answer, now, out);
+    } else if (task) {
+        onStartDeclined(*worker, *task, reply.answer, now, out);
+    }
+}
+
+void TaskRunner::onStartDeclined(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
+                                 RunnerOutbox &out)
+{
+    const bool isLate = answer == StartAnswer::Late;
+    const bool isOld = answer == StartAnswer::OldAttempt;
+    const bool isStarting = task.state == State::Starting;
+    if (answer != StartAnswer::NoAnswer && isStarting && !isLate && !isOld)
+        worker.unhealthyUntil = now + (isUndelivered(answer) ? NotSentRetryDelay : UnhealthyPause);
+    if (const auto proof = NeverStarted::prove(task.starts)) {
+        const StartRefusal reason = !isStarting ? StartRefusal::Withdrawn
+                                    : isLate    ? StartRefusal::Expired
+                                    : isOld     ? StartRefusal::OldAttempt
+                                                : StartRefusal::Unhealthy;
+        refuseTask(worker, worker.tasks.find(task.assignment.task), *proof, reason, out);
+    } else if (isStarting) {
+        onStartUnclear(worker, task, answer, now, out);
     }
 }
 
 // If another start of the attempt may still be carried out, only a stop makes sure that it does not
 // run.
-void TaskRunner::onStartFailed(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
-                               RunnerOutbox &out)
+void TaskRunner::onStartUnclear(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
+                                RunnerOutbox &out)
 {
     if (answer == StartAnswer::NoAnswer) {
         if (task.isCarriedOver)
             task.retryAt = now; // to be stopped
         return;                 // sent again at retryAt
     }
-    const bool isProof = task.startCalls == 1;
-    if (answer == StartAnswer::OldAttempt && !isProof) {
-        // An unanswered start was carried out and its run has ended; the next list of ends will
-        // show how.
-        task.state = State::Stopping;
-        task.stopAcknowledged = true;
-        task.stopAcknowledgedAt = now;
-        task.retryAt = NeverTime;
-        return;
-    }
-    const bool isLate = answer == StartAnswer::Late;
-    const bool isOld = answer == StartAnswer::OldAttempt;
-    if (!isLate && !isOld)
-        worker.unhealthyUntil = now + (isUndelivered(answer) ? NotSentRetryDelay : UnhealthyPause);
-    if (!isProof)
+    if (answer != StartAnswer::OldAttempt)
         return stopTask(worker, task, "start_unclear", now, out);
-    const StartRefusal reason = isLate  ? StartRefusal::Expired
-                                : isOld ? StartRefusal::OldAttempt
-                                        : StartRefusal::Unhealthy;
-    refuseTask(worker, worker.tasks.find(task.assignment.task), reason, out);
+    // An unanswered start was carried out and its run has ended; the next list of ends will show
+    // how.
+    task.state = State::Stopping;
+    task.stopAcknowledged = true;
+    task.stopAcknowledgedAt = now;
+    task.retryAt = NeverTime;
 }
 
 void TaskRunner::onStopReply(WorkerCallId call, const StopReply &reply, TimePoint now,
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -42,8 +42,8 @@
 // refusals, the next process may have got the only call, or the worker was gone before it.
 bool TaskRunner::mayNotHaveStarted(const Worker &worker, const Task &task)
 {
-    return worker.refusingSince == NeverTime && !task.isStartConfirmed
-           && (task.startCalls == 1 || task.firstSentAt > worker.heardAt + RecentRunTime);
+    return worker.refusingSince == NeverTime && !task.starts.isConfirmed
+           && (task.starts.sent == 1 || task.firstSentAt > worker.heardAt + RecentRunTime);
 }
 
 bool TaskRunner::isOnThisMachine(const Worker &worker) const
--- a/src/taskrunnerends.cpp
+++ b/src/taskrunnerends.cpp
@@ -38,37 +38,54 @@
                                 {"ran_ms", toMsString(runTime)},
                                 {"expected_ms", toMsString(task.assignment.expectedRun)},
                                 {"survived_ms", toMsString(survivedTime(worker, task))},
-                                {"start_calls", std::to_string(task.startCalls)}}));
+                                {"start_calls", std::to_string(task.starts.sent)},
+                                {"unanswered", std::to_string(task.starts.unanswered)},
+                                {"confirmed", std::to_string(task.starts.isConfirmed)}}));
     worker.performance.recordEnd(task.assignment.task, end, runTime, task.assignment.expectedRun,
                                  now);
     ++m_loadVersion;
 }
 
-void TaskRunner::refuse(Incarnation entry, const AssignTask &assignment, StartRefusal reason,
-                        std::string_view workerId, RunnerOutbox &out)
+void TaskRunner::settleTask(Worker &worker, std::map<TaskId, Task>::iterator it,
+                            StartRefusal reason, TaskEnd end, TimePoint now, RunnerOutbox &out)
+{
+    if (const auto proof = NeverStarted::prove(it->second.starts))
+        refuseTask(worker, it, *proof, reason, out);
+    else
+        endTask(worker, it, end, now, out);
+}
+
+void TaskRunner::refuse(Incarnation entry, const AssignTask &assignment, const NeverStarted &proof,
+                        StartRefusal reason, std::string_view workerId, RunnerOutbox &out)
 {
     out.emplace_back(SendToEntry{entry, StartRefused{assignment.task, assignment.attempt, reason}});
-    out.emplace_back(taskEvent("task_refused", assignment.task, assignment.attempt, workerId,
-                               {{"reason", std::string(nameOf(reason))}}));
+    out.emplace_back(
+        taskEvent("task_refused", assignment.task, assignment.attempt, workerId,
+                  {{"reason", std::string(nameOf(reason))}, {"proof", std::string(proof.name())}}));
 }
 
 void TaskRunner::refuseTask(Worker &worker, std::map<TaskId, Task>::iterator it,
-                            StartRefusal reason, RunnerOutbox &out)
+                            const NeverStarted &proof, StartRefusal reason, RunnerOutbox &out)
 {
     const auto node = worker.tasks.extract(it);
-    rememberLateStart(worker, node.mapped());
-    refuse(node.mapped().entry, node.mapped().assignment, reason, worker.info.id, out);
+    refuse(node.mapped().entry, node.mapped().assignment, proof, reason, worker.info.id, out);
     ++m_loadVersion;
 }
 
-void TaskRunner::refuseQueued(Worker &worker, RunnerOutbox &out)
+void TaskRunner::refuseQueued(Worker &worker, std::map<TaskId, Task>::iterator it,
+                              StartRefusal reason, RunnerOutbox &out)
+{
+    refuseTask(worker, it, NeverStarted::notSent(), reason, out);
+}
+
+void TaskRunner::refuseAllQueued(Worker &worker, RunnerOutbox &out)
 {
     std::vector<TaskId> queued;
     for (const auto &[id, task] : worker.tasks)
         if (task.state == State::Queued)
             queued.push_back(id);
     for (const TaskId &id : queued)
-        refuseTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
+        refuseQueued(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
 }
 
 TimePoint TaskRunner::leaseEndOf(const Worker &worker, const Task &task) const
@@ -117,7 +134,7 @@
                                    {"unproven", std::to_string(open - ended.size())},
                                    {"heard_ms", toMsString(now - worker.heardAt)}}});
     for (const TaskId &id : ended)
-        endTask(worker, worker.tasks.find(id), TaskEnd::Lost, now, out);
+        settleTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, TaskEnd::Lost, now, out);
     worker.orphans.clear();
 }
 
--- a/src/taskrunnerpolls.cpp
+++ b/src/taskrunnerpolls.cpp
@@ -195,10 +195,11 @@
     worker.crashNumbers.clear(); // these reports are not about this process
     for (const TaskId &id : missing) {
         const auto it = worker.tasks.find(id);
-        if (it->second.isStartConfirmed)
-            endTask(worker, it, TaskEnd::Lost, now, out);
-        else
-            refuseTask(worker, it, StartRefusal::Withdrawn, out);
+        const Task &task = it->second;
+        // This process has not run it if it was neither accepted nor listed nor carried over.
+        const bool mayHaveRun = task.starts.isConfirmed || task.isCarriedOver;
+        settleTask(worker, it, StartRefusal::Withdrawn,
+                   mayHaveRun ? TaskEnd::Lost : TaskEnd::Stopped, now, out);
     }
 }
 
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -84,7 +84,7 @@
         for (const auto &[id, task] : worker.tasks) {
             if (task.entry != entry)
                 continue;
-            auto &list = task.isStartConfirmed ? inventory.started : inventory.waiting;
+            auto &list = task.starts.isConfirmed ? inventory.started : inventory.waiting;
             list.push_back({id, task.assignment.attempt});
         }
     for (const EndedTask &it : m_endedTasks)
--- a/src/taskrunnerworkers.cpp
+++ b/src/taskrunnerworkers.cpp
@@ -162,7 +162,7 @@
 {
     if (std::exchange(worker.isLeaving, true))
         return;
-    refuseQueued(worker, out);
+    refuseAllQueued(worker, out);
     for (const auto &[entry, state] : m_entries)
         out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
     out.emplace_back(LogEvent{Severity::Info,
--- a/tests/runnerfixture.h
+++ b/tests/runnerfixture.h
@@ -1,4 +1,5 @@
-// A task runner with one entry and one worker in virtual time. Tests answer its calls to the worker.
+// A task runner with one entry and one worker in virtual time. Tests answer its calls to the
+// worker.
 
 #pragma once
 
