A start that another worker has declined counts as a run

What callers saw: 504 "deadline" for a job of which nothing had started, where 503 with a time to come back was true. A worker that starts again under another id declines a start that names the old one; the task was then ended as lost with all runs of the worker before, also if that declined start was its only one.

Cause: the answer was counted for the task only after it had been used as the proof that the worker is gone (endCall() -> replaceWorker()). Change: a declined start is counted first. An accepted one is not: until it is marked as running, it would look like one that was declined (seen in a trial of this change; AnAcceptedStartIsNotRefusedAfterASuspension fails on it).

Test: StartProof.AStartThatNamesAnotherWorkerIsRefused fails on the commit before (reported as lost), now StartProof and RunEnds pass, 28 of 28.

--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -291,6 +291,9 @@
                      TimePoint now);
     // A start has had no answer for some time.
     void repeatStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
+    // To be called for each start that was not carried out, before anything is concluded from the
+    // reply: it may be the proof that its task was never started.
+    void addDeclinedStart(WorkerCallId call);
     // To be called when a start was not accepted. Refuses the task if none of its starts was.
     void onStartDeclined(Worker &worker, Task &task, StartAnswer answer, TimePoint now,
                          RunnerOutbox &out);
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -194,20 +194,29 @@
         SendToEntry{task.entry, TaskStarted{task.assignment.task, task.assignment.attempt}});
 }
 
+void TaskRunner::addDeclinedStart(WorkerCallId call)
+{
+    const auto it = m_calls.find(call);
+    Worker *worker = it == m_calls.end() ? nullptr : findWorker(it->second.workerId);
+    if (Task *task = worker ? findTask(*worker, it->second) : nullptr)
+        task->starts.addAnswer();
+}
+
 void TaskRunner::onStartReply(WorkerCallId call, const StartReply &reply, TimePoint now,
                               RunnerOutbox &out)
 {
     PendingCall endedCall;
     bool isFromKnownProcess = false;
+    if (reply.answer != StartAnswer::NoAnswer && reply.answer != StartAnswer::Accepted)
+        addDeclinedStart(call);
     Worker *worker = endStartOrStop(call, reply, endedCall, isFromKnownProcess, now, out);
     if (!worker)
         return;
-    if (Task *task = findTask(*worker, endedCall); task && reply.answer != StartAnswer::NoAnswer)
-        task->starts.addAnswer();
     if (reply.answer == StartAnswer::Refused)
         onRefused(*worker, endedCall, now, out);
     Task *task = findTask(*worker, endedCall); // onRefused() may have ended it
     if (task && reply.answer == StartAnswer::Accepted) {
+        task->starts.addAnswer();
         task->starts.isInKnownProcess |= isFromKnownProcess;
         markRunning(*worker, *task, now, out);
     } else if (task) {
--- a/tests/startproof_test.cpp
+++ b/tests/startproof_test.cpp
@@ -123,6 +123,18 @@
     expectMayHaveStarted(TaskEnd::Lost);
 }
 
+// The same, if the answer has waited in the socket while the agent was suspended.
+TEST_F(StartProof, AnAcceptedStartIsNotRefusedAfterASuspension)
+{
+    advance(400ms);
+    assign(0);
+    const StartRun start = newestStart();
+    waitForPoll(); // the poll before has had no answer, so a lease may run out
+    now += 3s;
+    answerStart(start, StartAnswer::Accepted, firstClock());
+    EXPECT_TRUE(reasons().empty());
+}
+
 // Guards against jobs that wait for the end of a start that the worker has refused.
 TEST_F(StartProof, ARefusedStartIsReportedAtOnce)
 {
@@ -163,6 +175,16 @@
     EXPECT_EQ(freeRoom().cpuMillis, 4000);
 }
 
+// Guards against a job that is answered as unknown although its only start was sent to a worker
+// that was gone: another worker has refused it, as the call did not name it.
+TEST_F(StartProof, AStartThatNamesAnotherWorkerIsRefused)
+{
+    assign(0);
+    answerStart(newestStart(), StartAnswer::OtherProcess, nextClock(20ms));
+    EXPECT_EQ(reasons(), std::vector{StartRefusal::NoWorker});
+    EXPECT_TRUE(ends().empty());
+}
+
 // Guards against a refusal because another worker has replaced the one that may have run the task.
 TEST_F(StartProof, ARunOfAReplacedWorkerIsNotRefused)
 {
