A reply about an earlier assignment proves nothing of a later one

Two submissions of a job number their attempts from 1 each, so a worker may get the same task and attempt twice from one agent. A late reply to a start of the first assignment was counted for the second one: its own start then had "an answer", and the attempt counted as never started while it ran.

Change: a call is linked to the assignment it was made for, not to its task and attempt.

Test: StartProof.RepliesAboutAnEarlierAssignmentProveNothing fails on the commit before; now StartProof and RunEnds pass, 29 of 29.

--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -199,6 +199,8 @@
         std::string workerId;
         TaskId task; // of a start or stop; not set for a poll
         std::uint32_t attempt = 0;
+        // Task::arrivalNumber: another submission of the job may use the same attempt. 0: of none.
+        std::uint64_t arrivalNumber = 0;
         CallContext context;
     };
 
@@ -288,7 +290,7 @@
                   RunnerOutbox &out);
     void sendStop(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
     StopRun makeStop(const Worker &worker, const TaskId &task, std::uint32_t attempt,
-                     TimePoint now);
+                     std::uint64_t arrivalNumber, TimePoint now);
     // A start has had no answer for some time.
     void repeatStart(Worker &worker, Task &task, TimePoint now, RunnerOutbox &out);
     // To be called for each start that was not carried out, before anything is concluded from the
@@ -415,7 +417,7 @@
     WorkerClock workerClockAt(const Worker &worker, TimePoint at) const;
     Worker *findWorker(std::string_view id);
     WorkerCallId registerCall(const Worker &worker, const TaskId &task, std::uint32_t attempt,
-                              TimePoint now);
+                              std::uint64_t arrivalNumber, TimePoint now);
     // Removes the call, moves it to `endedCall` and returns its worker. Returns nullptr if the call
     // is unknown or the worker is gone. If a process with another id answered, the worker is gone:
     // removes it and returns nullptr.
--- a/src/taskrunnercalls.cpp
+++ b/src/taskrunnercalls.cpp
@@ -28,11 +28,13 @@
 } // namespace
 
 WorkerCallId TaskRunner::registerCall(const Worker &worker, const TaskId &task,
-                                      std::uint32_t attempt, TimePoint now)
+                                      std::uint32_t attempt, std::uint64_t arrivalNumber,
+                                      TimePoint now)
 {
     const WorkerCallId id{++m_lastCall};
     m_calls.emplace(
-        id, PendingCall{worker.info.id, task, attempt, {now, worker.process, worker.clock}});
+        id, PendingCall{
+                worker.info.id, task, attempt, arrivalNumber, {now, worker.process, worker.clock}});
     return id;
 }
 
@@ -67,7 +69,7 @@
 {
     const auto it = worker.tasks.find(call.task);
     const bool isSame = it != worker.tasks.end() && it->second.state != State::Queued
-                        && it->second.assignment.attempt == call.attempt;
+                        && it->second.arrivalNumber == call.arrivalNumber;
     return isSame ? &it->second : nullptr;
 }
 
@@ -86,7 +88,7 @@
     worker.leaseEnd = std::max(worker.leaseEnd, now + m_settings.startWindow + LeaseMargin);
     task.starts.addSent(now);
     out.emplace_back(
-        StartRun{registerCall(worker, it.task, it.attempt, now), worker.info.id,
+        StartRun{registerCall(worker, it.task, it.attempt, task.arrivalNumber, now), worker.info.id,
                  worker.info.address, it.task, it.attempt, it.payload,
                  WorkerClock{workerClockAt(worker, now).value + toWholeMs(m_settings.startWindow)},
                  CallTimeout});
@@ -96,13 +98,13 @@
 {
     const AssignTask &it = task.assignment;
     task.retryAt = now + retryDelay(task.stopCalls++);
-    out.emplace_back(makeStop(worker, it.task, it.attempt, now));
+    out.emplace_back(makeStop(worker, it.task, it.attempt, task.arrivalNumber, now));
 }
 
 StopRun TaskRunner::makeStop(const Worker &worker, const TaskId &task, std::uint32_t attempt,
-                             TimePoint now)
+                             std::uint64_t arrivalNumber, TimePoint now)
 {
-    return {registerCall(worker, task, attempt, now),
+    return {registerCall(worker, task, attempt, arrivalNumber, now),
             worker.info.id,
             worker.info.address,
             task,
@@ -136,7 +138,7 @@
         if (it.retryAt == TimePoint{})
             out.emplace_back(taskEvent("orphan_stopping", it.task, it.attempt, worker.info.id));
         it.retryAt = now + MaxRetryDelay;
-        out.emplace_back(makeStop(worker, it.task, it.attempt, now));
+        out.emplace_back(makeStop(worker, it.task, it.attempt, 0, now));
     }
 }
 
--- a/src/taskrunnerpolls.cpp
+++ b/src/taskrunnerpolls.cpp
@@ -36,7 +36,7 @@
 {
     const bool isBusy = !worker.tasks.empty() || !worker.orphans.empty();
     PollRuns poll;
-    poll.call = worker.newestPoll = registerCall(worker, {}, 0, now);
+    poll.call = worker.newestPoll = registerCall(worker, {}, 0, 0, now);
     poll.workerId = worker.info.id;
     poll.address = worker.info.address;
     poll.acknowledged = worker.acknowledged;
--- a/tests/startproof_test.cpp
+++ b/tests/startproof_test.cpp
@@ -196,4 +196,23 @@
     EXPECT_EQ(ends()[0].end, TaskEnd::Lost);
 }
 
+// Guards against a reply about an earlier assignment that is counted for a later one with the same
+// number of attempt, of another submission of the job.
+TEST_F(StartProof, RepliesAboutAnEarlierAssignmentProveNothing)
+{
+    assign(0);
+    const StartRun first = newestStart();
+    WithdrawTask request{{"job", 0}, 1};
+    runner.onWithdraw(entry, request, now, out);
+    barAt(FirstProcess, firstClock());
+    ASSERT_EQ(ends().size() + refusals(), 1u);
+    out.clear();
+    assign(0);
+    const StartRun second = newestStart();
+    answerStart(first, StartAnswer::Late, firstClock());
+    EXPECT_EQ(ends().size() + refusals(), 0u);
+    answerStart(second, StartAnswer::Late, firstClock());
+    EXPECT_EQ(refusals(), 1u);
+}
+
 } // namespace cactuscove
