A suspended entry refuses a job that has run

What callers would see: 503 for a job whose task has run for half a second. An attempt that an agent's inventory does not list counted as never started for 3 s from the end of the connection, as the entry noticed it.

Change: the 3 s count from the assignment. Each path that gives a task back says whether the attempt may have been started (AttemptStart), in place of a flag that it had to set beside it.

--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -268,8 +268,7 @@
         Job &job = m_jobs.at(number);
         for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
             if (job.tasks[i].state == State::AgentLost && now >= job.tasks[i].attemptEndsBy) {
-                job.mayHaveStarted = true; // the attempt may have run, and has ended by now
-                requeueTask(number, job, i, now, out);
+                requeueTask(number, job, i, AttemptStart::Possible, now, out);
                 if (!m_jobs.count(number))
                     break;
             }
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -202,7 +202,7 @@
         int moveCount = 0;         // times that it was stopped on a slow worker to run elsewhere
         WorkerKey worker;          // of the newest attempt
         std::string agentName;     // of the newest attempt; the same across restarts of the agent
-        TimePoint agentLostAt{};   // AgentLost: when the connection ended
+        TimePoint assignedAt{};    // of the newest attempt
         // AgentLost: the attempt has ended by then; NeverTime while an agent that is connected
         // again has not listed its tasks.
         TimePoint attemptEndsBy = NeverTime;
@@ -228,7 +228,8 @@
         TimePoint latestStart{};
         // Accepted although it is expected to miss its objective; ordered by its deadline instead.
         bool mayBeLate = false;
-        // Some task may have started. As long as this is false, the job may be refused.
+        // Some task may have started. As long as this is false, the job may be refused: it is the
+        // proof that every attempt so far waits, or was never started.
         bool mayHaveStarted = false;
         // Set while the tasks are being withdrawn; sent when none of them may run any more.
         std::optional<DispatchAnswer> closingAnswer;
@@ -363,10 +364,13 @@
                         DispatcherOutbox &out);
     void onInventory(Incarnation agent, const TaskInventory &inventory, TimePoint now,
                      DispatcherOutbox &out);
+    // Whether an attempt that neither runs nor will run was started.
+    enum class AttemptStart { Never, Possible };
     // To be called when it is certain that the newest attempt neither runs nor will run. The task
-    // waits to be assigned again; a job that is closing may end.
-    void requeueTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
-                     DispatcherOutbox &out);
+    // waits to be assigned again; a job that is closing may end. `start` decides whether the job
+    // may still be refused, so Never needs a proof (docs/design/never-started.md).
+    void requeueTask(JobNumber number, Job &job, std::uint32_t index, AttemptStart start,
+                     TimePoint now, DispatcherOutbox &out);
     // Ends a closing job none of whose tasks may run any more.
     void finishIfClosed(JobNumber number, TimePoint now, DispatcherOutbox &out);
     // The open job whose task has this attempt at this agent; {0, nullptr} if there is none, for
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -58,7 +58,6 @@
             if (!mayRun || task.worker.agent != agent)
                 continue;
             if (task.state != State::AgentLost) {
-                task.agentLostAt = now;
                 m_directory.recordFault(task.worker, true, now);
                 out.emplace_back(
                     LogEvent{Severity::Warning,
@@ -231,12 +230,13 @@
         finish(number, {JobOutcome::Failed, "task_failed", {}}, now, out);
         return;
     }
-    requeueTask(number, *job, message.task.index, now, out);
+    requeueTask(number, *job, message.task.index, AttemptStart::Possible, now, out);
 }
 
-void JobDispatcher::requeueTask(JobNumber number, Job &job, std::uint32_t index, TimePoint now,
-                                DispatcherOutbox &out)
+void JobDispatcher::requeueTask(JobNumber number, Job &job, std::uint32_t index, AttemptStart start,
+                                TimePoint now, DispatcherOutbox &out)
 {
+    job.mayHaveStarted |= start == AttemptStart::Possible;
     setState(number, job, job.tasks[index], State::Waiting);
     if (job.closingAnswer)
         finishIfClosed(number, now, out);
@@ -256,7 +256,7 @@
     const bool isEvacuated
         = message.reason == StartRefusal::Draining && m_directory.isEvacuated(task.worker);
     if (isEvacuated)
-        return requeueTask(number, *job, message.task.index, now, out);
+        return requeueTask(number, *job, message.task.index, AttemptStart::Never, now, out);
     const bool isWorkerUnavailable = message.reason == StartRefusal::Unhealthy
                                      || message.reason == StartRefusal::NoWorker
                                      || message.reason == StartRefusal::Draining;
@@ -271,7 +271,7 @@
     else
         m_directory.recordRefusal(task.worker);
     avoidCurrentWorker(task);
-    requeueTask(number, *job, message.task.index, now, out);
+    requeueTask(number, *job, message.task.index, AttemptStart::Never, now, out);
 }
 
 // An assignment that the agent does not list after a new connection was not received and never will
@@ -311,8 +311,14 @@
             }
         }
     const std::vector<std::string> &orphanFree = inventory.orphanFreeWorkers;
-    std::vector<std::pair<JobNumber, std::uint32_t>> requeued;
-    for (auto &[number, job] : m_jobs)
+    struct Requeue
+    {
+        JobNumber number = 0;
+        std::uint32_t index = 0;
+        AttemptStart start = AttemptStart::Possible;
+    };
+    std::vector<Requeue> requeued;
+    for (const auto &[number, job] : m_jobs)
         for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
             const Task &task = job.tasks[i];
             if (task.state != State::AgentLost || task.agentName != connected->second.name)
@@ -322,18 +328,18 @@
             const bool isOrphanFree
                 = std::find(orphanFree.begin(), orphanFree.end(), task.worker.workerId)
                   != orphanFree.end();
-            if (isSameProcess ? !isListed : isOrphanFree)
-                requeued.emplace_back(number, i);
+            if (isSameProcess ? isListed : !isOrphanFree)
+                continue;
             // Another process does not know whether the task was started, and the same process
-            // forgets it after a while.
-            job.mayHaveStarted |= !isSameProcess && isOrphanFree;
-            job.mayHaveStarted
-                |= isSameProcess && !isListed && now - task.agentLostAt > InventoryRetention;
+            // forgets an end after a while: only an attempt that is younger would be listed.
+            const bool wouldBeListed = isSameProcess && now - task.assignedAt <= InventoryRetention;
+            requeued.push_back(
+                {number, i, wouldBeListed ? AttemptStart::Never : AttemptStart::Possible});
         }
-    for (const auto &[number, index] : requeued) {
-        const auto it = m_jobs.find(number);
-        if (it != m_jobs.end())
-            requeueTask(number, it->second, index, now, out);
+    for (const Requeue &it : requeued) {
+        const auto job = m_jobs.find(it.number);
+        if (job != m_jobs.end())
+            requeueTask(it.number, job->second, it.index, it.start, now, out);
     }
 }
 
--- a/src/jobdispatcherplacement.cpp
+++ b/src/jobdispatcherplacement.cpp
@@ -148,6 +148,7 @@
     ++task.attempt;
     task.runsAlone = runsAlone;
     task.worker = worker;
+    task.assignedAt = now;
     task.agentName = m_agents[worker.agent].name;
     setState(number, job, task, State::Assigned);
     loadControlOf(job).recordStart(job.priority, workOf(job, 1), now);
--- a/tests/refusedjobs_test.cpp
+++ b/tests/refusedjobs_test.cpp
@@ -225,4 +225,19 @@
     EXPECT_LE(now - begin, 400ms);
 }
 
+// Guards against 503 for a task that has run while the entry was suspended: its agent has stopped
+// the run meanwhile, and lists its end no more.
+TEST_F(RefusedJobs, AnEndThatTheAgentHasForgottenIsNoRefusal)
+{
+    submit(CallerId{1}, 1, 15s);
+    now += 5s;
+    dispatcher.onAgentDisconnected(agent, now, out);
+    connect();
+    loseWorker();
+    send(TaskInventory{});
+    step(15s);
+    ASSERT_EQ(answers().size(), 1u);
+    EXPECT_EQ(answers()[0].answer.outcome, JobOutcome::Unknown);
+}
+
 } // namespace cactuscove
--- a/tests/system/fault_test.py
+++ b/tests/system/fault_test.py
@@ -44,9 +44,17 @@
     def check_batch(self, batch):
         """Waits for all answers of a batch and checks them; returns the number of completed jobs.
 
-        No task of a job answered as not_run may have started, and no task at all twice.
+        No task of a job answered as not_run may have started, and no task at all twice. Prints the
+        answers of the jobs that did not complete, and what the processes say of them.
         """
         replies = [(body, call()) for body, call in batch]
+        for body, reply in replies:
+            if reply is None or reply.body.get("outcome") != "completed":
+                print(f"{self.id()}: job {body['id']} was answered {reply and reply.body}")
+                for it in self.fleet.processes:
+                    print("".join(f"  {it.name}: {line}\n" for line in it.log().splitlines()
+                                  if body["id"] in line or "suspect" in line or "lost" in line),
+                          end="")
         starts = self.fleet.starts()
         for body, reply in replies:
             self.assert_answer(body, reply)
