--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -7,6 +7,7 @@
 import collections
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -247,6 +248,11 @@
     return http("POST", entry.address, f"/v1/jobs?wait_ms={wait_ms}", body, timeout=wait_ms / 1000 + 10)
 
 
+def shards_of(agent):
+    """Number of shards whose home the agent is, by its own metrics."""
+    return metric(agent.address, "cactuscove_shards_owned")
+
+
 class FleetTest(unittest.TestCase):
     """Base of the tests: starts a fleet with the example configuration for each test, and has checks.
 
@@ -288,3 +294,54 @@
         """Checks that no upstream has started a task of the job."""
         key = f"{body['team']}/{body['id']}"
         self.assertEqual([it for it in self.fleet.starts() if it[0] in (key, body["id"])], [])
+
+
+class BatchTest(FleetTest):
+    """Base of the tests that submit many jobs and change the configuration beside faults."""
+
+    def wait_all_shards_owned(self):
+        """Waits until the live agents are the homes of all 512 shards; returns the seconds it took."""
+        agents = self.fleet.live(self.fleet.agents)
+        return wait_until("home for every shard", lambda: sum(map(shards_of, agents)) == 512)
+
+    def submit_batch(self, count, **fields):
+        """Submits jobs at the live entries in turn, without waiting for the answers.
+
+        Returns a pair for each job: its body and the result function of in_background().
+        """
+        entries = self.fleet.live(self.fleet.entries)
+        bodies = [job(**fields) for _ in range(count)]
+        return [(it, in_background(submit, entries[n % len(entries)], it))
+                for n, it in enumerate(bodies)]
+
+    def check_batch(self, batch):
+        """Waits for all answers of a batch and checks them; returns the number of completed jobs.
+
+        No task of a job answered as not_run may have started, and no task at all twice. Prints the
+        answers of the jobs that did not complete, and what the processes say of them.
+        """
+        replies = [(body, call()) for body, call in batch]
+        for body, reply in replies:
+            if reply is None or reply.body.get("outcome") != "completed":
+                print(f"{self.id()}: job {body['id']} was answered {reply and reply.body}")
+                for it in self.fleet.processes:
+                    print("".join(f"  {it.name}: {line}\n" for line in it.log().splitlines()
+                                  if body["id"] in line or "suspect" in line or "lost" in line),
+                          end="")
+        starts = self.fleet.starts()
+        for body, reply in replies:
+            self.assert_answer(body, reply)
+            if reply.body.get("outcome") == "not_run":
+                ran = [it for it in starts if body["id"] in it[0]]
+                self.assertEqual(ran, [], f"told not_run: {reply.body}")
+        self.assert_started_at_most_once()
+        return sum(reply.body.get("outcome") == "completed" for _, reply in replies)
+
+    def changed_config(self, weight):
+        """Writes the example configuration with another weight of its first team; returns the path."""
+        with open(CONFIG, encoding="utf-8") as file:
+            text = re.sub(r"weight: \d+", f"weight: {weight}", file.read(), count=1)
+        path = os.path.join(self.fleet.directory, f"fleet-{weight}.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+        return path
