A job is answered not_run although a copy of its task has run

What callers would see: not_run for an idempotent job of which one copy of a task had run and failed. Cause: onDone() cleared mayHaveStarted when the last live attempt was proved not to have started, unless there had been a retry; a copy that fails beside another live one is no retry. Change: a task remembers that an attempt has ended without that proof.

--- a/src/jobhome.h
+++ b/src/jobhome.h
@@ -124,6 +124,7 @@
         bool isHedged = false;           // a second copy has been sent
         // An attempt has started, or has ended without proof that it had not.
         bool mayHaveStarted = false;
+        bool hasUnprovenEnd = false;       // the second of these; mayHaveStarted then stays true
         std::uint16_t retries = 0;         // after failed attempts that started or may have
         std::uint16_t noStartCount = 0;    // times that it lost all attempts without a start
         std::uint32_t lastAttempt = 0;     // number of the newest attempt
--- a/src/jobhometasks.cpp
+++ b/src/jobhometasks.cpp
@@ -147,9 +147,7 @@
     if (message.result.status == TaskStatus::NotStarted) {
         removeAttempt(handle, from, message.attempt);
         task.excluded.push_back(from);
-        // Without retries every earlier attempt is known to have ended without a start. After a
-        // retry an earlier attempt may have started, so mayHaveStarted stays.
-        if (task.liveAttempts.empty() && task.retries == 0)
+        if (task.liveAttempts.empty() && !task.hasUnprovenEnd)
             task.mayHaveStarted = false;
         return onAttemptNotStarted(handle, Duration::zero(), now, out);
     }
@@ -218,6 +216,7 @@
         Task &task = handle.job->tasks[handle.index];
         task.mayHaveStarted
             = findAttempt(task, to, cancel->attempt) != nullptr || task.mayHaveStarted;
+        task.hasUnprovenEnd |= task.mayHaveStarted;
         return checkGivingUp(*handle.job, now, out);
     }
     const auto *start = std::get_if<StartTask>(&message);
@@ -323,7 +322,7 @@
 {
     Job &job = *handle.job;
     Task &task = job.tasks[handle.index];
-    task.mayHaveStarted = true;
+    task.mayHaveStarted = task.hasUnprovenEnd = true;
     if (task.state != TaskState::Active)
         return;
     if (job.state == JobState::GivingUp)
