Soak: workers that end before they have answered a start, from seed 800

A job asks for most of a worker; its task ends the worker before the start is answered, and the next process with the same id answers 0.05 to 0.6 s later, while other jobs take the room.

--- a/tests/system/platformstandin.py
+++ b/tests/system/platformstandin.py
@@ -193,9 +193,11 @@
 
     set_capacity() changes the capacity; a smaller one counts after CAPACITY_GRACE_S.
     crash() ends the current incarnation; the next one starts at the same address with a new id, and
-    after restart() with the same id. leave() ends it as planned. The specification of a task is JSON with `cpu` (thousandths of a core) and `run_ms`; with `fails`, the
-    first that many runs of the task fail; with `crashes`, each run of the task crashes its worker. Tests
-    set these faults:
+    after restart() with the same id. leave() ends it as planned. The specification of a task is JSON
+    with `cpu` (thousandths of a core) and `run_ms`; with `fails`, the first that many runs of the task
+    fail; with `crashes`, each run of the task crashes its worker; with `ends_worker_s`, the first run
+    ends its worker before it has answered the start, and the next incarnation, with the same id,
+    answers that many seconds later. Tests set these faults:
     slowness    factor of the run times, unless is_failing
     is_failing  runs end as failed
     is_hung     no run ends by itself
@@ -220,6 +222,7 @@
         self.heartbeat_s = HEARTBEAT_S
         self.id = ""
         self.is_closing = False
+        self.away_until = 0.0  # monotonic time; calls get no answer before it
         self.overbooked = []  # (task, cpu in use before) of each start beyond the capacity
         self.changed = threading.Condition()  # guards the state of the incarnation
         self.begin_incarnation()
@@ -359,6 +362,8 @@
         """Answers one request; called by Server. The other functions are called with `changed` held."""
         fields = json.loads(body)
         with self.changed:
+            if time.monotonic() < self.away_until:
+                return None
             if headers.get("Expect-Instance") not in (None, self.id):
                 return answer_json(421, clock_ms=int(self.clock()))
             if path == "/-/run-start":
@@ -398,6 +403,10 @@
         self.active[task] = ActiveRun(attempt, spec, time.monotonic(), spec["run_ms"] / 1000)
         if spec.get("crashes"):
             threading.Timer(CRASH_DELAY_S, self.crash, [self.id]).start()
+        if spec.get("ends_worker_s") and not any(it.task == task for it in self.history):
+            self.end_incarnation(keeps_id=True)
+            self.away_until = time.monotonic() + spec["ends_worker_s"]
+            return None
         return answer_json(200, clock_ms=int(clock))
 
     def stop_run(self, fields):
@@ -442,7 +451,7 @@
     def send_heartbeat(self):
         """Sends the worker's state, unless it has left."""
         with self.changed:
-            if self.state is None:
+            if self.state is None or time.monotonic() < self.away_until:
                 return
             self.sequence += 1
             worker = self.id
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -38,10 +38,12 @@
     500,  # a deeply nested heartbeat ended agents
     600,  # the first with tasks that crash their workers
     700,  # the first with workers that restart under their ids or leave as planned
+    800,  # the first with workers that end before they have answered a start
 ]
 FIRST_LATER_SEED = 500
 FIRST_CRASH_SEED = 600
 FIRST_LEAVE_SEED = 700
+FIRST_UNANSWERED_SEED = 800
 MAX_CRASHES = 5  # of workers under one task
 CALLERS = 8
 RECOVERY_S = 8      # includes a worker's next heartbeat and one full proof time
@@ -201,6 +203,18 @@
         in_threads([lambda: caller.submit(job)])
         return job.id, None
 
+    def submit_ending(self):
+        """Submits a job whose task ends its worker before the start is answered.
+
+        It takes most of a worker, so it often finds no other one before its time is over.
+        """
+        job = self.fleet.make_job(tasks=1, run_ms=200, cpu=3500,
+                                  ends_worker_s=self.random.choice([0.05, 0.3, 0.6]))
+        self.jobs.append(job)
+        caller = Caller(self.fleet, self.random.randrange(1 << 30))
+        in_threads([lambda: caller.submit(job)])
+        return job.id, None
+
     def change_capacity(self):
         """Shrinks the capacity of a worker, and lets it grow again later."""
         worker = self.random.choice(self.fleet.workers)
@@ -245,12 +259,15 @@
                     change_capacity)
     LEAVE_FAULTS = (*CRASH_FAULTS, restart_worker, restart_worker, restart_worker, leave_worker,
                     leave_worker, leave_worker)
+    UNANSWERED_FAULTS = (*LEAVE_FAULTS, *[submit_ending] * 30)
 
     def schedule(self):
         """Schedules the begins of all faults: groups of one to three, with pauses between them."""
         faults = (self.FAULTS if self.seed < FIRST_LATER_SEED
                   else self.LATER_FAULTS if self.seed < FIRST_CRASH_SEED
-                  else self.CRASH_FAULTS if self.seed < FIRST_LEAVE_SEED else self.LEAVE_FAULTS)
+                  else self.CRASH_FAULTS if self.seed < FIRST_LEAVE_SEED
+                  else self.LEAVE_FAULTS if self.seed < FIRST_UNANSWERED_SEED
+                  else self.UNANSWERED_FAULTS)
         at = 1.0
         while at < self.seconds:
             for _ in range(self.random.randint(1, 3)):
