An evacuation is followed also where the settings name no bound for it

Change: requests are followed always.

Test: system.dispatch UnboundedEvacuationTest, the two tests of EvacuationTest without the bound: both fail on, now 4 of 4 pass.

--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -23,8 +23,7 @@
     it.hasScarcityControl = features.hasScarcityControl;
     it.listsEarlierRuns = features.hasWorkerRecords;
     it.dataCentre = settings.dataCentre;
-    if (settings.hasEvacuations)
-        it.coldSlowness = settings.coldSlowness;
+    it.coldSlowness = settings.coldSlowness;
     // A start may be under way for the start window.
     it.maxDescriptionAge = std::max<Duration>(settings.capacityGrace - it.startWindow, Duration{});
     const Duration spare = settings.resubmitDelay - settings.maxStopTime - ResubmitSafetyMargin;
--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -361,8 +361,6 @@
 
     void onEvacuationUpdate(std::string_view sender, const EvacuationUpdate &update)
     {
-        if (!m_settings.hasEvacuations)
-            return;
         m_records.mergeEvacuations(update.evacuations, update.readUpTo);
         const EvacuationChanges::Change change
             = m_evacuationChanges.update(m_records, sender, [this](std::string_view dataCentre) {
@@ -382,8 +380,10 @@
 
     void sendEvacuations(EntryConnection &it)
     {
-        if (m_settings.hasEvacuations && it.entry && it.entry->protocol >= OperatorMessagesProtocol)
-            it.link->send(EvacuationUpdate{m_records.evacuations(), m_records.readUpTo()});
+        const EvacuationUpdate update{m_records.evacuations(), m_records.readUpTo()};
+        const bool isEmpty = update.evacuations.empty() && update.readUpTo == LogOffset{};
+        if (!isEmpty && it.entry && it.entry->protocol >= OperatorMessagesProtocol)
+            it.link->send(update);
     }
 
     // An entry reports all upstreams of its configuration. Those without a worker here are left out
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -48,7 +48,7 @@
         , m_features(loaded.features)
         , m_linkListen(std::move(loaded.linkListen))
         , m_dispatcher({m_incarnation.value, lostAgentTimeout(m_settings),
-                        m_features.hasScarcityControl, m_settings.hasEvacuations,
+                        m_features.hasScarcityControl, m_settings.hasEvacuationBound,
                         m_settings.remoteSlowness},
                        bootNow())
         , m_decisions(m_loop, m_dispatcher, *this)
@@ -199,7 +199,8 @@
 
     void sendEvacuations(Link &it)
     {
-        if (m_settings.hasEvacuations && it.peer && it.peer->protocol >= OperatorMessagesProtocol)
+        if (m_operators.knowsEvacuations() && it.peer
+            && it.peer->protocol >= OperatorMessagesProtocol)
             it.link->send(m_operators.evacuationUpdate());
     }
 
--- a/src/dispatchoperators.cpp
+++ b/src/dispatchoperators.cpp
@@ -17,7 +17,7 @@
 void DispatchOperators::start(const platform::PlatformSettings &settings,
                               const FeatureFlags &features, std::uint64_t seed)
 {
-    m_hasEvacuations = settings.hasEvacuations;
+    m_hasEvacuationBound = settings.hasEvacuationBound;
     StoreFollowerSettings follower;
     follower.store = settings.storeAddress;
     follower.topic = platform::operatorTopic();
@@ -98,8 +98,6 @@
 
 void DispatchOperators::onEvacuationRecord(const platform::StoreRecord &record)
 {
-    if (!m_hasEvacuations)
-        return;
     const auto evacuation = platform::parseEvacuation(record);
     std::optional<LogEvent> event;
     if (!isOk(evacuation))
@@ -114,18 +112,18 @@
 
 void DispatchOperators::onCompleteRead(const std::set<std::string> &keys, LogOffset readUpTo)
 {
-    if (!m_hasEvacuations)
-        return;
     std::set<std::string> evacuated;
     for (const std::string &it : keys)
         evacuated.insert(platform::evacuatedDataCentre(it));
+    if (evacuated.empty() && !knowsEvacuations())
+        return;
     m_records.completeRead(evacuated, readUpTo);
     applyEvacuations("store");
 }
 
 void DispatchOperators::onEvacuationUpdate(std::string_view sender, const EvacuationUpdate &update)
 {
-    if (!m_hasEvacuations)
+    if (update.evacuations.empty() && !knowsEvacuations())
         return;
     m_records.mergeEvacuations(update.evacuations, update.readUpTo);
     applyEvacuations(sender);
@@ -172,7 +170,7 @@
 {
     if (snapshot.configVersion > m_records.configVersion())
         applyConfig(snapshot.configText, source, details);
-    if (!m_hasEvacuations)
+    if (snapshot.evacuations.empty() && !knowsEvacuations())
         return;
     m_records.mergeEvacuations(snapshot.evacuations, snapshot.readUpTo);
     applyEvacuations(source);
--- a/src/dispatchoperators.h
+++ b/src/dispatchoperators.h
@@ -52,6 +52,12 @@
     void peerDisconnected(OperatorPeer peer);
     void onPeerMessage(OperatorPeer peer, const PeerMessage &message);
 
+    // There is something to tell of evacuations: they must be in force in time, or one was
+    // requested.
+    bool knowsEvacuations() const
+    {
+        return m_hasEvacuationBound || !m_records.evacuations().empty();
+    }
     // What other processes must know of the evacuations.
     EvacuationUpdate evacuationUpdate() const
     {
@@ -81,7 +87,7 @@
     HttpClient &m_http;
     Metrics &m_metrics;
     Handlers m_handlers;
-    bool m_hasEvacuations = false; // they are followed
+    bool m_hasEvacuationBound = false; // as in PlatformSettings
     OperatorRecords m_records;
     EvacuationChanges m_evacuationChanges;
     std::unique_ptr<StoreFollower> m_follower; // none before start()
--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -296,7 +296,7 @@
         failGivenUpJobs(now, out);
     if (m_directory.hasEvacuations())
         refuseEvacuatedJobs(now, out);
-    if (m_knowsEvacuations || !m_settings.hasEvacuations || !isStarting(now))
+    if (m_knowsEvacuations || !m_settings.waitsForEvacuations || !isStarting(now))
         placeWaitingTasks(now, out);
     m_nextExpiry = earliestExpiry();
 }
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -89,7 +89,8 @@
     // dispatcher counts from the end of the connection, which is later than that message.
     Duration lostAgentTimeout = std::chrono::milliseconds(1800);
     bool hasScarcityControl = false; // see FeatureFlags
-    bool hasEvacuations = false;     // setEvacuated() will be called
+    // At the start of the process no task is placed before setEvacuated() was called.
+    bool waitsForEvacuations = false;
     // Run times on workers without a task's preferred label, as a multiple of those with it.
     double remoteSlowness = 1.5;
 };
--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -244,7 +244,7 @@
         DispatcherSettings settings;
         settings.seed = options.seed * 100 + i;
         settings.hasScarcityControl = options.hasScarcityControl;
-        settings.hasEvacuations = options.dataCentres > 1;
+        settings.waitsForEvacuations = options.dataCentres > 1;
         settings.lostAgentTimeout = options.lostAgentTimeout.value_or(settings.lostAgentTimeout);
         it.dispatcher = std::make_unique<JobDispatcher>(settings, now);
         DispatcherOutbox out;
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -228,7 +228,7 @@
 {
     for (const bool isTold : {true, false}) {
         DispatcherSettings settings;
-        settings.hasEvacuations = true;
+        settings.waitsForEvacuations = true;
         JobDispatcher dispatcher(settings, Now);
         DispatcherOutbox out;
         prepare(dispatcher, Now, out);
--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -18,13 +18,14 @@
     """A fleet for each test. After each test, the runs are checked against the answers of all jobs."""
 
     ZONES = 1
+    EVACUATION_BOUND = True  # in the settings, with several zones
     environment = {}  # of the processes, in addition to that of the test
 
     def setUp(self):
         patch = unittest.mock.patch.dict(os.environ, self.environment)
         patch.start()
         self.addCleanup(patch.stop)
-        self.fleet = DispatchFleet(zones=self.ZONES)
+        self.fleet = DispatchFleet(zones=self.ZONES, evacuation_bound=self.EVACUATION_BOUND)
         self.addCleanup(self.fleet.stop)
         self.fleet.wait_ready()
         self.jobs = []
@@ -276,6 +277,15 @@
         wait_until("room", lambda: self.submit(1)[0].state == "completed", limit=2)
 
 
+class UnboundedEvacuationTest(EvacuationTest):
+    """The same where the settings name no time within which an evacuation must be in force.
+
+    Guards against requests of the operators that are ignored there.
+    """
+
+    EVACUATION_BOUND = False
+
+
 class ScarcityTest(DispatchCase):
     """Scarcity control."""
 
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -83,16 +83,18 @@
 
     `seed` selects the clock rates of the workers, `cpu` is the capacity of each worker in thousandths
     of a core, entry_flags are added to the command of each entry. With several zones (data centres) the
-    instances of each role take turns in them, and the settings allow their evacuation. The constructor
-    starts all processes without waiting for them; see wait_ready().
+    instances of each role take turns in them; the settings name a bound for their evacuation unless
+    evacuation_bound is false. The constructor starts all processes without waiting for them; see wait_ready().
     """
 
-    def __init__(self, entries=2, agents=3, seed=0, cpu=4000, zones=1, entry_flags=()):
+    def __init__(self, entries=2, agents=3, seed=0, cpu=4000, zones=1, entry_flags=(),
+                 evacuation_bound=True):
         self.entry_flags = entry_flags
         self.random = random.Random(seed)
         self.network = 10 + os.getpid() % 240  # second byte of all addresses; differs between runs
         self.directory = tempfile.mkdtemp(prefix="cactuscove-dispatch-")  # settings and output
         self.zones = zones
+        self.evacuation_bound = evacuation_bound and zones > 1
         self.history = []  # ended runs of all workers, in the order of their end
         self.proxies = {}  # address of the control interface, by name of the proxy
         self.children = []  # all processes that were ever started
@@ -137,7 +139,7 @@
         with open(instance.settings, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(
                 name=instance.name, zone=instance.zone,
-                evacuation="evacuate_ms = 5000\n" if self.zones > 1 else "",
+                evacuation="evacuate_ms = 5000\n" if self.evacuation_bound else "",
                 ip=instance.ip, own=instance.own, seeds=seeds, link_port=LINK_PORT,
                 metrics_port=METRICS_PORT, caller_port=CALLER_PORT, ready_port=READY_PORT,
                 worker_port=WORKER_PORT, store=f"{self.ip(STORE, 2)}:{STORE_PORT}"))
