runs_lost is logged once for each state of the runs

An agent whose worker refuses calls wrote runs_lost count=0 unproven=1 every 20 ms for as long as the worker was away (30 lines for one restart of review/7). A repeat that changes nothing is left out.

--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -241,8 +241,9 @@
         std::vector<std::uint64_t> crashNumbers;
         // No starts are sent before this time, as one was refused or could not be delivered.
         TimePoint unhealthyUntil{};
-        TimePoint coldUntil{};        // slower before this time; TimePoint{}: not cold
-        std::map<TaskId, Task> tasks; // not ended
+        TimePoint coldUntil{};          // slower before this time; TimePoint{}: not cold
+        std::map<TaskId, Task> tasks;   // not ended
+        std::size_t loggedUnproven = 0; // runs that the newest proof of their end left open
         std::vector<Orphan> orphans;
         WorkerPerformance performance;
         TimePoint poorReportedAt{}; // when its poor performance was last reported to the entries
--- a/src/taskrunnerends.cpp
+++ b/src/taskrunnerends.cpp
@@ -125,7 +125,9 @@
 {
     const std::vector<TaskId> ended = runsEndedBy(worker, proof, now);
     const std::size_t open = runsOf(worker).size();
-    if (!ended.empty() || (open > 0 && proof != EndProof::LeaseExpired))
+    const bool isNews = open > 0 && open != worker.loggedUnproven;
+    worker.loggedUnproven = open - ended.size();
+    if (!ended.empty() || (isNews && proof != EndProof::LeaseExpired))
         out.emplace_back(LogEvent{Severity::Warning,
                                   "runs_lost",
                                   {{"worker", worker.info.id},
