Fleets in virtual time: workers that end before they have answered a start

DispatchFleet::crashWorkerAtStart(), and WorkerEnds.AJobWhoseStartHadNoAnswerIsNotRefused: 12 plays of a fleet that is asked for more than it has, one such end each 0.5 to 0.8 s.

--- a/tests/dispatchfleet.cpp
+++ b/tests/dispatchfleet.cpp
@@ -76,7 +76,8 @@
         std::vector<EndedRun> ended;
         std::vector<std::function<void()>> waitingPolls; // replies that wait for an end
         bool isDraining = false;
-        std::string id; // see setId()
+        std::string id;                       // see setId()
+        std::optional<Duration> crashAtStart; // the downtime after a crash at the next start
     };
 
     // An entry or agent. Its incarnation changes with each new process.
@@ -738,7 +739,11 @@
             }
             if (it.id != order.workerId)
                 return deliverReply(i, agentIncarnation, order, isLost, true);
-            execute(it, order, [this, i, agentIncarnation, order, isLost] {
+            const std::uint64_t incarnation = it.incarnation;
+            execute(it, order, [this, i, agentIncarnation, order, isLost, incarnation] {
+                // The connection ends with the process.
+                if (workers[i].incarnation != incarnation)
+                    return deliverNoReply(i, agentIncarnation, order);
                 deliverReply(i, agentIncarnation, order, isLost, false);
             });
         });
@@ -832,6 +837,8 @@
         StartAnswer &answer
             = startAnswers[order.call.value + 1000000 * static_cast<std::uint64_t>(it.index)];
         answer = start(it, order);
+        if (answer == StartAnswer::Accepted && it.crashAtStart)
+            crash(static_cast<std::size_t>(it.index), *std::exchange(it.crashAtStart, {}));
         done();
     }
 
@@ -1470,6 +1477,11 @@
     m_impl->links[static_cast<std::size_t>(entry)][static_cast<std::size_t>(agent)].isCut = isCut;
 }
 
+void DispatchFleet::crashWorkerAtStart(int worker, Duration down)
+{
+    m_impl->workers[static_cast<std::size_t>(worker)].crashAtStart = down;
+}
+
 void DispatchFleet::crashWorker(int worker, Duration down)
 {
     m_impl->crash(static_cast<std::size_t>(worker), down);
--- a/tests/dispatchfleet.h
+++ b/tests/dispatchfleet.h
@@ -168,6 +168,9 @@
     void setCut(int entry, int agent, bool isCut);
     // The worker and its runs are gone at once; a new process of it starts after `down`.
     void crashWorker(int worker, Duration down);
+    // The same, but at its next start of a task: right after it has begun the task, before it
+    // answers.
+    void crashWorkerAtStart(int worker, Duration down);
     // The worker drains for this long, says that it leaves, and ends `endTime` later, with all that
     // runs on it. A new process of it starts after `down`.
     void leaveWorker(int worker, Duration drain, Duration endTime, Duration down);
--- a/tests/workerends_test.cpp
+++ b/tests/workerends_test.cpp
@@ -91,4 +91,24 @@
     }
 }
 
+// Guards against a job that is refused although a worker has begun its task: the worker ends before
+// it answers, and the fleet is too full to run the task elsewhere in time.
+TEST(WorkerEnds, AJobWhoseStartHadNoAnswerIsNotRefused)
+{
+    for (const std::uint64_t seed : {35, 36, 37, 38}) {
+        for (const Duration down : {20ms, 100ms, 600ms}) {
+            DispatchFleetOptions options = busyFleet(600, seed);
+            options.kinds = {{"single", 0, 500, 150, 0.2, 0.1, 1, 6200, 0.03}};
+            options.callerTimeout = 1500ms;
+            DispatchFleet fleet(options);
+            scheduleFaults(fleet, options, [down](DispatchFleet &it, int worker) {
+                it.crashWorkerAtStart(worker, down);
+            });
+            fleet.run();
+            EXPECT_EQ(firstViolation(fleet), "")
+                << "seed " << seed << ", down for " << down / 1ms << " ms";
+        }
+    }
+}
+
 } // namespace cactuscove
