A log outage closes the shards that are being transferred

Cause: a home that has appended the claim for a transfer waits for it without a limit, because a late claim would make the receiver take the transferred jobs for all there are. Every fleet moves some shards 1 s after its start.

Change: after 2 s the home asks the receiver to forget the transfer, and takes jobs again once it has. A receiver ignores late copies of a cancelled transfer; the home does not offer it again at that epoch, withdraws the append, and levels no shares before it has heard of the log again.

--- a/src/messagefields.h
+++ b/src/messagefields.h
@@ -45,11 +45,12 @@
 // Names of the message types in JSON, in the order of the alternatives of Message. StartEpoch keeps
 // the name that processes of earlier versions know.
 inline constexpr std::array MessageNames{
-    "Feed",           "FeedAck",       "Probe",         "ProbeAck", "SubmitJob",   "JobAccepted",
-    "JobAnswer",      "SubmitRefused", "CancelJob",     "QueryJob", "JobNotFound", "StartTask",
-    "TaskAccepted",   "TaskBusy",      "TaskRefused",   "TaskDone", "TaskDoneAck", "CancelTask",
-    "TaskNotStarted", "SlotOffer",     "OfferDeclined", "Raise",    "Witness",     "TransferShard",
-    "TransferAck",    "AdoptWitness",  "AdoptAck"};
+    "Feed",          "FeedAck",     "Probe",          "ProbeAck",         "SubmitJob",
+    "JobAccepted",   "JobAnswer",   "SubmitRefused",  "CancelJob",        "QueryJob",
+    "JobNotFound",   "StartTask",   "TaskAccepted",   "TaskBusy",         "TaskRefused",
+    "TaskDone",      "TaskDoneAck", "CancelTask",     "TaskNotStarted",   "SlotOffer",
+    "OfferDeclined", "Raise",       "Witness",        "TransferShard",    "TransferAck",
+    "AdoptWitness",  "AdoptAck",    "TransferCancel", "TransferCancelled"};
 static_assert(MessageNames.size() == std::variant_size_v<Message>);
 
 // One overload for each structure: a tuple of Field with every member.
@@ -305,6 +306,16 @@
     return std::tuple{required("claim", &TransferAck::claim)};
 }
 
+constexpr auto fieldsOf(Tag<TransferCancel>)
+{
+    return std::tuple{required("claim", &TransferCancel::claim)};
+}
+
+constexpr auto fieldsOf(Tag<TransferCancelled>)
+{
+    return std::tuple{required("claim", &TransferCancelled::claim)};
+}
+
 constexpr auto fieldsOf(Tag<AdoptedJob>)
 {
     return std::tuple{required("job", &AdoptedJob::job), required("epoch", &AdoptedJob::epoch),
--- a/src/messages.h
+++ b/src/messages.h
@@ -281,6 +281,19 @@
     ShardClaim claim;
 };
 
+// Home -> next home: the claim could not be recorded. The receiver forgets what was transferred for
+// it, for good. If the claim takes effect all the same, it asks the witnesses.
+struct TransferCancel
+{
+    ShardClaim claim;
+};
+
+// Next home -> home: nothing of the transfer is kept, and the claim has not taken effect so far.
+struct TransferCancelled
+{
+    ShardClaim claim;
+};
+
 // A job that a leaving process has seen. Its successor answers later StartEpoch messages with it.
 struct AdoptedJob
 {
@@ -311,7 +324,8 @@
     = std::variant<Feed, FeedAck, Probe, ProbeAck, SubmitJob, JobAccepted, JobAnswer, SubmitRefused,
                    CancelJob, QueryJob, JobNotFound, StartTask, TaskAccepted, TaskBusy, TaskRefused,
                    TaskDone, TaskDoneAck, CancelTask, TaskNotStarted, SlotOffer, OfferDeclined,
-                   StartEpoch, Witness, TransferShard, TransferAck, AdoptWitness, AdoptAck>;
+                   StartEpoch, Witness, TransferShard, TransferAck, AdoptWitness, AdoptAck,
+                   TransferCancel, TransferCancelled>;
 
 // The unit of transmission: all messages that one process sends to another in one turn of its event
 // loop, with the load reports that the sender knows, or, if there are more than MaxLoadsPerEnvelope
--- a/src/nodeprocess.h
+++ b/src/nodeprocess.h
@@ -187,6 +187,7 @@
 private:
     void perform(Send &effect) { m_links.send(effect.to, std::move(effect.message)); }
     void perform(Append &effect) { m_log.append(std::move(effect.record)); }
+    void perform(const WithdrawAppend &effect) { m_log.withdraw(effect.appendId); }
     void perform(EmitSpan &effect) { m_context.tracer.finishSpan(effect); }
     void perform(LogEvent &effect)
     {
--- a/src/outbox.h
+++ b/src/outbox.h
@@ -28,6 +28,12 @@
     Record record;
 };
 
+// The record need not be appended any more. It may have taken effect already, or may yet.
+struct WithdrawAppend
+{
+    std::string appendId;
+};
+
 // Identifies one waiting HTTP request of a caller at this entry.
 using CallerId = StrongId<struct CallerIdTag>;
 
@@ -84,8 +90,8 @@
     std::vector<std::pair<std::string, std::string>> attributes;
 };
 
-using Effect
-    = std::variant<Send, Append, AnswerCaller, StartOnUpstream, StopOnUpstream, LogEvent, EmitSpan>;
+using Effect = std::variant<Send, Append, WithdrawAppend, AnswerCaller, StartOnUpstream,
+                            StopOnUpstream, LogEvent, EmitSpan>;
 
 // Collects the effects of one input to the decision code, in order.
 class Outbox
--- a/src/peerlinks.cpp
+++ b/src/peerlinks.cpp
@@ -26,12 +26,13 @@
 constexpr int GoneStatus = 410; // the envelope is addressed to another incarnation
 
 // Values of the label `type` of the metrics, in the order of the alternatives of Message.
-constexpr const char *MessageNames[] = {
-    "Feed",           "FeedAck",       "Probe",         "ProbeAck", "SubmitJob",   "JobAccepted",
-    "JobAnswer",      "SubmitRefused", "CancelJob",     "QueryJob", "JobNotFound", "StartTask",
-    "TaskAccepted",   "TaskBusy",      "TaskRefused",   "TaskDone", "TaskDoneAck", "CancelTask",
-    "TaskNotStarted", "SlotOffer",     "OfferDeclined", "Raise",    "Witness",     "TransferShard",
-    "TransferAck",    "AdoptWitness",  "AdoptAck"};
+constexpr const char *MessageNames[]
+    = {"Feed",          "FeedAck",     "Probe",          "ProbeAck",         "SubmitJob",
+       "JobAccepted",   "JobAnswer",   "SubmitRefused",  "CancelJob",        "QueryJob",
+       "JobNotFound",   "StartTask",   "TaskAccepted",   "TaskBusy",         "TaskRefused",
+       "TaskDone",      "TaskDoneAck", "CancelTask",     "TaskNotStarted",   "SlotOffer",
+       "OfferDeclined", "Raise",       "Witness",        "TransferShard",    "TransferAck",
+       "AdoptWitness",  "AdoptAck",    "TransferCancel", "TransferCancelled"};
 static_assert(std::size(MessageNames) == std::variant_size_v<Message>);
 
 // Value of the label `result` of cactuscove_peer_calls_total.
--- a/src/shardownership.cpp
+++ b/src/shardownership.cpp
@@ -79,6 +79,10 @@
         onTransferShard(from, *transfer, now, out);
     else if (const auto *ack = std::get_if<TransferAck>(&message))
         onTransferAck(from, *ack, now);
+    else if (const auto *cancel = std::get_if<TransferCancel>(&message))
+        onTransferCancel(from, *cancel, out);
+    else if (const auto *cancelled = std::get_if<TransferCancelled>(&message))
+        onTransferCancelled(from, *cancelled, now, out);
 }
 
 void ShardOwnership::onLedgerChange(const LedgerChanges &changes, TimePoint now, Outbox &out)
@@ -145,13 +149,12 @@
         switch (owned.transfer->stage) {
         case TransferStage::Draining:
         case TransferStage::Sending:
+        case TransferStage::Claiming:
             next = std::min(next, owned.transfer->nextStep);
             break;
         case TransferStage::Acknowledged:
             next = std::min(next, owned.transfer->since + ClaimBatchDelay);
             break;
-        case TransferStage::Claiming:
-            break;
         }
     }
     return next;
@@ -159,6 +162,7 @@
 
 void ShardOwnership::setLogContact(TimePoint contact, TimePoint now)
 {
+    m_logContact = contact;
     m_isOutOfContact = now - contact > m_ledger.fleetConfig().idMemory;
 }
 
--- a/src/shardownership.h
+++ b/src/shardownership.h
@@ -59,7 +59,7 @@
 
     // Commands
     void setJobs(const ShardJobs *jobs) { m_jobs = jobs; } // once, before any event
-    // Handles Witness, TransferShard and TransferAck; ignores other messages.
+    // Handles Witness and the messages of transfers; ignores other messages.
     void onMessage(Incarnation from, const Message &message, TimePoint now, Outbox &out);
     void onLedgerChange(const LedgerChanges &changes, TimePoint now, Outbox &out);
     void onTimer(TimePoint now, Outbox &out);
@@ -92,15 +92,19 @@
         Draining,     // the shard takes no new jobs and waits for the end of those in progress
         Sending,      // the jobs are sent, repeatedly, until the receiver acknowledges them
         Acknowledged, // waits, so that one append can claim several shards
-        Claiming      // the claim for the receiver is appended
+        // The claim for the receiver is appended. If that takes too long, the receiver is asked to
+        // forget the transfer: a claim that takes effect later then does no harm.
+        Claiming
     };
 
     struct Transfer
     {
         Incarnation to;
         TransferStage stage = TransferStage::Draining;
-        TimePoint since;    // start of the stage
-        TimePoint nextStep; // next check of the jobs in progress, or next TransferShard
+        TimePoint since; // start of the stage
+        // Next check of the jobs in progress, TransferShard or TransferCancel.
+        TimePoint nextStep;
+        std::string claimAppendId{}; // Claiming
     };
 
     struct OwnedShard
@@ -112,6 +116,8 @@
         bool isRoundOver = false;
         std::set<Incarnation> answered; // subjects whose Witness has arrived
         std::optional<Transfer> transfer;
+        // Have forgotten a transfer at this epoch and ignore others at it.
+        std::set<Incarnation> cancelledReceivers;
     };
 
     struct ReportedJob
@@ -134,6 +140,9 @@
     void onTransferShard(Incarnation from, const TransferShard &message, TimePoint now,
                          Outbox &out);
     void onTransferAck(Incarnation from, const TransferAck &ack, TimePoint now);
+    void onTransferCancel(Incarnation from, const TransferCancel &message, Outbox &out);
+    void onTransferCancelled(Incarnation from, const TransferCancelled &message, TimePoint now,
+                             Outbox &out);
     void syncShard(ShardId shard, TimePoint now);
     void acquire(ShardId shard, TimePoint now);
     void importTransfer(ShardId shard, IncomingTransfer incoming, TimePoint now);
@@ -157,7 +166,9 @@
     std::map<ShardId, OwnedShard> m_owned; // exactly the shards whose home is self in the ledger
     std::unordered_map<KeyHash, ReportedJob> m_reported; // by witnesses, for shards in m_owned
     std::map<ShardId, IncomingTransfer> m_incoming;      // not yet claimed for self in the ledger
-    std::vector<ReceivedShard> m_received;               // for takeReceivedShards()
+    // The newest epoch of each shard for which a transfer to self was cancelled.
+    std::map<ShardId, Epoch> m_cancelled;
+    std::vector<ReceivedShard> m_received; // for takeReceivedShards()
     struct PendingClaim
     {
         Epoch epoch;
@@ -167,6 +178,8 @@
     TimePoint m_registeredAt = NeverTime;            // when the ledger first had self
     TimePoint m_nextPlan = NeverTime;
     TimePoint m_nextForget{};
+    TimePoint m_logContact{};        // see setLogContact()
+    TimePoint m_cancelledAt{};       // of the newest transfer of self that was cancelled
     std::uint64_t m_appendCount = 0; // makes append ids unique
     bool m_isLeaving = false;
     bool m_isOutOfContact = false; // with the log, see setLogContact()
--- a/src/shardtransfers.cpp
+++ b/src/shardtransfers.cpp
@@ -18,6 +18,8 @@
 constexpr Duration DrainPollInterval = 50ms;
 constexpr Duration TransferRepeatInterval = 500ms;
 constexpr Duration TransferLimit = 5s;
+// A claim that is not in the log after this time is not waited for.
+constexpr Duration ClaimLimit = 2s;
 
 } // namespace
 
@@ -31,8 +33,10 @@
             out.send(from, TransferAck{claim}); // a copy that arrives after the claim
         return;
     }
-    if (m_isLeaving)
-        return; // without an acknowledgement the sender chooses another receiver
+    const auto cancelled = m_cancelled.find(claim.shard);
+    // Without an acknowledgement the sender chooses another receiver.
+    if (m_isLeaving || (cancelled != m_cancelled.end() && cancelled->second >= claim.epoch))
+        return;
     IncomingTransfer &incoming = m_incoming[claim.shard];
     if (incoming.claim.epoch < claim.epoch)
         incoming = {from, claim, {}, {}, now};
@@ -65,6 +69,40 @@
     transfer->since = now;
 }
 
+// From then on the sender may accept jobs that were not transferred.
+void ShardOwnership::onTransferCancel(Incarnation from, const TransferCancel &message, Outbox &out)
+{
+    const ShardClaim &claim = message.claim;
+    if (m_ledger.shard(claim.shard).epoch >= claim.epoch)
+        return; // the claim has taken effect, as the sender will learn
+    Epoch &cancelled = m_cancelled[claim.shard];
+    cancelled = std::max(cancelled, claim.epoch);
+    const auto it = m_incoming.find(claim.shard);
+    if (it != m_incoming.end() && it->second.claim.epoch <= claim.epoch)
+        m_incoming.erase(it);
+    out.send(from, TransferCancelled{claim});
+}
+
+void ShardOwnership::onTransferCancelled(Incarnation from, const TransferCancelled &message,
+                                         TimePoint now, Outbox &out)
+{
+    const auto it = m_owned.find(message.claim.shard);
+    if (it == m_owned.end() || it->second.epoch.value + 1 != message.claim.epoch.value)
+        return;
+    std::optional<Transfer> &transfer = it->second.transfer;
+    if (!transfer || transfer->to != from || transfer->stage != TransferStage::Claiming)
+        return;
+    const std::string appendId = transfer->claimAppendId;
+    transfer.reset();
+    it->second.cancelledReceivers.insert(from);
+    m_cancelledAt = now;
+    const bool isNeeded = std::ranges::any_of(m_owned, [&](const auto &other) {
+        return other.second.transfer && other.second.transfer->claimAppendId == appendId;
+    });
+    if (!isNeeded)
+        out.add(WithdrawAppend{appendId});
+}
+
 void ShardOwnership::importTransfer(ShardId shard, IncomingTransfer incoming, TimePoint now)
 {
     ReceivedShard received{{shard, incoming.claim.epoch}, {}, incoming.arrivedAt};
@@ -86,6 +124,9 @@
     }
     if (load.empty() || !m_ledger.isUp(m_self))
         return;
+    // The log was away, and has not been heard of since.
+    if (!m_isLeaving && m_cancelledAt != TimePoint{} && m_logContact <= m_cancelledAt)
+        return;
     const std::size_t fairShare = (ShardCount + load.size()) / (load.size() + 1);
     std::size_t kept = 0;
     for (const auto &[shard, owned] : m_owned) {
@@ -109,9 +150,11 @@
             const auto to = receiverFor(shard, load, limit);
             if (!to)
                 return;
+            if (owned.cancelledReceivers.contains(*to))
+                continue;
             ++load[*to];
             ++planned;
-            owned.transfer = Transfer{*to, TransferStage::Draining, now, now};
+            owned.transfer = Transfer{*to, TransferStage::Draining, now, now, {}};
         }
     }
 }
@@ -143,6 +186,11 @@
             transfer.nextStep = now + TransferRepeatInterval;
             sendTransfer(shard, owned, now, out);
         }
+        if (transfer.stage == TransferStage::Claiming && transfer.nextStep <= now) {
+            transfer.nextStep = now + TransferRepeatInterval;
+            if (!m_isLeaving) // a home that leaves has no use for the shard
+                out.send(transfer.to, TransferCancel{{shard, Epoch{owned.epoch.value + 1}}});
+        }
     }
     claimForReceivers(now, out);
 }
@@ -161,7 +209,8 @@
 }
 
 // Appends the claims of acknowledged transfers in the name of their receivers. From then on such a
-// transfer cannot be undone, because the append may take effect late.
+// transfer can be undone only with the consent of the receiver, because the append may take effect
+// late.
 void ShardOwnership::claimForReceivers(TimePoint now, Outbox &out)
 {
     std::map<Incarnation, std::vector<ShardClaim>> claims;
@@ -171,10 +220,15 @@
             continue;
         owned.transfer->stage = TransferStage::Claiming;
         owned.transfer->since = now;
+        owned.transfer->nextStep = now + ClaimLimit;
         claims[owned.transfer->to].push_back({shard, Epoch{owned.epoch.value + 1}});
     }
-    for (auto &[to, list] : claims)
-        out.add(Append{Record{nextAppendId(), ClaimRecord{to, std::move(list), true}}});
+    for (auto &[to, list] : claims) {
+        const std::string appendId = nextAppendId();
+        for (const ShardClaim &claim : list)
+            m_owned.at(claim.shard).transfer->claimAppendId = appendId;
+        out.add(Append{Record{appendId, ClaimRecord{to, std::move(list), true}}});
+    }
 }
 
 } // namespace cactuscove
--- a/tests/shardownership_test.cpp
+++ b/tests/shardownership_test.cpp
@@ -17,6 +17,7 @@
     ShardTransfers()
         : shards(Self, ledger)
     {
+        apply(RegisterRecord{{Incarnation{1}, Role::Entry, "127.0.0.1:3", "d1", "r3", "o1"}});
         apply(RegisterRecord{{Self, Role::Agent, "127.0.0.1:1", "d1", "r1", "o1"}});
         ClaimRecord claim{Self, {}, false};
         for (std::uint16_t n = 0; n < ShardCount; ++n)
@@ -42,11 +43,19 @@
             shards.onTimer(now, out);
             for (const Effect &it : out.take())
                 if (const auto *send = std::get_if<Send>(&it))
-                    if (const auto *transfer = std::get_if<TransferShard>(&send->message))
-                        shards.onMessage(Other, TransferAck{transfer->claim}, now, out);
+                    reply(send->message);
         }
     }
 
+    void reply(const Message &message)
+    {
+        Outbox out;
+        if (const auto *transfer = std::get_if<TransferShard>(&message))
+            shards.onMessage(Other, TransferAck{transfer->claim}, now, out);
+        else if (const auto *cancel = std::get_if<TransferCancel>(&message))
+            shards.onMessage(Other, TransferCancelled{cancel->claim}, now, out);
+    }
+
     std::size_t closedShards() const
     {
         std::size_t n = 0;
@@ -73,4 +82,42 @@
     EXPECT_EQ(closedShards(), 0u);
 }
 
+// Guards against a shard that is closed again and again while the log is away.
+TEST_F(ShardTransfers, NothingIsTransferredAgainBeforeTheLogIsBack)
+{
+    step(13s);
+    ASSERT_EQ(closedShards(), 0u);
+    for (int i = 0; i < 200; ++i) {
+        step(100ms);
+        EXPECT_EQ(closedShards(), 0u);
+    }
+}
+
+// Guards against a job that starts twice: the home has accepted it after its transfer was
+// cancelled, so a receiver whose claim takes effect late must ask the witnesses, also after a late
+// copy of the transfer.
+TEST_F(ShardTransfers, AReceiverForgetsACancelledTransfer)
+{
+    ShardOwnership receiver(Other, ledger);
+    const ShardClaim claim{ShardId{7}, Epoch{2}};
+    const auto answers = [&](const Message &message) {
+        Outbox out;
+        receiver.onMessage(Self, message, now, out);
+        return out.take().size();
+    };
+    EXPECT_EQ(answers(TransferShard{claim, {}, {}}), 1u);
+    EXPECT_EQ(answers(TransferCancel{claim}), 1u);
+    EXPECT_EQ(answers(TransferShard{claim, {}, {}}), 0u);
+    EXPECT_EQ(answers(TransferCancel{claim}), 1u) << "the first reply may be lost";
+
+    const LogOffset offset = ledger.next();
+    const LedgerChanges changes
+        = ledger.apply({offset, {"late", ClaimRecord{Other, {claim}, true}}});
+    Outbox out;
+    receiver.onLedgerChange(changes, now, out);
+    EXPECT_EQ(receiver.epoch(ShardId{7}), Epoch{2});
+    EXPECT_EQ(receiver.knowledge(ShardId{7}), ShardKnowledge::Asking);
+    EXPECT_EQ(answers(TransferCancel{claim}), 0u) << "the claim has taken effect";
+}
+
 } // namespace cactuscove
