Take refused calls for the end of a worker only if it cannot be shutting down

Cause: refused calls, another worker at the address and a next process counted as proof that a process has ended. They show that nothing listens. A process that crashes loses its sockets and its runs at once; one that shuts down may close its listener and its connections long before its runs end.

Change: a planned end is announced, a crash is not. The three proofs hold only if a planned end is excluded: the process said that it is ready less than the shortest notice ago, by its own clock, and has not announced its end since. Readiness is forgotten when the agent was suspended; an announcement counts for as long as the process is known, also if a newer heartbeat overtook it. Else each run waits for the end of its lease or for a list. Reports of crashes are Confirmed only then, else Suspected.

--- a/src/agentsettings.cpp
+++ b/src/agentsettings.cpp
@@ -24,6 +24,7 @@
     it.listsEarlierRuns = features.hasWorkerRecords;
     it.dataCentre = settings.dataCentre;
     it.coldSlowness = settings.coldSlowness;
+    it.minEndNotice = std::min<Duration>(it.minEndNotice, settings.drainTime);
     // A start may be under way for the start window.
     it.maxDescriptionAge = std::max<Duration>(settings.capacityGrace - it.startWindow, Duration{});
     const Duration spare = settings.resubmitDelay - settings.maxStopTime - ResubmitSafetyMargin;
--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -171,7 +171,7 @@
         m_decisions.handleInput([&](TaskRunner &runner, TimePoint now, RunnerOutbox &out) {
             if (!it.info)
                 return runner.onWorkerLeft(it.workerId, now, out);
-            runner.onWorkerInfo(*it.info, now, out);
+            runner.onWorkerInfo(*it.info, it.clock, now, out);
             runner.onWorkerCold(it.workerId, it.coldLeft, now);
         });
         if (it.info && m_workerRecord)
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -236,8 +236,9 @@
 // What is known of a worker that went away while tasks ran on it. A later state replaces an earlier
 // one.
 enum class CrashState {
-    Suspected, // it has not answered until the lease of its runs was over
-    Confirmed, // nothing listens at its address, or another process does
+    Suspected, // it does not answer any more, and may have left as planned
+    Confirmed, // another process, or nothing, answers at its address, and it has not left as
+               // planned
     Withdrawn, // the same process has answered again, or it left as planned
 };
 
--- a/src/endproof.h
+++ b/src/endproof.h
@@ -7,6 +7,10 @@
 // the next one. The deadline of such a start is a time on the earlier process's clock, and bounds
 // nothing at the next one.
 //
+// A process that ends as planned may close its listener and its connections long before its runs
+// end with it. That nothing, or something else, answers at its address therefore proves the end
+// only of a process that has crashed. A planned end is announced some time before, a crash is not.
+//
 // Does no I/O and reads no clock.
 
 #pragma once
@@ -33,6 +37,50 @@
     LeaseExpired, // the worker has not answered for as long as a run keeps its lease
 };
 
+// Why a worker's process is gone, as far as its agent can tell.
+enum class EndCause {
+    Crash,           // it has ended, with all that it ran
+    PossiblyPlanned, // it may be shutting down, and its runs go on until it has ended
+};
+
+// For logs, for example "crash".
+std::string_view nameOf(EndCause cause);
+
+// A worker's clock in one of its replies.
+struct ClockReading
+{
+    WorkerClock clock;
+    TimePoint readAfter{}; // when the call was sent; the clock was read then or later
+};
+
+// What a worker's process has said of its end.
+class EndNotice
+{
+public:
+    // It drains, or has left.
+    void announce();
+    // A heartbeat that arrived at `now` says that it is ready. `clock` is when the heartbeat was
+    // sent; without it the heartbeat shows nothing, as it may have been under way for long.
+    void recordReady(std::optional<WorkerClock> clock, TimePoint now);
+    // Announcements may have been missed until now.
+    void forgetReady() { m_ready.reset(); }
+
+    bool isAnnounced() const { return m_isAnnounced; }
+    // Why the process is gone if it seems so at `now`. An announcement comes at least `minNotice`
+    // before the end, so a process that was ready more recently has crashed.
+    EndCause causeOfEnd(const ClockReading &newest, Duration minNotice, TimePoint now) const;
+
+private:
+    struct Ready
+    {
+        WorkerClock sentAt;
+        TimePoint arrivedAt{};
+    };
+
+    bool m_isAnnounced = false;   // stays set: a process that drains never becomes ready again
+    std::optional<Ready> m_ready; // newest heartbeat as ready; none once the end is announced
+};
+
 // For logs, for example "lease_expired".
 std::string_view nameOf(EndProof proof);
 
@@ -41,8 +89,9 @@
 // the run.
 TimePoint leaseEndOf(const RunStarts &run, TimePoint knownProcessLeaseEnd, Duration longestRun);
 
-// The run has ended, or was not started and never will be. `leaseEnd` counts for LeaseExpired.
-bool provesEnd(EndProof proof, const RunStarts &run, TimePoint leaseEnd, TimePoint now);
+// The run has ended, or was not started and never will be. After `leaseEnd` it has lost its lease.
+bool provesEnd(EndProof proof, EndCause cause, const RunStarts &run, TimePoint leaseEnd,
+               TimePoint now);
 
 // Calls were refused since `refusingSince`, the newest was sent at `calledAt`. One refused call may
 // have been overtaken by a start that the next process accepts.
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -163,7 +163,7 @@
 
 void TaskRunner::processPending(TimePoint now, RunnerOutbox &out)
 {
-    m_lastInputAt = now;
+    noteTime(now);
     while (!m_endedTasks.empty() && now - m_endedTasks.front().endedAt > EndedTaskRetention)
         m_endedTasks.pop_front();
     while (!m_lateStarts.empty() && now > m_lateStarts.front().forgetAt)
@@ -192,6 +192,10 @@
             worker.isDescriptionOld = !worker.isDescriptionOld;
             ++m_loadVersion;
         }
+        if (worker.earlierRunsEndBy != TimePoint{} && now > worker.earlierRunsEndBy) {
+            worker.earlierRunsEndBy = {};
+            ++m_loadVersion;
+        }
         if (worker.coldUntil != TimePoint{} && now >= worker.coldUntil) {
             worker.coldUntil = {};
             ++m_loadVersion;
@@ -260,10 +264,20 @@
 // message that waited in the socket does not show that its sender is alive.
 void TaskRunner::expireAfterSuspension(TimePoint now, RunnerOutbox &out)
 {
-    if (now - m_lastInputAt > SuspensionGap)
+    if (noteTime(now))
         for (auto &[id, worker] : m_workers)
             expireTasks(worker, now, out);
+}
+
+// What a worker has announced during a suspension may still wait in the socket.
+bool TaskRunner::noteTime(TimePoint now)
+{
+    const bool wasSuspended = now - m_lastInputAt > SuspensionGap;
     m_lastInputAt = now;
+    if (wasSuspended)
+        for (auto &[id, worker] : m_workers)
+            worker.notice.forgetReady();
+    return wasSuspended;
 }
 
 TimePoint TaskRunner::nextTimer() const
@@ -271,6 +285,8 @@
     TimePoint next = m_startsAllowed ? NeverTime : m_startsAllowedAt;
     for (const auto &[workerId, worker] : m_workers) {
         next = std::min(next, worker.nextPollAt);
+        if (worker.earlierRunsEndBy != TimePoint{})
+            next = std::min(next, worker.earlierRunsEndBy + Duration(1));
         if (worker.coldUntil != TimePoint{})
             next = std::min(next, worker.coldUntil);
         for (const Orphan &it : worker.orphans)
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -59,6 +59,9 @@
     // A worker carries out a start within this time or refuses it. Longer than the repeats of an
     // unanswered start take, and shorter than the pause after which a caller repeats a lost job.
     Duration startWindow = std::chrono::milliseconds(250);
+    // Shortest time from a worker's announcement of its planned end to the moment when it stops
+    // answering, also if nothing acknowledges the announcement.
+    Duration minEndNotice = std::chrono::milliseconds(1500);
     // A worker's capacity may shrink while it runs. By a description that is older than this
     // nothing is started.
     Duration maxDescriptionAge = std::chrono::milliseconds(4250);
@@ -82,8 +85,10 @@
 
     // Workers
 
-    // A heartbeat of a worker. The first one makes the worker known.
-    void onWorkerInfo(const WorkerInfo &info, TimePoint now, RunnerOutbox &out);
+    // A heartbeat of a worker. The first one makes the worker known. `clock` is the worker's clock
+    // when it was sent, if it says so.
+    void onWorkerInfo(const WorkerInfo &info, std::optional<WorkerClock> clock, TimePoint now,
+                      RunnerOutbox &out);
     // The worker runs tasks more slowly for this long, because it has started recently. Ignored for
     // an unknown worker.
     void onWorkerCold(std::string_view workerId, Duration remaining, TimePoint now);
@@ -216,6 +221,7 @@
         bool isDescribed = false; // `info` is of the known process
         // It is gone for the entries, and is removed once its runs have ended.
         bool isLeaving = false;
+        bool hasLeft = false;             // its DELETE has been received
         std::optional<TimePoint> aliveAt; // when the newest call was sent that the process answered
         bool isSynced = false;            // a list of its runs was received from this process
         // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
@@ -223,11 +229,16 @@
         bool hasFinalList = false;
         WorkerClock clock;             // the worker's clock in its newest reply
         TimePoint clockAt{};           // when that reply was received
+        TimePoint clockReadAfter{};    // when the call was sent that it answers
         TimePoint heardAt{};           // newest heartbeat or reply
         TimePoint describedAt{};       // when `info` was reported last
         bool isDescriptionOld = false; // as of the newest processPending()
+        EndNotice notice;              // of the known process
         // Latest possible end of any lease or start window that the known process was sent.
         TimePoint leaseEnd{};
+        // Latest possible end of the runs of earlier processes whose end is not proved;
+        // TimePoint{}: there are none.
+        TimePoint earlierRunsEndBy{};
         std::uint64_t acknowledged = 0; // number of the last end received
         WorkerCallId newestPoll;        // newest poll; 0 once it has a reply or has timed out
         TimePoint nextPollAt{};      // the next poll is sent then, also if the newest is still open
@@ -275,6 +286,8 @@
     // Handles the timeouts that passed while the process was suspended. Each input that carries the
     // time calls it first.
     void expireAfterSuspension(TimePoint now, RunnerOutbox &out);
+    // Returns whether the process seems to have been suspended since the input before.
+    bool noteTime(TimePoint now);
     // Stops, refuses or repeats the calls of tasks whose time has come.
     void expireTasks(Worker &worker, TimePoint now, RunnerOutbox &out);
     // Sort key of queued tasks; the smallest starts first.
@@ -359,6 +372,14 @@
     void beginLeave(Worker &worker, std::string_view reason, RunnerOutbox &out);
     // A process with another worker id has answered at the worker's address.
     void replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out);
+    // The known process has said that it drains or leaves.
+    static bool hasAnnouncedEnd(const Worker &worker);
+    // Why the known process is gone, if something shows that it is.
+    EndCause causeOfEnd(const Worker &worker, TimePoint now) const;
+    // What to report of a process that seems to be gone.
+    CrashState crashStateOf(const Worker &worker, TimePoint now) const;
+    // Latest possible end of everything that runs at the known process or at earlier ones.
+    TimePoint allRunsEndBy(const Worker &worker) const;
     // A task of another job runs there, and one of the two must run alone.
     static bool isKeptApart(const Worker &worker, const Task &task);
     bool isOnThisMachine(const Worker &worker) const;
@@ -382,6 +403,8 @@
     // acknowledged their stop.
     void endMissingRuns(Worker &worker, const PollReply &reply, TimePoint askedAt, TimePoint now,
                         RunnerOutbox &out);
+    // The run may go on in a process before the known one, so the lists of this one do not end it.
+    static bool mayRunInEarlierProcess(const Worker &worker, const Task &task, TimePoint now);
     // Drops the worker that is known from a record only, unless its id is `keptId`; empty: in any
     // case.
     void dropUnconfirmed(std::string_view keptId, RunnerOutbox &out);
@@ -400,8 +423,8 @@
     // Updates the worker's speed by the progress of its runs. On a slow worker, reports the tasks
     // that will miss their objectives.
     void measureProgress(Worker &worker, TimePoint now, RunnerOutbox &out);
-    // To be called with the clock in each reply of the worker.
-    void updateClock(Worker &worker, WorkerClock clock, TimePoint now);
+    // To be called with the clock in each reply of the worker; the call was sent at `sentAt`.
+    static void updateClock(Worker &worker, WorkerClock clock, TimePoint sentAt, TimePoint now);
     const std::string &dataCentreOf(const Worker &worker) const;
     // The worker starts no tasks: it is leaving, or its data centre is evacuated.
     bool isDraining(const Worker &worker) const;
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -53,7 +53,7 @@
 }
 
 // On the same machine no network failure refuses a call in place of the worker: its process has
-// ended, and its runs with it. Elsewhere they may go on until the end of their lease.
+// crashed, or is shutting down. Elsewhere its runs may go on until the end of their lease.
 void TaskRunner::onRefused(Worker &worker, const PendingCall &call, TimePoint now,
                            RunnerOutbox &out)
 {
@@ -62,7 +62,7 @@
     if (worker.refusingSince != NeverTime) {
         if (!isRefusalProof(worker.refusingSince, call.context.sentAt))
             return;
-        reportCrash(worker, CrashState::Confirmed, runsOf(worker), now, out);
+        reportCrash(worker, crashStateOf(worker, now), runsOf(worker), now, out);
         if (isOnThisMachine(worker))
             endProvenRuns(worker, EndProof::Refusal, now, out);
         return;
@@ -72,12 +72,19 @@
                               "worker_refusing",
                               {{"worker", worker.info.id},
                                {"heard_ms", toMsString(now - worker.heardAt)},
-                               {"draining", std::to_string(worker.info.isDraining)}}});
+                               {"cause", std::string(nameOf(causeOfEnd(worker, now)))},
+                               {"announced", std::to_string(hasAnnouncedEnd(worker))}}});
     worker.isUnresponsive = true;
     ++m_loadVersion;
     pollSoon(worker, now);
 }
 
+CrashState TaskRunner::crashStateOf(const Worker &worker, TimePoint now) const
+{
+    return causeOfEnd(worker, now) == EndCause::Crash ? CrashState::Confirmed
+                                                      : CrashState::Suspected;
+}
+
 std::optional<Duration> TaskRunner::interruptedAfter(const Worker &worker, const Task &task)
 {
     if (task.isCarriedOver && !task.starts.isInKnownProcess)
@@ -92,7 +99,7 @@
 {
     for (const std::uint64_t number : worker.crashNumbers)
         setCrashState(number, state, now, out);
-    if (worker.info.isDraining || worker.isLeaving)
+    if (hasAnnouncedEnd(worker))
         return;
     CrashReport report{m_settings.instance, m_lastCrash + 1, state, now - worker.heardAt, {}};
     std::size_t recent = 0;
--- a/src/taskrunnerends.cpp
+++ b/src/taskrunnerends.cpp
@@ -88,6 +88,28 @@
         refuseQueued(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
 }
 
+bool TaskRunner::hasAnnouncedEnd(const Worker &worker)
+{
+    return worker.hasLeft || worker.notice.isAnnounced();
+}
+
+EndCause TaskRunner::causeOfEnd(const Worker &worker, TimePoint now) const
+{
+    if (worker.hasLeft)
+        return EndCause::PossiblyPlanned;
+    return worker.notice.causeOfEnd({worker.clock, worker.clockReadAfter}, m_settings.minEndNotice,
+                                    now);
+}
+
+TimePoint TaskRunner::allRunsEndBy(const Worker &worker) const
+{
+    TimePoint end = std::max(worker.leaseEnd, worker.earlierRunsEndBy);
+    for (const auto &[id, task] : worker.tasks)
+        if (task.state != State::Queued)
+            end = std::max(end, leaseEndOf(worker, task));
+    return end;
+}
+
 TimePoint TaskRunner::leaseEndOf(const Worker &worker, const Task &task) const
 {
     return cactuscove::leaseEndOf(task.starts, worker.leaseEnd,
@@ -114,9 +136,10 @@
                                             TimePoint now) const
 {
     std::vector<TaskId> ended = runsOf(worker);
+    const EndCause cause = causeOfEnd(worker, now);
     std::erase_if(ended, [&](const TaskId &id) {
         const Task &task = worker.tasks.at(id);
-        return !provesEnd(proof, task.starts, leaseEndOf(worker, task), now);
+        return !provesEnd(proof, cause, task.starts, leaseEndOf(worker, task), now);
     });
     return ended;
 }
@@ -132,12 +155,14 @@
                                   "runs_lost",
                                   {{"worker", worker.info.id},
                                    {"reason", std::string(nameOf(proof))},
+                                   {"cause", std::string(nameOf(causeOfEnd(worker, now)))},
                                    {"count", std::to_string(ended.size())},
                                    {"unproven", std::to_string(open - ended.size())},
                                    {"heard_ms", toMsString(now - worker.heardAt)}}});
     for (const TaskId &id : ended)
         settleTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, TaskEnd::Lost, now, out);
-    worker.orphans.clear();
+    if (causeOfEnd(worker, now) == EndCause::Crash || now > worker.leaseEnd)
+        worker.orphans.clear();
 }
 
 } // namespace cactuscove
--- a/src/taskrunnerpolls.cpp
+++ b/src/taskrunnerpolls.cpp
@@ -101,8 +101,8 @@
     if (isNewestPoll)
         worker->nextPollAt = now;
     const bool isOutdated = reply.clock < worker->clock && worker->isSynced;
-    updateClock(*worker, reply.clock, now);
     const TimePoint askedAt = endedCall.context.sentAt;
+    updateClock(*worker, reply.clock, askedAt, now);
     worker->aliveAt = std::max(worker->aliveAt.value_or(askedAt), askedAt);
     if (!isOutdated)
         applyPollReply(*worker, reply, askedAt, now, out);
@@ -184,7 +184,7 @@
         // Another start of the attempt may still reach this process.
         if (wasThere && task.starts.unanswered > 0 && !task.starts.isInKnownProcess)
             stopTask(worker, task, "start_unclear", now, out);
-        else
+        else if (!mayRunInEarlierProcess(worker, task, now))
             missing.push_back(id);
     }
     std::vector<TaskId> interrupted; // with an earlier process
@@ -203,6 +203,11 @@
     }
 }
 
+bool TaskRunner::mayRunInEarlierProcess(const Worker &worker, const Task &task, TimePoint now)
+{
+    return task.isCarriedOver && !task.starts.isInKnownProcess && now <= worker.earlierRunsEndBy;
+}
+
 void TaskRunner::recordEarlierRun(const Worker &worker, const EndedRun &end, bool wasOrphan,
                                   TimePoint now)
 {
--- a/src/taskrunnerqueries.cpp
+++ b/src/taskrunnerqueries.cpp
@@ -71,7 +71,7 @@
 {
     std::vector<std::string> orphanFree;
     for (const auto &[id, worker] : m_workers)
-        if (worker.hasFinalList && worker.orphans.empty())
+        if (worker.hasFinalList && worker.orphans.empty() && worker.earlierRunsEndBy == TimePoint{})
             orphanFree.push_back(id);
     return orphanFree;
 }
--- a/src/taskrunnerworkers.cpp
+++ b/src/taskrunnerworkers.cpp
@@ -15,6 +15,8 @@
                 out);
     endProvenRuns(worker, EndProof::NextProcess, now, out);
     Worker fresh;
+    if (worker.process != 0 && causeOfEnd(worker, now) != EndCause::Crash)
+        fresh.earlierRunsEndBy = allRunsEndBy(worker);
     fresh.process = ++m_lastProcess;
     fresh.info = worker.info;
     fresh.info.sequence = 0;
@@ -38,7 +40,7 @@
 // A start is not repeated at another process: it may have ended the one before.
 void TaskRunner::carryOver(const Worker &worker, Task &task, TimePoint now) const
 {
-    if (!worker.info.isDraining && !task.isCarriedOver && !mayNotHaveStarted(worker, task))
+    if (!hasAnnouncedEnd(worker) && !task.isCarriedOver && !mayNotHaveStarted(worker, task))
         task.earlierRunTime = survivedTime(worker, task);
     task.isCarriedOver = true;
     task.starts.isInKnownProcess = false;
@@ -49,14 +51,17 @@
     task.retryAt = now;
 }
 
-void TaskRunner::onWorkerInfo(const WorkerInfo &info, TimePoint now, RunnerOutbox &out)
+void TaskRunner::onWorkerInfo(const WorkerInfo &info, std::optional<WorkerClock> clock,
+                              TimePoint now, RunnerOutbox &out)
 {
     expireAfterSuspension(now, out);
     const auto [it, isNew] = m_workers.try_emplace(info.id);
     Worker &worker = it->second;
     const bool isNewProcess = !isNew && info.startedAtUnixMs != worker.info.startedAtUnixMs;
     const bool isFirst = isNew || worker.isUnconfirmed;
-    // A heartbeat that was overtaken by a newer one is out of date.
+    // A heartbeat that was overtaken by a newer one is out of date, but for what stays true.
+    if (!isNew && !isNewProcess && !worker.isStartTimeUnknown && info.isDraining)
+        worker.notice.announce();
     if (!isFirst
         && (info.startedAtUnixMs < worker.info.startedAtUnixMs
             || (!isNewProcess
@@ -79,12 +84,17 @@
                                    {"cpu", std::to_string(info.capacity.cpuMillis)},
                                    {"born_ms", std::to_string(info.startedAtUnixMs)}}});
     }
+    if (info.isDraining)
+        worker.notice.announce();
+    else
+        worker.notice.recordReady(clock, now);
     WorkerInfo previous = std::exchange(worker.info, info);
     worker.heardAt = worker.describedAt = now;
     worker.isUnconfirmed = false;
     worker.isDescribed = true;
     // It goes on after a DELETE: that came late, from the process before.
     const bool hasReturned = std::exchange(worker.isLeaving, false);
+    worker.hasLeft = false;
     previous.sequence = info.sequence;
     if (isFirstOfProcess || hasReturned || previous != info) {
         if (info.isDraining && !previous.isDraining)
@@ -112,6 +122,8 @@
     Worker &worker = m_workers[info.id];
     worker.info = info;
     beginWorkerProcess(worker, info.startedAtUnixMs, now, out);
+    if (info.isDraining)
+        worker.notice.announce();
     worker.isUnconfirmed = true;
     worker.isDescribed = true;
     worker.describedAt = age ? now - *age : TimePoint{};
@@ -153,6 +165,7 @@
         return;
     if (worker->isUnconfirmed)
         return dropUnconfirmed({}, out);
+    worker->hasLeft = true;
     withdrawCrash(*worker, now, out);
     beginLeave(*worker, "worker_left", out);
 }
@@ -228,28 +241,30 @@
                       {"clock_ms", std::to_string(clock.value)},
                       {"previous_clock_ms", std::to_string(call.context.clock.value)}}});
     }
-    updateClock(worker, clock, now);
+    updateClock(worker, clock, call.context.sentAt, now);
     if (source != ReplySource::KnownProcess)
         return false;
     worker.aliveAt = std::max(*worker.aliveAt, call.context.sentAt);
     return true;
 }
 
-void TaskRunner::updateClock(Worker &worker, WorkerClock clock, TimePoint now)
+void TaskRunner::updateClock(Worker &worker, WorkerClock clock, TimePoint sentAt, TimePoint now)
 {
     worker.heardAt = now;
     if (clock < worker.clock)
         return; // replies on different connections may overtake each other
     worker.clock = clock;
     worker.clockAt = now;
+    worker.clockReadAfter = sentAt;
 }
 
 void TaskRunner::replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out)
 {
     if (worker.isUnconfirmed)
         return dropUnconfirmed({}, out);
-    reportCrash(worker, CrashState::Confirmed, runsOf(worker), now, out);
+    reportCrash(worker, crashStateOf(worker, now), runsOf(worker), now, out);
     endProvenRuns(worker, EndProof::OtherWorker, now, out);
+    worker.isUnresponsive = true; // the lease of the runs that are left is not renewed
     beginLeave(worker, "worker_replaced", out);
 }
 
