Give a worker that has announced its end shorter leases

Cause: if nothing but the lease proves the end of a run, its task waits for what is left of 600 ms, though the agent chooses each lease itself, calls to its worker are not priced, and an announced end comes 1.5 s or more later.

Change: from the announcement on a renewal asks for 250 ms, five polls long, and a poll that follows an unanswered one asks for nothing.

--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -52,6 +52,9 @@
     std::string ip;       // of the agent's machine
     // Lease of all runs at a worker, from each renewal.
     Duration leaseTime = std::chrono::milliseconds(600);
+    // The same at a worker that has announced its end. Its tasks start elsewhere when this is over,
+    // as nothing else shows when they end with it.
+    Duration leavingLeaseTime = std::chrono::milliseconds(250);
     // Longest lease that a worker grants, whatever a start or renewal asks for.
     Duration maxLeaseTime = std::chrono::milliseconds(1000);
     // The tasks of an entry are stopped after this time without a message from it.
@@ -403,6 +406,8 @@
     // acknowledged their stop.
     void endMissingRuns(Worker &worker, const PollReply &reply, TimePoint askedAt, TimePoint now,
                         RunnerOutbox &out);
+    // The next poll of the worker renews the lease of its runs.
+    static bool isLeaseRenewed(const Worker &worker);
     // The run may go on in a process before the known one, so the lists of this one do not end it.
     static bool mayRunInEarlierProcess(const Worker &worker, const Task &task, TimePoint now);
     // Drops the worker that is known from a record only, unless its id is `keptId`; empty: in any
--- a/src/taskrunnerpolls.cpp
+++ b/src/taskrunnerpolls.cpp
@@ -48,16 +48,25 @@
     worker.nextPollAt
         = now + poll.maxWait + PollMargin * (1 + std::min(worker.unansweredPolls, MaxPollBackOff));
     poll.timeout = poll.maxWait + CallTimeout;
-    // Orphans are to be stopped, so their lease is not renewed. A worker that does not answer is
-    // sent no renewal, since it could be carried out late.
-    if (worker.isSynced && worker.orphans.empty() && !worker.isUnresponsive) {
-        poll.leaseUntil
-            = WorkerClock{workerClockAt(worker, now).value + toWholeMs(m_settings.leaseTime)};
-        worker.leaseEnd = std::max(worker.leaseEnd, now + longestRunTime(m_settings.leaseTime));
+    if (isLeaseRenewed(worker)) {
+        const Duration lease = hasAnnouncedEnd(worker)
+                                   ? std::min(m_settings.leaseTime, m_settings.leavingLeaseTime)
+                                   : m_settings.leaseTime;
+        poll.leaseUntil = WorkerClock{workerClockAt(worker, now).value + toWholeMs(lease)};
+        worker.leaseEnd = std::max(worker.leaseEnd, now + longestRunTime(lease));
     }
     out.emplace_back(std::move(poll));
 }
 
+// Orphans are to be stopped, so their lease is not renewed. A worker that does not answer is sent
+// no renewal, since it could be carried out late; one that has announced its end may already be
+// gone when it leaves a single poll without a reply.
+bool TaskRunner::isLeaseRenewed(const Worker &worker)
+{
+    const bool mayBeGone = hasAnnouncedEnd(worker) && worker.unansweredPolls > 0;
+    return worker.isSynced && worker.orphans.empty() && !worker.isUnresponsive && !mayBeGone;
+}
+
 void TaskRunner::onPollReply(WorkerCallId call, const PollReply &reply, TimePoint now,
                              RunnerOutbox &out)
 {
--- a/tests/runends_test.cpp
+++ b/tests/runends_test.cpp
@@ -137,7 +137,7 @@
     runOnFirstProcess(0);
     heartbeat(FirstProcess, 2, true);
     answerPoll({0});
-    const TimePoint leaseEnd = newestLeaseEnd();
+    const TimePoint latestEnd = leaseEnd();
     leave();
     EXPECT_TRUE(ends().empty());
     EXPECT_TRUE(sent<WorkerUpdate>().back().isGone);
@@ -145,20 +145,58 @@
     advanceUntilEnd(2s, [this] { failPoll(CallAnswer::Refused); });
     ASSERT_EQ(ends().size(), 1u);
     EXPECT_EQ(ends()[0].end, TaskEnd::Lost);
-    EXPECT_GT(now, leaseEnd);
-    EXPECT_LE(now, leaseEnd + 100ms);
+    EXPECT_GT(now, latestEnd);
+    EXPECT_LE(now, latestEnd + 100ms);
     EXPECT_TRUE(runner.workers().empty());
     EXPECT_EQ(crashedRuns(), 0u);
 }
 
+// Guards against tasks of a leaving worker that wait for as long as those of any other worker: from
+// its announcement on it holds short leases, and each is renewed only if it answers.
+TEST_F(RunEnds, TheTasksOfALeavingWorkerWaitForAShortLease)
+{
+    runOnFirstProcess(0);
+    heartbeat(FirstProcess, 2, true);
+    for (int i = 0; i < 100; ++i) { // it drains for 1 s
+        advance(10ms);
+        answerPoll({0});
+    }
+    failPoll(CallAnswer::NoAnswer); // it closes its connections, and later its listener
+    const TimePoint closed = now;
+    for (int i = 0; i < 10; ++i) {
+        advance(3ms);
+        failPoll(CallAnswer::NoAnswer);
+    }
+    advanceUntilEnd(2s, [this] { failPoll(CallAnswer::Refused); });
+    ASSERT_EQ(ends().size(), 1u);
+    EXPECT_LE(now - closed, 250ms * 1.02 + 60ms + 15ms);
+}
+
+// Guards against runs of a draining worker whose lease ends because a single poll was lost.
+TEST_F(RunEnds, ADrainingWorkerKeepsItsRunsAfterALostPoll)
+{
+    runOnFirstProcess(0);
+    heartbeat(FirstProcess, 2, true);
+    for (int i = 0; i < 100; ++i) {
+        advance(10ms);
+        if (i % 10 == 0)
+            failPoll(CallAnswer::NoAnswer);
+        else
+            answerPoll({0});
+        ASSERT_TRUE(ends().empty());
+    }
+    answerPoll({0});
+    EXPECT_GT(leaseEnd(), now + 200ms);
+}
+
 // The same before it says that it leaves, as its agent knows that it drains.
 TEST_F(RunEnds, TheRunsOfADrainingWorkerThatRefusesCallsKeepTheirLease)
 {
     runOnFirstProcess(0);
     heartbeat(FirstProcess, 2, true);
     answerPoll({0});
-    const TimePoint leaseEnd = newestLeaseEnd();
-    advanceUntilEnd(leaseEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    const TimePoint latestEnd = leaseEnd();
+    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
     EXPECT_TRUE(ends().empty());
     EXPECT_EQ(crashedRuns(), 0u);
 }
@@ -190,8 +228,8 @@
         advance(10ms);
         answerPoll({0});
     }
-    const TimePoint leaseEnd = newestLeaseEnd();
-    advanceUntilEnd(leaseEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    const TimePoint latestEnd = leaseEnd();
+    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
     EXPECT_TRUE(ends().empty());
     EXPECT_EQ(confirmedCrashes(), 0u);
 }
@@ -202,10 +240,10 @@
     runOnFirstProcess(0);
     heartbeat(FirstProcess, 2);
     answerPoll({0});
-    const TimePoint leaseEnd = newestLeaseEnd();
+    const TimePoint latestEnd = leaseEnd();
     now += 400ms;
     advance(1ms);
-    advanceUntilEnd(leaseEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
     EXPECT_TRUE(ends().empty());
     EXPECT_EQ(confirmedCrashes(), 0u);
 }
@@ -220,8 +258,8 @@
         answerPoll({0});
     }
     runner.onWorkerInfo(info(FirstProcess, 2), sentAt, now, out);
-    const TimePoint leaseEnd = newestLeaseEnd();
-    advanceUntilEnd(leaseEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    const TimePoint latestEnd = leaseEnd();
+    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
     EXPECT_TRUE(ends().empty());
 }
 
@@ -232,8 +270,8 @@
     heartbeat(FirstProcess, 9);
     heartbeat(FirstProcess, 8, true);
     answerPoll({0});
-    const TimePoint leaseEnd = newestLeaseEnd();
-    advanceUntilEnd(leaseEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    const TimePoint latestEnd = leaseEnd();
+    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
     EXPECT_TRUE(ends().empty());
 }
 
@@ -244,9 +282,9 @@
     runOnFirstProcess(0);
     heartbeat(FirstProcess, 2, true);
     answerPoll({0});
-    const TimePoint leaseEnd = newestLeaseEnd();
+    const TimePoint latestEnd = leaseEnd();
     leave();
-    advanceUntilEnd(leaseEnd - now, [this] { failPoll(CallAnswer::OtherProcess); });
+    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::OtherProcess); });
     EXPECT_TRUE(ends().empty());
     advanceUntilEnd(700ms, [this] { failPoll(CallAnswer::OtherProcess); });
     EXPECT_EQ(ends().size(), 1u);
@@ -273,12 +311,12 @@
     runOnFirstProcess(0);
     heartbeat(FirstProcess, 2, true);
     answerPoll({0});
-    const TimePoint leaseEnd = newestLeaseEnd();
+    const TimePoint latestEnd = leaseEnd();
     heartbeat(NextProcess, 1);
-    while (now < leaseEnd - 1ms) {
+    while (now < latestEnd - 1ms) {
         advance(1ms);
         answerPoll(newestPoll(), NextProcess, nextClock(now - Start), {});
-        ASSERT_TRUE(ends().empty()) << (leaseEnd - now) / 1ms << " ms before the end of the lease";
+        ASSERT_TRUE(ends().empty()) << (latestEnd - now) / 1ms << " ms before the end of the lease";
         ASSERT_TRUE(runner.orphanFreeWorkers().empty());
     }
     advance(100ms); // a lease may end 2 % later, and a margin counts on top
--- a/tests/runnerfixture.h
+++ b/tests/runnerfixture.h
@@ -145,11 +145,15 @@
         runner.processPending(now, out);
     }
 
-    // End of the lease that the newest poll asks for, on a clock that runs at the usual speed.
-    TimePoint newestLeaseEnd() const
-    {
-        const PollRuns poll = newestPoll();
-        return poll.leaseUntil ? Start + (poll.leaseUntil->value * 1ms - FirstProcessAge) : now;
+    // End of the longest lease that a poll has asked for, on a clock that runs at the usual speed.
+    TimePoint leaseEnd() const
+    {
+        TimePoint end = now;
+        for (const PollRuns &it : effectsOf<PollRuns>(out))
+            if (it.leaseUntil)
+                end = std::max(end,
+                               TimePoint(Start + (it.leaseUntil->value * 1ms - FirstProcessAge)));
+        return end;
     }
 
     // A run of the first process that it has accepted and listed.
