System test and soak: workers that close their listener before they end

Runs that end with a leave are "left", and no longer count as crashes when an answer "failed" is checked. Soak seeds from 900 on have both as faults; the lists of earlier seeds stay.

--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -25,11 +25,14 @@
         patch = unittest.mock.patch.dict(os.environ, self.environment)
         patch.start()
         self.addCleanup(patch.stop)
-        self.fleet = DispatchFleet(zones=self.ZONES, evacuation_bound=self.EVACUATION_BOUND)
+        self.fleet = self.make_fleet()
         self.addCleanup(self.fleet.stop)
         self.fleet.wait_ready()
         self.jobs = []
 
+    def make_fleet(self):
+        return DispatchFleet(zones=self.ZONES, evacuation_bound=self.EVACUATION_BOUND)
+
     def tearDown(self):
         self.assertEqual(overlapping_runs(self.fleet.history), [])
         self.assertEqual(untrue_answers(self.fleet.history, self.jobs), [])
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -24,6 +24,7 @@
 # the connections of callers to entry N. STORE 1 is the store, STORE 2 the proxy before it.
 ENTRY, AGENT, WORKER, LINK, CALLER, STORE = range(1, 7)
 LINK_PORT, METRICS_PORT, CALLER_PORT, READY_PORT, WORKER_PORT, STORE_PORT = range(7720, 7726)
+LOCAL_WORKER_PORT = 7726  # of a worker on its agent's machine
 GRACE_S = 6       # time in which a process must end after SIGTERM, as bounds.grace_s in SETTINGS
 RESUBMIT_S = 1.3  # time after which a caller without an answer sends its job again
 
@@ -84,11 +85,12 @@
     `seed` selects the clock rates of the workers, `cpu` is the capacity of each worker in thousandths
     of a core, entry_flags are added to the command of each entry. With several zones (data centres) the
     instances of each role take turns in them; the settings name a bound for their evacuation unless
-    evacuation_bound is false. The constructor starts all processes without waiting for them; see wait_ready().
+    evacuation_bound is false. With local_workers, each worker is on its agent's machine (IP address) and
+    has no proxy, so a refused call shows that it has closed its listener. The constructor starts all processes without waiting for them; see wait_ready().
     """
 
     def __init__(self, entries=2, agents=3, seed=0, cpu=4000, zones=1, entry_flags=(),
-                 evacuation_bound=True):
+                 evacuation_bound=True, local_workers=False):
         self.entry_flags = entry_flags
         self.random = random.Random(seed)
         self.network = 10 + os.getpid() % 240  # second byte of all addresses; differs between runs
@@ -106,13 +108,17 @@
         self.agents = [self.make_instance("agent", n + 1) for n in range(agents)]
         self.workers = []
         for n, agent in enumerate(self.agents):
-            name = f"worker{n + 1}"
-            self.start_proxy(name, self.ip(LINK, n + 101), WORKER_PORT, self.ip(WORKER, n + 1))
+            address = f"{self.ip(WORKER, n + 1)}:{WORKER_PORT}"
+            announced = f"{self.ip(LINK, n + 101)}:{WORKER_PORT}"
+            if local_workers:
+                address = announced = f"{agent.own}:{LOCAL_WORKER_PORT}"
+            else:
+                self.start_proxy(f"worker{n + 1}", self.ip(LINK, n + 101), WORKER_PORT,
+                                 self.ip(WORKER, n + 1))
             # The protocol allows a worker's clock to be 2% slow.
             self.workers.append(Worker(
-                f"{self.ip(WORKER, n + 1)}:{WORKER_PORT}", f"{agent.own}:{WORKER_PORT}",
-                self.history, "desk", cpu, clock_rate=self.random.choice([1.0, 0.98]),
-                announced=f"{self.ip(LINK, n + 101)}:{WORKER_PORT}", zone=agent.zone))
+                address, f"{agent.own}:{WORKER_PORT}", self.history, "desk", cpu,
+                clock_rate=self.random.choice([1.0, 0.98]), announced=announced, zone=agent.zone))
         for instance in self.entries + self.agents:
             self.start(instance)
 
@@ -354,6 +360,13 @@
     return found
 
 
+def waits_after(history, how):
+    """Seconds from each end of this kind to the next start of the task, in the order of the ends."""
+    return [min(begins) - run.end for run in list(history) if run.how == how
+            if (begins := [it.begin for it in history
+                           if it.task == run.task and it.begin > run.end])]
+
+
 def crashes_of(history):
     """Number of workers that crashed under each task, by the name of the task."""
     return collections.Counter(it.task for it in history if it.how == "crashed")
--- a/tests/system/platformstandin.py
+++ b/tests/system/platformstandin.py
@@ -5,9 +5,11 @@
 """
 import base64
 import collections
+import contextlib
 import http.client
 import http.server
 import json
+import socket
 import struct
 import threading
 import time
@@ -21,9 +23,14 @@
 CRASH_DELAY_S = 0.01  # from the start of a task that crashes its worker to the crash
 
 # An ended run. `worker` is the id of the worker's incarnation; begin and end are monotonic times in
-# seconds; `how` is "done", "failed", "stopped" (by a call), "lapsed" (with the lease) or "crashed".
+# seconds; `how` is "done", "failed", "stopped" (by a call), "lapsed" (with the lease), "crashed" or
+# "left" (with a worker that left as planned).
 Run = collections.namedtuple("Run", "task attempt worker begin end how")
 
+# How a worker shuts down: seconds from its DELETE until it closes its listener and its open connections,
+# and until its process ends, which closes what is still open.
+Shutdown = collections.namedtuple("Shutdown", "listener connections process")
+
 
 class Server(http.server.ThreadingHTTPServer):
     """An HTTP server that answers with handle(method, path, query, headers, body).
@@ -37,6 +44,7 @@
 
     def __init__(self, address, handle):
         self.handle_call = handle
+        self.connections = set()  # open sockets
         host, port = address.rsplit(":", 1)
         super().__init__((host, int(port)), Handler)
         self.address = f"{host}:{self.server_address[1]}"
@@ -47,6 +55,19 @@
         self.shutdown()
         self.server_close()
 
+    def close_listener(self):
+        """Refuses new connections from now on; the open ones stay."""
+        self.socket.shutdown(socket.SHUT_RDWR)  # wakes serve_forever(), which close() would not
+        self.stop()
+
+    def close_connections(self):
+        """Ends all open connections; new ones are accepted."""
+        for it in list(self.connections):
+            try:
+                it.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # its other end has closed it
+
     def handle_error(self, request, client_address):
         """Prints nothing, because tests break connections on purpose."""
 
@@ -58,6 +79,14 @@
     disable_nagle_algorithm = True
     wbufsize = -1  # buffers the output, so that an answer leaves in one packet
 
+    def setup(self):
+        super().setup()
+        self.server.connections.add(self.connection)
+
+    def finish(self):
+        self.server.connections.discard(self.connection)
+        super().finish()
+
     def serve(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         url = urllib.parse.urlsplit(self.path)
@@ -193,7 +222,8 @@
 
     set_capacity() changes the capacity; a smaller one counts after CAPACITY_GRACE_S.
     crash() ends the current incarnation; the next one starts at the same address with a new id, and
-    after restart() with the same id. leave() ends it as planned. The specification of a task is JSON
+    after restart() with the same id. leave() ends it as planned; shut_down() does so too, and closes
+    its listener and its connections at times of their own. The specification of a task is JSON
     with `cpu` (thousandths of a core) and `run_ms`; with `fails`, the first that many runs of the task
     fail; with `crashes`, each run of the task crashes its worker; with `ends_worker_s`, the first run
     ends its worker before it has answered the start, and the next incarnation, with the same id,
@@ -225,6 +255,7 @@
         self.away_until = 0.0  # monotonic time; calls get no answer before it
         self.overbooked = []  # (task, cpu in use before) of each start beyond the capacity
         self.changed = threading.Condition()  # guards the state of the incarnation
+        self.closing = threading.Lock()  # held while the listener or the connections close and reopen
         self.begin_incarnation()
         self.server = Server(address, self.handle)
         self.announced = announced or self.server.address
@@ -255,27 +286,80 @@
     def crash(self, incarnation=None):
         """Ends all runs and the incarnation at once, and begins the next incarnation.
 
-        With `incarnation`, only if that is the current one.
+        With `incarnation`, only if that is the current one. Nothing happens while the worker shuts down.
         """
         with self.changed:
-            if incarnation not in (None, self.id):
-                return
-            self.end_incarnation()
+            if incarnation in (None, self.id) and not self.closing.locked():
+                self.end_incarnation()
+
+    def crash_with_connections(self, down_s=0.3):
+        """The same, but all connections end, and nothing listens at the address for `down_s`."""
+        if not self.closing.acquire(blocking=False):
+            return
+        with self.closing_server() as server:
+            with self.changed:
+                self.end_incarnation()
+                self.away_until = time.monotonic() + down_s
+            server.close_connections()
+            server.close_listener()
+            time.sleep(down_s)
 
     def restart(self):
-        """The same, but the next incarnation keeps the id. It sends its first heartbeat when one is due."""
+        """The same as crash(), but the next incarnation keeps the id.
+
+        It sends its first heartbeat when one is due.
+        """
         with self.changed:
-            self.end_incarnation(keeps_id=True)
+            if not self.closing.locked():
+                self.end_incarnation(keeps_id=True)
 
-    def end_incarnation(self, keeps_id=False):
+    @contextlib.contextmanager
+    def closing_server(self):
+        """The server, to be closed while `closing` is held; afterwards the worker listens again."""
+        try:
+            yield self.server
+            self.server.close_connections()
+            if not self.is_closing:
+                self.server = Server(self.server.address, self.handle)
+        finally:
+            self.closing.release()
+
+    def end_incarnation(self, keeps_id=False, how="crashed"):
         """Ends all runs and begins the next incarnation. The caller holds `changed`."""
         for task in list(self.active):
-            self.end(task, "crashed")
+            self.end(task, how)
         self.begin_incarnation(keeps_id)
         self.changed.notify_all()
 
     def leave(self, drain_s, end_s):
-        """Leaves as planned: drains, sends DELETE, and ends `end_s` after the answer to it."""
+        """Leaves as planned: drains, sends DELETE, and ends `end_s` after the answer to it.
+
+        Its next incarnation takes over the listener and the connections.
+        """
+        incarnation = self.drain(drain_s)
+        if incarnation:
+            time.sleep(end_s)
+            self.end_planned(incarnation)
+
+    def shut_down(self, drain_s, shutdown, says_delete=True):
+        """Leaves as planned: drains, sends DELETE and ends as `shutdown` says.
+
+        Its next incarnation opens the listener again. Without says_delete the DELETE is lost.
+        """
+        incarnation = self.drain(drain_s, says_delete)
+        if not incarnation or not self.closing.acquire(blocking=False):
+            return
+        begin = time.monotonic()
+        with self.closing_server() as server:
+            steps = [(min(shutdown.connections, shutdown.process), server.close_connections),
+                     (min(shutdown.listener, shutdown.process), server.close_listener),
+                     (shutdown.process, lambda: self.end_planned(incarnation))]
+            for at_s, step in sorted(steps, key=lambda it: it[0]):
+                time.sleep(max(0.0, begin + at_s - time.monotonic()))
+                step()
+
+    def drain(self, drain_s, says_delete=True):
+        """Drains and says DELETE. Returns the incarnation, or None if it has ended meanwhile."""
         with self.changed:
             incarnation = self.id, self.born
             self.state = "draining"
@@ -283,13 +367,17 @@
         time.sleep(drain_s)
         with self.changed:
             if (self.id, self.born) != incarnation:
-                return
+                return None
             self.state = None
-        self.say("DELETE", incarnation[0])
-        time.sleep(end_s)
+        if says_delete:
+            self.say("DELETE", incarnation[0])
+        return incarnation
+
+    def end_planned(self, incarnation):
+        """Ends the incarnation as planned, unless it has ended before."""
         with self.changed:
             if (self.id, self.born) == incarnation:
-                self.end_incarnation()
+                self.end_incarnation(how="left")
 
     def set_capacity(self, cpu):
         """Changes the capacity; the next heartbeat reports it."""
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -30,6 +30,7 @@
 from dispatchfleet import (GRACE_S, WORKER_PORT, Caller, DispatchFleet, in_threads,
                            crashes_of, overlapping_runs, untrue_answers)
 from fleet import http, metric, wait_until
+from platformstandin import Shutdown
 
 # Seeds that have found a fault; the default of --seeds.
 REGRESSIONS = [
@@ -39,11 +40,13 @@
     600,  # the first with tasks that crash their workers
     700,  # the first with workers that restart under their ids or leave as planned
     800,  # the first with workers that end before they have answered a start
+    900,  # the first with workers that close their listener and connections before they end
 ]
 FIRST_LATER_SEED = 500
 FIRST_CRASH_SEED = 600
 FIRST_LEAVE_SEED = 700
 FIRST_UNANSWERED_SEED = 800
+FIRST_SHUTDOWN_SEED = 900
 MAX_CRASHES = 5  # of workers under one task
 CALLERS = 8
 RECOVERY_S = 8      # includes a worker's next heartbeat and one full proof time
@@ -59,7 +62,9 @@
         self.random = random.Random(seed)
         self.seed = seed
         self.seconds = seconds
-        self.fleet = DispatchFleet(entries=3, agents=4, seed=seed)
+        # A refused call is no proof of anything if a proxy may have refused it.
+        self.fleet = DispatchFleet(entries=3, agents=4, seed=seed,
+                                   local_workers=seed >= FIRST_SHUTDOWN_SEED)
         self.jobs = []  # that callers have submitted
         self.violations = []  # texts
         # Heap of (seconds from the begin, order, description, function). Without a description, the
@@ -195,6 +200,23 @@
         in_threads([lambda: worker.leave(drain_s, end_s)])
         return f"{worker.announced} after {drain_s} s, ends {end_s} s later", None
 
+    def shut_down_worker(self):
+        """Lets a worker leave as planned; it closes its listener and its connections on its own time."""
+        worker = self.random.choice(self.fleet.workers)
+        drain_s = self.random.choice([2.1, 3.0])
+        shutdown = Shutdown(*[self.random.choice([0.0, 0.1, 0.3]) for _ in range(2)],
+                            self.random.choice([0.0, 0.25, 0.6]))
+        says_delete = self.random.random() < 0.7
+        in_threads([lambda: worker.shut_down(drain_s, shutdown, says_delete)])
+        return (f"{worker.announced} after {drain_s} s, closes after {tuple(shutdown)} s,"
+                f" {'with' if says_delete else 'without'} DELETE"), None
+
+    def crash_with_connections(self):
+        """Ends a worker's incarnation with its listener and all connections at once."""
+        worker = self.random.choice(self.fleet.workers)
+        in_threads([worker.crash_with_connections])
+        return worker.announced, None
+
     def submit_crashing(self):
         """Submits a job whose tasks crash their workers."""
         job = self.fleet.make_job(tasks=self.random.choice([1, 3]), crashes=True)
@@ -260,6 +282,7 @@
     LEAVE_FAULTS = (*CRASH_FAULTS, restart_worker, restart_worker, restart_worker, leave_worker,
                     leave_worker, leave_worker)
     UNANSWERED_FAULTS = (*LEAVE_FAULTS, *[submit_ending] * 30)
+    SHUTDOWN_FAULTS = (*CRASH_FAULTS, *[shut_down_worker] * 10, *[crash_with_connections] * 4)
 
     def schedule(self):
         """Schedules the begins of all faults: groups of one to three, with pauses between them."""
@@ -267,7 +290,8 @@
                   else self.LATER_FAULTS if self.seed < FIRST_CRASH_SEED
                   else self.CRASH_FAULTS if self.seed < FIRST_LEAVE_SEED
                   else self.LEAVE_FAULTS if self.seed < FIRST_UNANSWERED_SEED
-                  else self.UNANSWERED_FAULTS)
+                  else self.UNANSWERED_FAULTS if self.seed < FIRST_SHUTDOWN_SEED
+                  else self.SHUTDOWN_FAULTS)
         at = 1.0
         while at < self.seconds:
             for _ in range(self.random.randint(1, 3)):
