--- a/tests/runends_test.cpp
+++ b/tests/runends_test.cpp
@@ -157,10 +157,7 @@
 {
     runOnFirstProcess(0);
     heartbeat(FirstProcess, 2, true);
-    for (int i = 0; i < 100; ++i) { // it drains for 1 s
-        advance(10ms);
-        answerPoll({0});
-    }
+    answerPollsFor(1s);
     failPoll(CallAnswer::NoAnswer); // it closes its connections, and later its listener
     const TimePoint closed = now;
     for (int i = 0; i < 10; ++i) {
@@ -195,8 +192,7 @@
     runOnFirstProcess(0);
     heartbeat(FirstProcess, 2, true);
     answerPoll({0});
-    const TimePoint latestEnd = leaseEnd();
-    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    failPollsUntilLeaseEnd(CallAnswer::Refused);
     EXPECT_TRUE(ends().empty());
     EXPECT_EQ(crashedRuns(), 0u);
 }
@@ -224,12 +220,8 @@
 TEST_F(RunEnds, AnOldHeartbeatDoesNotExcludeAPlannedEnd)
 {
     runOnFirstProcess(0);
-    for (int i = 0; i < 220; ++i) { // no heartbeat for 2.2 s
-        advance(10ms);
-        answerPoll({0});
-    }
-    const TimePoint latestEnd = leaseEnd();
-    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    answerPollsFor(2200ms); // no heartbeat meanwhile
+    failPollsUntilLeaseEnd(CallAnswer::Refused);
     EXPECT_TRUE(ends().empty());
     EXPECT_EQ(confirmedCrashes(), 0u);
 }
@@ -253,13 +245,9 @@
 {
     runOnFirstProcess(0);
     const WorkerClock sentAt = firstClock();
-    for (int i = 0; i < 220; ++i) {
-        advance(10ms);
-        answerPoll({0});
-    }
+    answerPollsFor(2200ms);
     runner.onWorkerInfo(info(FirstProcess, 2), sentAt, now, out);
-    const TimePoint latestEnd = leaseEnd();
-    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    failPollsUntilLeaseEnd(CallAnswer::Refused);
     EXPECT_TRUE(ends().empty());
 }
 
@@ -270,8 +258,7 @@
     heartbeat(FirstProcess, 9);
     heartbeat(FirstProcess, 8, true);
     answerPoll({0});
-    const TimePoint latestEnd = leaseEnd();
-    advanceUntilEnd(latestEnd - now, [this] { failPoll(CallAnswer::Refused); });
+    failPollsUntilLeaseEnd(CallAnswer::Refused);
     EXPECT_TRUE(ends().empty());
 }
 
--- a/tests/runnerfixture.h
+++ b/tests/runnerfixture.h
@@ -156,6 +156,21 @@
         return end;
     }
 
+    // The first process runs task 0 and answers polls for `length`.
+    void answerPollsFor(Duration length)
+    {
+        for (const TimePoint end = now + length; now < end;) {
+            advance(10ms);
+            answerPoll({0});
+        }
+    }
+
+    // Polls fail until the end of the lease, or until a run has been reported as ended.
+    void failPollsUntilLeaseEnd(CallAnswer answer)
+    {
+        advanceUntilEnd(leaseEnd() - now, [&] { failPoll(answer); });
+    }
+
     // A run of the first process that it has accepted and listed.
     void runOnFirstProcess(std::uint32_t index)
     {
