End notices: one place for what a worker has said of its end

That a DELETE had come was a flag of the runner's worker beside EndNotice, and hasAnnouncedEnd() and causeOfEnd() each put the two together. EndNotice now keeps both. The rule that a crash, or the end of the lease, ends what a process ran stood in provesEnd() and again for orphans: isOver(). The cause is computed once for each loss. An overtaken announcement is handled where overtaken heartbeats are.

--- a/src/endproof.cpp
+++ b/src/endproof.cpp
@@ -48,21 +48,22 @@
     return std::max(knownProcessLeaseEnd, run.lastSentAt + longestRun);
 }
 
-void EndNotice::announce()
+void EndNotice::recordDraining()
 {
-    m_isAnnounced = true;
+    m_isDraining = true;
     m_ready.reset();
 }
 
 void EndNotice::recordReady(std::optional<WorkerClock> clock, TimePoint now)
 {
-    if (!m_isAnnounced && clock)
+    m_hasLeft = false;
+    if (!m_isDraining && clock)
         m_ready = Ready{*clock, now};
 }
 
 EndCause EndNotice::causeOfEnd(const ClockReading &newest, Duration minNotice, TimePoint now) const
 {
-    if (!m_ready)
+    if (m_hasLeft || !m_ready)
         return EndCause::PossiblyPlanned;
     // On the worker's clock, the time from the heartbeat to the reading; negative if it came later.
     const double sinceReadyMs = static_cast<double>(newest.clock.value - m_ready->sentAt.value);
@@ -72,17 +73,21 @@
                                                                : EndCause::PossiblyPlanned;
 }
 
+bool isOver(EndCause cause, TimePoint leaseEnd, TimePoint now)
+{
+    return cause == EndCause::Crash || now > leaseEnd;
+}
+
 bool provesEnd(EndProof proof, EndCause cause, const RunStarts &run, TimePoint leaseEnd,
                TimePoint now)
 {
-    const bool isOver = cause == EndCause::Crash || now > leaseEnd;
     switch (proof) {
     case EndProof::NextProcess:
-        return isOver && run.isInKnownProcess && run.unanswered == 0;
+        return isOver(cause, leaseEnd, now) && run.isInKnownProcess && run.unanswered == 0;
     case EndProof::Refusal: // the next process may carry out a late start
-        return isOver && run.unanswered == 0;
+        return isOver(cause, leaseEnd, now) && run.unanswered == 0;
     case EndProof::OtherWorker: // it refuses late starts, as they name another worker
-        return isOver;
+        return isOver(cause, leaseEnd, now);
     case EndProof::LeaseExpired:
         return now > leaseEnd;
     }
--- a/src/endproof.h
+++ b/src/endproof.h
@@ -57,15 +57,16 @@
 class EndNotice
 {
 public:
-    // It drains, or has left.
-    void announce();
+    void recordDraining();
+    // Its DELETE has been received. A later heartbeat as ready takes it back: it was late.
+    void recordLeave() { m_hasLeft = true; }
     // A heartbeat that arrived at `now` says that it is ready. `clock` is when the heartbeat was
     // sent; without it the heartbeat shows nothing, as it may have been under way for long.
     void recordReady(std::optional<WorkerClock> clock, TimePoint now);
     // Announcements may have been missed until now.
     void forgetReady() { m_ready.reset(); }
 
-    bool isAnnounced() const { return m_isAnnounced; }
+    bool isAnnounced() const { return m_isDraining || m_hasLeft; }
     // Why the process is gone if it seems so at `now`. An announcement comes at least `minNotice`
     // before the end, so a process that was ready more recently has crashed.
     EndCause causeOfEnd(const ClockReading &newest, Duration minNotice, TimePoint now) const;
@@ -77,8 +78,9 @@
         TimePoint arrivedAt{};
     };
 
-    bool m_isAnnounced = false;   // stays set: a process that drains never becomes ready again
-    std::optional<Ready> m_ready; // newest heartbeat as ready; none once the end is announced
+    bool m_isDraining = false; // stays set: a process that drains never becomes ready again
+    bool m_hasLeft = false;
+    std::optional<Ready> m_ready; // newest heartbeat as ready; none once it drains
 };
 
 // For logs, for example "lease_expired".
@@ -89,6 +91,9 @@
 // the run.
 TimePoint leaseEndOf(const RunStarts &run, TimePoint knownProcessLeaseEnd, Duration longestRun);
 
+// Nothing that the process ran under a lease until `leaseEnd` runs any more.
+bool isOver(EndCause cause, TimePoint leaseEnd, TimePoint now);
+
 // The run has ended, or was not started and never will be. After `leaseEnd` it has lost its lease.
 bool provesEnd(EndProof proof, EndCause cause, const RunStarts &run, TimePoint leaseEnd,
                TimePoint now);
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -224,7 +224,6 @@
         bool isDescribed = false; // `info` is of the known process
         // It is gone for the entries, and is removed once its runs have ended.
         bool isLeaving = false;
-        bool hasLeft = false;             // its DELETE has been received
         std::optional<TimePoint> aliveAt; // when the newest call was sent that the process answered
         bool isSynced = false;            // a list of its runs was received from this process
         // A list was asked for at m_startsAllowedAt or later, so nothing that an earlier process of
@@ -375,8 +374,6 @@
     void beginLeave(Worker &worker, std::string_view reason, RunnerOutbox &out);
     // A process with another worker id has answered at the worker's address.
     void replaceWorker(Worker &worker, TimePoint now, RunnerOutbox &out);
-    // The known process has said that it drains or leaves.
-    static bool hasAnnouncedEnd(const Worker &worker);
     // Why the known process is gone, if something shows that it is.
     EndCause causeOfEnd(const Worker &worker, TimePoint now) const;
     // What to report of a process that seems to be gone.
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -73,7 +73,7 @@
                               {{"worker", worker.info.id},
                                {"heard_ms", toMsString(now - worker.heardAt)},
                                {"cause", std::string(nameOf(causeOfEnd(worker, now)))},
-                               {"announced", std::to_string(hasAnnouncedEnd(worker))}}});
+                               {"announced", std::to_string(worker.notice.isAnnounced())}}});
     worker.isUnresponsive = true;
     ++m_loadVersion;
     pollSoon(worker, now);
@@ -99,7 +99,7 @@
 {
     for (const std::uint64_t number : worker.crashNumbers)
         setCrashState(number, state, now, out);
-    if (hasAnnouncedEnd(worker))
+    if (worker.notice.isAnnounced())
         return;
     CrashReport report{m_settings.instance, m_lastCrash + 1, state, now - worker.heardAt, {}};
     std::size_t recent = 0;
--- a/src/taskrunnerends.cpp
+++ b/src/taskrunnerends.cpp
@@ -88,15 +88,8 @@
         refuseQueued(worker, worker.tasks.find(id), StartRefusal::NoWorker, out);
 }
 
-bool TaskRunner::hasAnnouncedEnd(const Worker &worker)
-{
-    return worker.hasLeft || worker.notice.isAnnounced();
-}
-
 EndCause TaskRunner::causeOfEnd(const Worker &worker, TimePoint now) const
 {
-    if (worker.hasLeft)
-        return EndCause::PossiblyPlanned;
     return worker.notice.causeOfEnd({worker.clock, worker.clockReadAfter}, m_settings.minEndNotice,
                                     now);
 }
@@ -147,6 +140,7 @@
 void TaskRunner::endProvenRuns(Worker &worker, EndProof proof, TimePoint now, RunnerOutbox &out)
 {
     const std::vector<TaskId> ended = runsEndedBy(worker, proof, now);
+    const EndCause cause = causeOfEnd(worker, now);
     const std::size_t open = runsOf(worker).size();
     const bool isNews = open > 0 && open != worker.loggedUnproven;
     worker.loggedUnproven = open - ended.size();
@@ -155,13 +149,13 @@
                                   "runs_lost",
                                   {{"worker", worker.info.id},
                                    {"reason", std::string(nameOf(proof))},
-                                   {"cause", std::string(nameOf(causeOfEnd(worker, now)))},
+                                   {"cause", std::string(nameOf(cause))},
                                    {"count", std::to_string(ended.size())},
                                    {"unproven", std::to_string(open - ended.size())},
                                    {"heard_ms", toMsString(now - worker.heardAt)}}});
     for (const TaskId &id : ended)
         settleTask(worker, worker.tasks.find(id), StartRefusal::NoWorker, TaskEnd::Lost, now, out);
-    if (causeOfEnd(worker, now) == EndCause::Crash || now > worker.leaseEnd)
+    if (isOver(cause, worker.leaseEnd, now))
         worker.orphans.clear();
 }
 
--- a/src/taskrunnerpolls.cpp
+++ b/src/taskrunnerpolls.cpp
@@ -49,7 +49,7 @@
         = now + poll.maxWait + PollMargin * (1 + std::min(worker.unansweredPolls, MaxPollBackOff));
     poll.timeout = poll.maxWait + CallTimeout;
     if (isLeaseRenewed(worker)) {
-        const Duration lease = hasAnnouncedEnd(worker)
+        const Duration lease = worker.notice.isAnnounced()
                                    ? std::min(m_settings.leaseTime, m_settings.leavingLeaseTime)
                                    : m_settings.leaseTime;
         poll.leaseUntil = WorkerClock{workerClockAt(worker, now).value + toWholeMs(lease)};
@@ -63,7 +63,7 @@
 // gone when it leaves a single poll without a reply.
 bool TaskRunner::isLeaseRenewed(const Worker &worker)
 {
-    const bool mayBeGone = hasAnnouncedEnd(worker) && worker.unansweredPolls > 0;
+    const bool mayBeGone = worker.notice.isAnnounced() && worker.unansweredPolls > 0;
     return worker.isSynced && worker.orphans.empty() && !worker.isUnresponsive && !mayBeGone;
 }
 
--- a/src/taskrunnerworkers.cpp
+++ b/src/taskrunnerworkers.cpp
@@ -40,7 +40,7 @@
 // A start is not repeated at another process: it may have ended the one before.
 void TaskRunner::carryOver(const Worker &worker, Task &task, TimePoint now) const
 {
-    if (!hasAnnouncedEnd(worker) && !task.isCarriedOver && !mayNotHaveStarted(worker, task))
+    if (!worker.notice.isAnnounced() && !task.isCarriedOver && !mayNotHaveStarted(worker, task))
         task.earlierRunTime = survivedTime(worker, task);
     task.isCarriedOver = true;
     task.starts.isInKnownProcess = false;
@@ -60,13 +60,14 @@
     const bool isNewProcess = !isNew && info.startedAtUnixMs != worker.info.startedAtUnixMs;
     const bool isFirst = isNew || worker.isUnconfirmed;
     // A heartbeat that was overtaken by a newer one is out of date, but for what stays true.
-    if (!isNew && !isNewProcess && !worker.isStartTimeUnknown && info.isDraining)
-        worker.notice.announce();
     if (!isFirst
         && (info.startedAtUnixMs < worker.info.startedAtUnixMs
             || (!isNewProcess
-                && (worker.isStartTimeUnknown || info.sequence < worker.info.sequence))))
+                && (worker.isStartTimeUnknown || info.sequence < worker.info.sequence)))) {
+        if (!isNewProcess && !worker.isStartTimeUnknown && info.isDraining)
+            worker.notice.recordDraining();
         return;
+    }
     const bool isFirstOfProcess = isFirst || isNewProcess || !worker.isDescribed;
     if (isNew)
         worker.info = info;
@@ -85,7 +86,7 @@
                                    {"born_ms", std::to_string(info.startedAtUnixMs)}}});
     }
     if (info.isDraining)
-        worker.notice.announce();
+        worker.notice.recordDraining();
     else
         worker.notice.recordReady(clock, now);
     WorkerInfo previous = std::exchange(worker.info, info);
@@ -94,7 +95,6 @@
     worker.isDescribed = true;
     // It goes on after a DELETE: that came late, from the process before.
     const bool hasReturned = std::exchange(worker.isLeaving, false);
-    worker.hasLeft = false;
     previous.sequence = info.sequence;
     if (isFirstOfProcess || hasReturned || previous != info) {
         if (info.isDraining && !previous.isDraining)
@@ -123,7 +123,7 @@
     worker.info = info;
     beginWorkerProcess(worker, info.startedAtUnixMs, now, out);
     if (info.isDraining)
-        worker.notice.announce();
+        worker.notice.recordDraining();
     worker.isUnconfirmed = true;
     worker.isDescribed = true;
     worker.describedAt = age ? now - *age : TimePoint{};
@@ -165,7 +165,7 @@
         return;
     if (worker->isUnconfirmed)
         return dropUnconfirmed({}, out);
-    worker->hasLeft = true;
+    worker->notice.recordLeave();
     withdrawCrash(*worker, now, out);
     beginLeave(*worker, "worker_left", out);
 }
