Tests: faults by seed as a table, and comments beside the right tests

soak.py chooses the faults of a seed from a table in place of a chain of conditions; the lists and schedules stay. A test of RunEnds that begins with "The same" stands behind the one it means again. leave_test.py waits for the worker to have left before the agent goes on, and says what it guards against. No assertion changes.

--- a/tests/runends_test.cpp
+++ b/tests/runends_test.cpp
@@ -151,6 +151,17 @@
     EXPECT_EQ(crashedRuns(), 0u);
 }
 
+// The same before it says that it leaves, as its agent knows that it drains.
+TEST_F(RunEnds, TheRunsOfADrainingWorkerThatRefusesCallsKeepTheirLease)
+{
+    runOnFirstProcess(0);
+    heartbeat(FirstProcess, 2, true);
+    answerPoll({0});
+    failPollsUntilLeaseEnd(CallAnswer::Refused);
+    EXPECT_TRUE(ends().empty());
+    EXPECT_EQ(crashedRuns(), 0u);
+}
+
 // Guards against tasks of a leaving worker that wait for as long as those of any other worker: from
 // its announcement on it holds short leases, and each is renewed only if it answers.
 TEST_F(RunEnds, TheTasksOfALeavingWorkerWaitForAShortLease)
@@ -186,17 +197,6 @@
     EXPECT_GT(leaseEnd(), now + 200ms);
 }
 
-// The same before it says that it leaves, as its agent knows that it drains.
-TEST_F(RunEnds, TheRunsOfADrainingWorkerThatRefusesCallsKeepTheirLease)
-{
-    runOnFirstProcess(0);
-    heartbeat(FirstProcess, 2, true);
-    answerPoll({0});
-    failPollsUntilLeaseEnd(CallAnswer::Refused);
-    EXPECT_TRUE(ends().empty());
-    EXPECT_EQ(crashedRuns(), 0u);
-}
-
 // Guards against tasks of a crashed worker that wait for a lease although refused calls prove its
 // end: what ends as planned says so first.
 TEST_F(RunEnds, ARefusedCallEndsTheRunsOfAWorkerThatHasCrashed)
--- a/tests/system/leave_test.py
+++ b/tests/system/leave_test.py
@@ -13,6 +13,7 @@
 from platformstandin import Shutdown
 
 DRAIN_S = 2.3  # a little longer than drain_ms in the settings
+SUSPENSION_S = 0.35  # longer than any pause of an agent that runs, and shorter than a lease
 TASK_MS = 4000  # longer than any worker here drains
 DEADLINE_MS = 15000
 
@@ -78,7 +79,7 @@
         self.assertEqual(answers[0].state, "completed")
 
     # Guards against an agent that takes a shutdown for a crash because it was suspended while the
-    # worker announced it.
+    # worker said that it leaves and closed its listener.
     def test_a_shutdown_that_a_suspended_agent_misses_doubles_no_run(self):
         for shutdown in SHUTDOWNS[:2]:
             with self.subTest(shutdown=shutdown):
@@ -86,9 +87,10 @@
                 worker = self.busiest()
                 agent = self.fleet.agents[self.fleet.workers.index(worker)]
                 leaving = in_threads([lambda it=worker, how=shutdown: it.shut_down(DRAIN_S, how)])[0]
-                time.sleep(DRAIN_S - 0.3)
+                time.sleep(DRAIN_S - SUSPENSION_S)
                 agent.process.send_signal(signal.SIGSTOP)
-                time.sleep(0.35)
+                time.sleep(SUSPENSION_S)
+                wait_until("leave", lambda it=worker: it.state is None)
                 agent.process.send_signal(signal.SIGCONT)
                 leaving.join()
                 thread.join()
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -284,14 +284,14 @@
     UNANSWERED_FAULTS = (*LEAVE_FAULTS, *[submit_ending] * 30)
     SHUTDOWN_FAULTS = (*CRASH_FAULTS, *[shut_down_worker] * 10, *[crash_with_connections] * 4)
 
+    # First seed and faults of each range of seeds.
+    FAULTS_BY_SEED = ((0, FAULTS), (FIRST_LATER_SEED, LATER_FAULTS), (FIRST_CRASH_SEED, CRASH_FAULTS),
+                      (FIRST_LEAVE_SEED, LEAVE_FAULTS), (FIRST_UNANSWERED_SEED, UNANSWERED_FAULTS),
+                      (FIRST_SHUTDOWN_SEED, SHUTDOWN_FAULTS))
+
     def schedule(self):
         """Schedules the begins of all faults: groups of one to three, with pauses between them."""
-        faults = (self.FAULTS if self.seed < FIRST_LATER_SEED
-                  else self.LATER_FAULTS if self.seed < FIRST_CRASH_SEED
-                  else self.CRASH_FAULTS if self.seed < FIRST_LEAVE_SEED
-                  else self.LEAVE_FAULTS if self.seed < FIRST_UNANSWERED_SEED
-                  else self.UNANSWERED_FAULTS if self.seed < FIRST_SHUTDOWN_SEED
-                  else self.SHUTDOWN_FAULTS)
+        faults = [it for first, it in self.FAULTS_BY_SEED if self.seed >= first][-1]
         at = 1.0
         while at < self.seconds:
             for _ in range(self.random.randint(1, 3)):
