--- a/src/taskrunneropenstarts.cpp
+++ b/src/taskrunneropenstarts.cpp
@@ -74,8 +74,10 @@
         if (it.agent == m_settings.instance || !m_openStarts.merge(it, now))
             continue;
         Worker *worker = findWorker(it.workerId);
-        if (worker && it.state != OpenStartState::Answered)
-            stopLateStart(*worker, it);
+        if (!worker || it.state == OpenStartState::Answered)
+            continue;
+        stopLateStart(*worker, it);
+        pollSoon(*worker, now); // the worker takes no task before it has listed its runs
     }
 }
 
