--- a/tests/system/platformstandin.py
+++ b/tests/system/platformstandin.py
@@ -9,6 +9,7 @@
 import http.client
 import http.server
 import json
+import random
 import socket
 import struct
 import threading
@@ -21,6 +22,7 @@
 HEARTBEAT_S = 0.7    # time between a worker's reports to its agent
 CAPACITY_GRACE_S = 3 + HEARTBEAT_S  # after which a capacity that has shrunk must be kept
 CRASH_DELAY_S = 0.01  # from the start of a task that crashes its worker to the crash
+MIN_LATE_S, MAX_LATE_S = 2.0, 12.0  # from a start without an answer until it is carried out
 
 # An ended run. `worker` is the id of the worker's incarnation; begin and end are monotonic times in
 # seconds; `how` is "done", "failed", "stopped" (by a call), "lapsed" (with the lease), "crashed" or
@@ -217,6 +219,16 @@
         self.stop_at = None     # monotonic time of its end after a stop call
 
 
+class LateStart:
+    """A start that has had no answer, and is still under way to the worker."""
+
+    def __init__(self, worker, fields, due):
+        self.worker = worker  # id that it names
+        self.fields = fields
+        self.due = due        # monotonic time in seconds; then the worker gets it, if it listens
+        self.expires = time.monotonic() + MAX_LATE_S
+
+
 class Worker:
     """One worker, which runs tasks by waiting for their run time and reports to one agent.
 
@@ -231,6 +243,9 @@
     slowness    factor of the run times, unless is_failing
     is_failing  runs end as failed
     is_hung     no run ends by itself
+    late_starts    so many of the next starts get no answer and arrive MIN_LATE_S later
+    late_share     the same for this share of the starts, up to MAX_LATE_S later. A start that is due while
+                   nothing listens arrives as the next incarnation begins to, before any other call
     heartbeat_s time between its reports
 
     `address` is where it listens, `agent` where it sends its heartbeats, `announced` the address in
@@ -249,6 +264,10 @@
         self.slowness = 1.0
         self.is_failing = False
         self.is_hung = False
+        self.late_starts = 0
+        self.late_share = 0.0
+        self.late = []  # LateStart, in the order of arrival
+        self.random = random.Random(address)
         self.heartbeat_s = HEARTBEAT_S
         self.id = ""
         self.is_closing = False
@@ -292,13 +311,13 @@
             if incarnation in (None, self.id) and not self.closing.locked():
                 self.end_incarnation()
 
-    def crash_with_connections(self, down_s=0.3):
+    def crash_with_connections(self, down_s=0.3, keeps_id=False):
         """The same, but all connections end, and nothing listens at the address for `down_s`."""
         if not self.closing.acquire(blocking=False):
             return
         with self.closing_server() as server:
             with self.changed:
-                self.end_incarnation()
+                self.end_incarnation(keeps_id)
                 self.away_until = time.monotonic() + down_s
             server.close_connections()
             server.close_listener()
@@ -341,10 +360,10 @@
             time.sleep(end_s)
             self.end_planned(incarnation)
 
-    def shut_down(self, drain_s, shutdown, says_delete=True):
+    def shut_down(self, drain_s, shutdown, says_delete=True, down_s=0.0, keeps_id=False):
         """Leaves as planned: drains, sends DELETE and ends as `shutdown` says.
 
-        Its next incarnation opens the listener again. Without says_delete the DELETE is lost.
+        Its next incarnation opens the listener again after `down_s`. Without says_delete the DELETE is lost.
         """
         incarnation = self.drain(drain_s, says_delete)
         if not incarnation or not self.closing.acquire(blocking=False):
@@ -353,10 +372,11 @@
         with self.closing_server() as server:
             steps = [(min(shutdown.connections, shutdown.process), server.close_connections),
                      (min(shutdown.listener, shutdown.process), server.close_listener),
-                     (shutdown.process, lambda: self.end_planned(incarnation))]
+                     (shutdown.process, lambda: self.end_planned(incarnation, down_s, keeps_id))]
             for at_s, step in sorted(steps, key=lambda it: it[0]):
                 time.sleep(max(0.0, begin + at_s - time.monotonic()))
                 step()
+            time.sleep(down_s)
 
     def drain(self, drain_s, says_delete=True):
         """Drains and says DELETE. Returns the incarnation, or None if it has ended meanwhile."""
@@ -373,11 +393,12 @@
             self.say("DELETE", incarnation[0])
         return incarnation
 
-    def end_planned(self, incarnation):
+    def end_planned(self, incarnation, down_s=0.0, keeps_id=False):
         """Ends the incarnation as planned, unless it has ended before."""
         with self.changed:
             if (self.id, self.born) == incarnation:
-                self.end_incarnation(how="left")
+                self.end_incarnation(keeps_id, how="left")
+                self.away_until = time.monotonic() + down_s
 
     def set_capacity(self, cpu):
         """Changes the capacity; the next heartbeat reports it."""
@@ -423,6 +444,7 @@
         """Ends runs when their time has come or the lease has lapsed; has its own thread."""
         with self.changed:
             while not self.is_closing:
+                self.deliver_late_starts()
                 now = time.monotonic()
                 if self.clock() > self.lease_until:
                     for task in list(self.active):
@@ -434,7 +456,8 @@
                 nearest = min((self.end_time(it, now) for it in self.active.values()),
                               default=now + 0.5)
                 lease = (self.lease_until - self.clock()) / 1000 if self.active else 0.5
-                self.changed.wait(max(0.001, min(nearest - now, lease + 0.001, 0.5)))
+                late = min((max(it.due, self.away_until) - now for it in self.late), default=0.5)
+                self.changed.wait(max(0.001, min(nearest - now, lease + 0.001, late, 0.5)))
 
     def result_of(self, task, run):
         """How a run that ends by itself or after a stop call ends; see Run."""
@@ -452,10 +475,11 @@
         with self.changed:
             if time.monotonic() < self.away_until:
                 return None
+            self.deliver_late_starts()
             if headers.get("Expect-Instance") not in (None, self.id):
                 return answer_json(421, clock_ms=int(self.clock()))
             if path == "/-/run-start":
-                return self.start_run(fields)
+                return None if self.holds_back(fields) else self.start_run(fields)
             if path == "/-/run-stop":
                 return self.stop_run(fields)
             return self.hold(fields) if path == "/-/hold" else answer_json(404)
@@ -467,6 +491,39 @@
             self.lease_until = max(self.lease_until, until)
             self.changed.notify_all()
 
+    def holds_back(self, fields):
+        """Whether this start gets no answer and arrives late; see late_starts and late_share.
+
+        No more are held back than the worker has room for: no agent can prevent that an incarnation
+        which gets all of them at once is filled beyond its capacity.
+        """
+        now = time.monotonic()
+        needs = {it.fields["task"]: json.loads(it.fields["spec"])["cpu"] for it in self.late}
+        needs[fields["task"]] = json.loads(fields["spec"])["cpu"]
+        if sum(needs.values()) > self.cpu:
+            return False
+        if self.late_starts > 0:
+            self.late_starts -= 1
+            due = now + MIN_LATE_S
+        elif self.random.random() < self.late_share:
+            due = now + self.random.uniform(MIN_LATE_S, MAX_LATE_S)
+        else:
+            return False
+        self.late.append(LateStart(self.id, fields, due))
+        self.changed.notify_all()
+        return True
+
+    def deliver_late_starts(self):
+        """Carries out the starts that are due, unless nothing listens now."""
+        now = time.monotonic()
+        if now < self.away_until:
+            return
+        self.late = [it for it in self.late if now <= it.expires]
+        for it in [it for it in self.late if now >= it.due]:
+            self.late.remove(it)
+            if it.worker == self.id:
+                self.start_run(it.fields)
+
     def reject(self, reason):
         """The answer to a start that the worker does not carry out."""
         return answer_json(409, clock_ms=int(self.clock()), reason=reason)
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -41,12 +41,14 @@
     700,  # the first with workers that restart under their ids or leave as planned
     800,  # the first with workers that end before they have answered a start
     900,  # the first with workers that close their listener and connections before they end
+    1000,  # the first with starts that get no answer and arrive late
 ]
 FIRST_LATER_SEED = 500
 FIRST_CRASH_SEED = 600
 FIRST_LEAVE_SEED = 700
 FIRST_UNANSWERED_SEED = 800
 FIRST_SHUTDOWN_SEED = 900
+FIRST_LATE_SEED = 1000
 MAX_CRASHES = 5  # of workers under one task
 CALLERS = 8
 RECOVERY_S = 8      # includes a worker's next heartbeat and one full proof time
@@ -217,6 +219,26 @@
         in_threads([worker.crash_with_connections])
         return worker.announced, None
 
+    def hold_starts(self):
+        """Lets part of a worker's starts arrive late and without an answer."""
+        worker = self.random.choice(self.fleet.workers)
+        worker.late_share = self.random.choice([0.1, 0.3])
+        return f"{worker.announced} {worker.late_share}", lambda: setattr(worker, "late_share", 0.0)
+
+    def hold_and_crash(self):
+        """The same for the next start; its worker ends soon, and comes back with the same id."""
+        worker = self.random.choice(self.fleet.workers)
+        worker.late_starts = self.random.choice([1, 2, 6])
+        delay_s, down_s = self.random.choice([0.1, 0.6]), self.random.choice([1.7, 2.5])
+
+        def crash():
+            time.sleep(delay_s)
+            worker.late_starts = 0
+            worker.crash_with_connections(down_s, keeps_id=True)
+
+        in_threads([crash])
+        return f"{worker.announced} after {delay_s} s for {down_s} s", None
+
     def submit_crashing(self):
         """Submits a job whose tasks crash their workers."""
         job = self.fleet.make_job(tasks=self.random.choice([1, 3]), crashes=True)
@@ -284,10 +306,14 @@
     UNANSWERED_FAULTS = (*LEAVE_FAULTS, *[submit_ending] * 30)
     SHUTDOWN_FAULTS = (*CRASH_FAULTS, *[shut_down_worker] * 10, *[crash_with_connections] * 4)
 
+    # Without changes of the capacity, which late starts alone could exceed after a crash.
+    LATE_FAULTS = (*LATER_FAULTS, *[submit_crashing] * 2, *[shut_down_worker] * 3,
+                   *[crash_with_connections] * 3, *[hold_starts] * 8, *[hold_and_crash] * 8)
+
     # First seed and faults of each range of seeds.
     FAULTS_BY_SEED = ((0, FAULTS), (FIRST_LATER_SEED, LATER_FAULTS), (FIRST_CRASH_SEED, CRASH_FAULTS),
                       (FIRST_LEAVE_SEED, LEAVE_FAULTS), (FIRST_UNANSWERED_SEED, UNANSWERED_FAULTS),
-                      (FIRST_SHUTDOWN_SEED, SHUTDOWN_FAULTS))
+                      (FIRST_SHUTDOWN_SEED, SHUTDOWN_FAULTS), (FIRST_LATE_SEED, LATE_FAULTS))
 
     def schedule(self):
         """Schedules the begins of all faults: groups of one to three, with pauses between them."""
