Open starts: only reported ones on a new connection, and a line when a task is bound

An entry that connected was told of each start in flight at that moment, and never that it was answered; it needs only those that were reported, as TaskStarted and the inventory cover its own tasks. The entry logs task_bound when a task must start again and may do so at one worker only. One function of the task runner tells all entries; the loop stood there six times.

--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -246,6 +246,14 @@
 {
     job.mayHaveStarted |= start == AttemptStart::Possible;
     setState(number, job, job.tasks[index], State::Waiting);
+    if (const auto only = boundWorkerOf(job, index, now); only && !job.closingAnswer)
+        out.emplace_back(LogEvent{Severity::Info,
+                                  "task_bound",
+                                  {{"job", job.spec.id},
+                                   {"task", std::to_string(index)},
+                                   {"attempt", std::to_string(job.tasks[index].attempt)},
+                                   {"worker", std::string(*only)},
+                                   {"until_ms", toMsString(lastUsefulStart(job) - now)}}});
     if (job.closingAnswer)
         finishIfClosed(number, now, out);
 }
--- a/src/jobdispatcheropenstarts.cpp
+++ b/src/jobdispatcheropenstarts.cpp
@@ -97,8 +97,8 @@
     return false;
 }
 
-// Nothing else can be done for such a task, so it waits at its worker for as long as it is of use.
-// If it may crash its worker, no task of another job runs beside it.
+// Such a task is sent to its worker also while that has no room, and waits in its agent's queue. If
+// it may crash the worker, no task of another job runs beside it.
 void JobDispatcher::placeBoundTasks(TimePoint now, DispatcherOutbox &out)
 {
     if (m_openStarts.isEmpty())
--- a/src/taskrunner.cpp
+++ b/src/taskrunner.cpp
@@ -87,6 +87,12 @@
     it.lastAssignment = 0;
 }
 
+void TaskRunner::sendToEntries(const PeerMessage &message, RunnerOutbox &out) const
+{
+    for (const auto &[entry, state] : m_entries)
+        out.emplace_back(SendToEntry{entry, message});
+}
+
 void TaskRunner::onEntryActivity(Incarnation entry, TimePoint now, RunnerOutbox &out)
 {
     expireAfterSuspension(now, out);
@@ -330,8 +336,7 @@
     m_shuttingDown = true;
     for (auto &[workerId, worker] : m_workers) {
         refuseAllQueued(worker, out);
-        for (const auto &[entry, state] : m_entries)
-            out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
+        sendToEntries(WorkerUpdate{worker.info, true}, out);
     }
 }
 
--- a/src/taskrunner.h
+++ b/src/taskrunner.h
@@ -148,9 +148,9 @@
     std::vector<std::string> orphanFreeWorkers() const;
     // What is known of workers that went away, for an entry that has connected.
     std::vector<CrashReport> crashReports(TimePoint now) const;
-    // All starts without an answer that this runner knows of, for an entry that has connected. To
-    // be sent before the inventory.
-    OpenStartReport openStarts(TimePoint now) const;
+    // The open starts that were reported, for an entry that has connected. To be sent before the
+    // inventory, which names those of the entry's own tasks.
+    OpenStartReport openStarts(TimePoint now) const { return {m_openStarts.all(now)}; }
     // All known workers; as gone during a shutdown.
     std::vector<WorkerUpdate> workers() const;
     // Load of each worker; WorkerLoad::lastAssignmentNumber is not filled in, as it differs for
--- a/src/taskrunnercrashes.cpp
+++ b/src/taskrunnercrashes.cpp
@@ -126,8 +126,7 @@
                                {"runs", std::to_string(report.runs.size())},
                                {"recent", std::to_string(recent)},
                                {"heard_ms", toMsString(report.age)}}});
-    for (const auto &[entry, it] : m_entries)
-        out.emplace_back(SendToEntry{entry, report});
+    sendToEntries(report, out);
     m_crashReports[m_lastCrash] = {std::move(report), worker.heardAt, worker.info};
     while (now - m_crashReports.begin()->second.at > ReportRetention)
         m_crashReports.erase(m_crashReports.begin());
@@ -146,8 +145,7 @@
         LogEvent{Severity::Info,
                  "worker_crash_revised",
                  {{"number", std::to_string(number)}, {"state", std::string(nameOf(state))}}});
-    for (const auto &[entry, it] : m_entries)
-        out.emplace_back(SendToEntry{entry, report});
+    sendToEntries(report, out);
 }
 
 void TaskRunner::withdrawCrash(Worker &worker, TimePoint now, RunnerOutbox &out)
--- a/src/taskrunneropenstarts.cpp
+++ b/src/taskrunneropenstarts.cpp
@@ -11,9 +11,9 @@
 
 using namespace std::chrono_literals;
 
-// Most starts are answered within some milliseconds, or by then at a busy machine. The entry that
-// assigned the task waits for an answer in any case; the others have the time until the caller of a
-// lost entry comes back.
+// Starts are answered within some milliseconds, at a busy machine within this time. The entry that
+// assigned the task needs no report to know that a start may be open; the others need it before the
+// caller of a lost entry comes back.
 constexpr Duration OpenStartReportDelay = 100ms;
 
 } // namespace
@@ -35,12 +35,6 @@
     return isDue ? task.firstSentAt + OpenStartReportDelay : NeverTime;
 }
 
-void TaskRunner::sendToEntries(const PeerMessage &message, RunnerOutbox &out) const
-{
-    for (const auto &[entry, state] : m_entries)
-        out.emplace_back(SendToEntry{entry, message});
-}
-
 void TaskRunner::reportOpenStart(const Worker &worker, Task &task, TimePoint now, RunnerOutbox &out)
 {
     if (task.starts.unanswered == 0)
@@ -94,14 +88,4 @@
         worker.orphans.push_back({start.task, start.attempt});
 }
 
-OpenStartReport TaskRunner::openStarts(TimePoint now) const
-{
-    OpenStartReport report{m_openStarts.all(now)};
-    for (const auto &[id, worker] : m_workers)
-        for (const auto &[taskId, task] : worker.tasks)
-            if (task.starts.unanswered > 0 && !task.isOpenReported)
-                report.starts.push_back(openStartOf(worker, task, now));
-    return report;
-}
-
 } // namespace cactuscove
--- a/src/taskrunnerworkers.cpp
+++ b/src/taskrunnerworkers.cpp
@@ -107,8 +107,7 @@
 
 void TaskRunner::announce(const Worker &worker, RunnerOutbox &out)
 {
-    for (const auto &[entry, state] : m_entries)
-        out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, false}});
+    sendToEntries(WorkerUpdate{worker.info, false}, out);
     ++m_loadVersion;
 }
 
@@ -175,8 +174,7 @@
     if (std::exchange(worker.isLeaving, true))
         return;
     refuseAllQueued(worker, out);
-    for (const auto &[entry, state] : m_entries)
-        out.emplace_back(SendToEntry{entry, WorkerUpdate{worker.info, true}});
+    sendToEntries(WorkerUpdate{worker.info, true}, out);
     out.emplace_back(LogEvent{Severity::Info,
                               "worker_gone",
                               {{"worker", worker.info.id},
--- a/tests/openstarts_test.cpp
+++ b/tests/openstarts_test.cpp
@@ -199,6 +199,8 @@
     ASSERT_EQ(sent<TaskStarted>().size(), 1u);
     EXPECT_TRUE(sent<TaskStarted>()[0].hasOpenStart);
     EXPECT_TRUE(runner.inventoryOf(entry).started.at(0).hasOpenStart);
+    EXPECT_TRUE(runner.openStarts(now).starts.empty()) << "may be answered at any moment";
+    advance(100ms);
     EXPECT_EQ(runner.openStarts(now).starts.size(), 1u) << "for an entry that connects";
 }
 
