Open starts: a job that is given up beside a suspended agent leaves a suspicion

An entry finds a suspended agent after 2 s, and answers callers that wait for less before that. The job was forgotten with its assigned task, and another entry placed it elsewhere when it came back. An entry now suspects an open start of each task that is still assigned or being withdrawn as it answers. A task whose last start is not known to be answered is not moved for slowness either, and nothing but the table makes a permit.

OpenStartEntry.AJobThatIsGivenUpBesideASilentAgentLeavesASuspicion fails without it.

--- a/src/jobdispatcher.cpp
+++ b/src/jobdispatcher.cpp
@@ -222,6 +222,9 @@
         attempt = std::max(attempt, task.attempt);
         if (task.state == State::Assigned || task.state == State::Running)
             withdraw(job, i, out);
+        // Its agent has not confirmed that, and may be suspended.
+        if (task.state == State::Assigned || task.state == State::Withdrawn)
+            suspectOpenStart(job, i, now, out);
         if (task.state == State::Waiting || task.state == State::AgentLost)
             setState(number, job, task, State::Withdrawn);
     }
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -302,7 +302,8 @@
     void giveUpBoundJobs(TimePoint now, DispatcherOutbox &out);
     bool hasBoundTask(const Job &job, TimePoint now) const;
     static TimePoint lastUsefulStart(const Job &job);
-    // The agent was lost before it had reported what became of the start of the task.
+    // The agent, which is lost or does not answer, has not reported what became of the start of the
+    // task.
     void suspectOpenStart(const Job &job, std::uint32_t index, TimePoint now,
                           DispatcherOutbox &out);
     // The agent itself has reported on the task since then.
--- a/src/jobdispatcheragents.cpp
+++ b/src/jobdispatcheragents.cpp
@@ -181,9 +181,10 @@
     if (!job || job->closingAnswer)
         return;
     Task &task = job->tasks[message.task.index];
-    if (task.state != State::Running || task.moveCount >= MaxMoves || task.runsAlone
-        || m_openStarts.onlyWorkerOf(message.task, now))
+    if (task.state != State::Running || task.moveCount >= MaxMoves || task.runsAlone)
         return;
+    if (!task.isStartAnswered || m_openStarts.onlyWorkerOf(message.task, now))
+        return; // it may start nowhere else
     const Duration moveRunTime = MoveTime + job->expectedRun;
     const bool meetsObjective = now + moveRunTime <= job->objectiveAt;
     const bool isMuchSooner
--- a/src/openstarts.h
+++ b/src/openstarts.h
@@ -28,8 +28,9 @@
 // out 12 s late at most; the rest covers clocks that differ and messages about the start.
 inline constexpr Duration OpenStartTime = std::chrono::seconds(15);
 
-// Leave to start a task at one worker. Only OpenStarts::permitStart() makes one, so what takes a
-// StartPermit cannot be called for a task that has an open start elsewhere.
+// Leave to start a task at one worker. Only OpenStarts::permitStart() makes one. An entry numbers
+// an attempt, and an agent accepts one, only by a permit, so neither can start a task that has an
+// open start elsewhere.
 class StartPermit
 {
 public:
@@ -41,6 +42,8 @@
 private:
     friend class OpenStarts;
 
+    StartPermit() = default;
+
     std::optional<std::uint32_t> m_lastAttempt; // highest of which a start was open
 };
 
--- a/tests/openstarts_test.cpp
+++ b/tests/openstarts_test.cpp
@@ -476,6 +476,22 @@
     EXPECT_EQ(assignments().size(), 1u);
 }
 
+// Guards against an open start that is forgotten with a job that is given up while its agent is
+// suspended: the caller sends the job again.
+TEST_F(OpenStartEntry, AJobThatIsGivenUpBesideASilentAgentLeavesASuspicion)
+{
+    submit(500ms);
+    const Incarnation agent = assignments().at(0).first;
+    step(800ms);
+    ASSERT_EQ(answers().size(), 1u);
+    EXPECT_EQ(answers()[0].answer.outcome, JobOutcome::Unknown);
+    EXPECT_EQ(effectsOf<SendToEntries>(out).size(), 1u) << "the job may return to another entry";
+    report(agent, false);
+    submit(3s, 2);
+    step(1s);
+    EXPECT_EQ(assignments().size(), 1u);
+}
+
 // Guards against a wait of a task all of whose starts are known to be answered.
 TEST_F(OpenStartEntry, ATaskOfALostAgentWithoutAnOpenStartIsPlacedElsewhere)
 {
