Open starts: one answer to which protocol a message needs, one configuration of the dispatcher's tests

The agent and the entry each decided for themselves which peers understand a report; firstProtocolOf() does it beside the messages. The tests of refused jobs and of open starts set up the same queue; dispatcherfixture.h does. system.late waits for the repeat of the held start in place of half a second; two tests have braces that the compiler asked for.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -147,11 +147,7 @@
                 continue;
             if (isReleasing(connection) && std::holds_alternative<WorkerUpdate>(effect.message))
                 return;
-            const std::uint32_t protocol = connection.entry->protocol;
-            if ((protocol < CrashReportsProtocol
-                 && std::holds_alternative<CrashReport>(effect.message))
-                || (protocol < OpenStartsProtocol
-                    && std::holds_alternative<OpenStartReport>(effect.message)))
+            if (connection.entry->protocol < firstProtocolOf(effect.message))
                 return;
             connection.link->send(std::move(effect.message));
             return;
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -118,12 +118,6 @@
             m_links.at(it->second).link->send(std::move(effect.message));
     }
 
-    static std::uint32_t firstProtocolOf(const PeerMessage &message)
-    {
-        return std::holds_alternative<OpenStartReport>(message) ? OpenStartsProtocol
-                                                                : CrashReportsProtocol;
-    }
-
     void perform(const SendToEntries &effect)
     {
         for (auto &[id, it] : m_links)
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -297,4 +297,13 @@
                    EntriesStarted, OperatorOffer, OperatorRequest, OperatorState, EvacuationUpdate,
                    CrashReport, OpenStartReport>;
 
+// First protocol whose peers understand the message, for the reports that entries and agents
+// spread.
+inline std::uint32_t firstProtocolOf(const PeerMessage &message)
+{
+    if (std::holds_alternative<OpenStartReport>(message))
+        return OpenStartsProtocol;
+    return std::holds_alternative<CrashReport>(message) ? CrashReportsProtocol : 1;
+}
+
 } // namespace cactuscove
--- a/tests/openstarts_test.cpp
+++ b/tests/openstarts_test.cpp
@@ -3,6 +3,7 @@
 
 #include "openstarts.h"
 
+#include "dispatcherfixture.h"
 #include "jobdispatcher.h"
 #include "runnerfixture.h"
 
@@ -104,8 +105,9 @@
         for (const SendToEntry &it : effectsOf<SendToEntry>(out)) {
             if (const auto *report = std::get_if<OpenStartReport>(&it.message))
                 isReported |= report->starts.at(0).state == OpenStartState::Open;
-            if (std::holds_alternative<TaskEnded>(it.message))
+            if (std::holds_alternative<TaskEnded>(it.message)) {
                 EXPECT_TRUE(isReported) << "the task may start elsewhere";
+            }
         }
         EXPECT_EQ(ends().size(), 1u);
     }
@@ -265,16 +267,7 @@
     OpenStartEntry()
         : dispatcher({}, Start)
     {
-        DispatchConfig config;
-        config.version = 1;
-        QueueSettings queue;
-        queue.name = "queue";
-        queue.upstream = "render";
-        queue.maxAttempts = 4;
-        queue.slackFactor = 2;
-        queue.targetLatency = 60ms;
-        config.queues.push_back(queue);
-        dispatcher.configure(config, out);
+        dispatcher.configure(oneQueue(), out);
         connect(Agent1);
         connect(Agent2);
         step(2s); // beyond the start of the process
@@ -460,8 +453,9 @@
     bool isTold = false;
     for (const SendToAgent &it : effectsOf<SendToAgent>(out)) {
         isTold |= it.agent == next && std::holds_alternative<OpenStartReport>(it.message);
-        if (it.agent == next && std::holds_alternative<AssignTask>(it.message))
+        if (it.agent == next && std::holds_alternative<AssignTask>(it.message)) {
             EXPECT_TRUE(isTold) << "the agent must bar the open start first";
+        }
     }
     ASSERT_EQ(assignments().size(), 2u);
     EXPECT_EQ(assignments()[1].first, next);
--- a/tests/refusedjobs_test.cpp
+++ b/tests/refusedjobs_test.cpp
@@ -1,6 +1,7 @@
 // What an entry tells the callers of jobs whose attempts it got back: refused only if no attempt of
 // any task was started, and at once; unknown if one may have been.
 
+#include "dispatcherfixture.h"
 #include "effects.h"
 #include "jobdispatcher.h"
 
@@ -16,16 +17,7 @@
     RefusedJobs()
         : dispatcher({}, Start)
     {
-        DispatchConfig config;
-        config.version = 1;
-        QueueSettings queue;
-        queue.name = "queue";
-        queue.upstream = "render";
-        queue.maxAttempts = 4;
-        queue.slackFactor = 2;
-        queue.targetLatency = 60ms;
-        config.queues.push_back(queue);
-        dispatcher.configure(config, out);
+        dispatcher.configure(oneQueue(), out);
         connect();
         step(2s); // beyond the start of the process
         report();
--- a/tests/system/late_test.py
+++ b/tests/system/late_test.py
@@ -61,7 +61,7 @@
         for late_starts in (1, 1000):
             with self.subTest(late_starts=late_starts):
                 worker, thread, answers = self.begin(late_starts)
-                time.sleep(0.5)
+                wait_until("repeat", lambda n=late_starts, it=worker: n == 1 or len(it.late) > 1)
                 self.crash(worker)
                 thread.join()
                 self.assertEqual(answers[0].state, "completed")
