System tests: fleets that run at once never share their addresses

Cause: the second byte of a fleet's loopback addresses was 10 + process id % 240. Two tests that ran at once had the same addresses if their ids were 240 apart.

Change: a fleet claims its network with a socket that it binds at an address of it, and takes the next network if another one holds that address. The claim ends with the fleet or with the process.

Measured: a second fleet of one process, so of one id, ends with the same error in the same bind before, and is ready beside the first one now.

--- a/tests/system/dispatch_test.py
+++ b/tests/system/dispatch_test.py
@@ -195,6 +195,13 @@
 
     # Guards against SIGTERM ending a process abnormally while it starts: the settings come through a
     # pipe, which holds the process in its start until the signal is sent.
+    def test_fleets_beside_each_other_share_no_address(self):
+        # Tests that run at once had the same addresses if their process numbers were 240 apart.
+        other = DispatchFleet(entries=1, agents=1)
+        self.addCleanup(other.stop)
+        self.assertNotEqual(other.network, self.fleet.network)
+        other.wait_ready()
+
     def test_a_signal_during_the_start(self):
         entry = self.fleet.entries[0]
         self.fleet.kill(entry)
--- a/tests/system/dispatchfleet.py
+++ b/tests/system/dispatchfleet.py
@@ -5,11 +5,13 @@
 worker, and all instances and the store, so that tests can disturb these connections.
 """
 import collections
+import errno
 import http.client
 import json
 import os
 import random
 import re
+import socket
 import subprocess
 import tempfile
 import threading
@@ -25,6 +27,7 @@
 ENTRY, AGENT, WORKER, LINK, CALLER, STORE = range(1, 7)
 LINK_PORT, METRICS_PORT, CALLER_PORT, READY_PORT, WORKER_PORT, STORE_PORT = range(7720, 7726)
 LOCAL_WORKER_PORT = 7726  # of a worker on its agent's machine
+CLAIM_PORT = 7719  # only bound; see claim_network()
 GRACE_S = 6       # time in which a process must end after SIGTERM, as bounds.grace_s in SETTINGS
 RESUBMIT_S = 1.3  # time after which a caller without an answer sends its job again
 
@@ -50,6 +53,24 @@
 """
 
 
+def claim_network():
+    """Finds a second byte of loopback addresses that no other fleet on this machine uses.
+
+    Returns it and a socket that keeps others from it until it is closed: an address can be bound once.
+    """
+    for n in range(240):
+        network = 10 + (os.getpid() + n) % 240
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{network}.0.1", CLAIM_PORT))
+            return network, claim
+        except OSError as error:
+            claim.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
+    raise RuntimeError("all networks are in use")
+
+
 class Instance:
     """The address and settings of one entry or agent, and its process if one was started.
 
@@ -93,7 +114,7 @@
                  evacuation_bound=True, local_workers=False):
         self.entry_flags = entry_flags
         self.random = random.Random(seed)
-        self.network = 10 + os.getpid() % 240  # second byte of all addresses; differs between runs
+        self.network, self.claim = claim_network()  # second byte of all addresses; the claim to it
         self.directory = tempfile.mkdtemp(prefix="cactuscove-dispatch-")  # settings and output
         self.zones = zones
         self.evacuation_bound = evacuation_bound and zones > 1
@@ -207,6 +228,7 @@
             if child.poll() is None:
                 child.kill()
                 child.wait()
+        self.claim.close()
 
     # Configuration
 
