Agent: what is sent to one entry stands in EntryConnection; one function sends what a peer's protocol may not have

The agent and the entry compared the peer's protocol in six places, with three constants; sendIfKnown() asks firstProtocolOf(), which learns of evacuations.

--- a/src/dispatchagent.cpp
+++ b/src/dispatchagent.cpp
@@ -8,6 +8,7 @@
 #include "decisionloop.h"
 #include "demandtable.h"
 #include "dispatchprocess.h"
+#include "entryconnection.h"
 #include "evacuationchanges.h"
 #include "taskrunner.h"
 #include "workerrecordclient.h"
@@ -79,19 +80,6 @@
 private:
     friend class DecisionLoop<TaskRunner, RunnerEffect, DispatchAgent>;
 
-    // Connection that this agent opens to the entry at one address. It may be closed.
-    struct EntryConnection
-    {
-        std::unique_ptr<FramedLink> link; // none while closed
-        TimePoint dialledAt{};
-        TimePoint lastMessageAt{};            // or dialledAt before the first message
-        TimePoint releasingSince = NeverTime; // when the entry was told that the worker is gone
-        std::optional<PeerHello> entry;       // its hello; none until that arrives
-        std::vector<std::string> orphanFreeWorkers; // as sent last
-        std::uint64_t loadVersion = 0;              // TaskRunner::loadVersion() as sent last
-        std::vector<DemandReport> sentDemand;       // in the newest heartbeat
-    };
-
     void onPendingProcessed(TimePoint now)
     {
         if (m_runner.loadVersion() != m_loadVersion
@@ -145,11 +133,8 @@
         for (auto &[address, connection] : m_connections) {
             if (!connection.entry || connection.entry->instance != effect.entry)
                 continue;
-            if (isReleasing(connection) && std::holds_alternative<WorkerUpdate>(effect.message))
-                return;
-            if (connection.entry->protocol < firstProtocolOf(effect.message))
-                return;
-            connection.link->send(std::move(effect.message));
+            if (!connection.isReleasing() || !std::holds_alternative<WorkerUpdate>(effect.message))
+                sendIfKnown(*connection.link, *connection.entry, std::move(effect.message));
             return;
         }
     }
@@ -187,8 +172,6 @@
 
     // Entries
 
-    static bool isReleasing(const EntryConnection &it) { return it.releasingSince != NeverTime; }
-
     // Dials the entries that m_selection asks for. Must be called after each change of m_selection.
     void connectEntries()
     {
@@ -246,8 +229,8 @@
     void onClosed(const std::string &address, EntryConnection &it, std::string_view reason)
     {
         if (it.entry)
-            log({isReleasing(it) ? Severity::Info : Severity::Warning,
-                 isReleasing(it) ? "entry_released" : "entry_lost",
+            log({it.isReleasing() ? Severity::Info : Severity::Warning,
+                 it.isReleasing() ? "entry_released" : "entry_lost",
                  {{"entry", it.entry->name},
                   {"address", address},
                   {"reason", std::string(reason)},
@@ -277,9 +260,9 @@
                 continue;
             const bool isSurplus
                 = std::find(surplus.begin(), surplus.end(), address) != surplus.end();
-            if (isSurplus != isReleasing(it)) {
+            if (isSurplus != it.isReleasing()) {
                 it.releasingSince = isSurplus ? now : NeverTime;
-                sendWorkers(it);
+                it.sendWorkers(m_runner, now);
             } else if (isSurplus && now - it.releasingSince > ReleaseDelay
                        && m_runner.openTasksOf(it.entry->instance) == 0) {
                 onClosed(address, it, "not needed");
@@ -287,16 +270,6 @@
         }
     }
 
-    void sendWorkers(EntryConnection &it)
-    {
-        for (WorkerUpdate update : m_runner.workers()) {
-            update.isGone |= isReleasing(it);
-            it.link->send(std::move(update));
-        }
-        if (!isReleasing(it))
-            sendLoadsTo(it, m_runner.loads(bootNow()));
-    }
-
     void onMessages(const std::string &address, EntryConnection &it,
                     const std::vector<PeerMessage> &messages)
     {
@@ -349,14 +322,11 @@
         m_runner.onEntryHello(hello.instance, hello.name, now, out);
         m_demand.connected(hello.instance);
         sendHeartbeat(it, demandSums(now));
-        sendEvacuations(it); // before the workers, so that a new entry places nothing on them
-        if (hello.protocol >= CrashReportsProtocol)
-            for (CrashReport &report : m_runner.crashReports(now))
-                it.link->send(std::move(report));
-        if (hello.protocol >= OpenStartsProtocol)
-            it.link->send(m_runner.openStarts(now));
-        sendInventory(it);
-        sendWorkers(it);
+        // Before the workers, so that a new entry places nothing on them.
+        it.sendEvacuations(m_records);
+        it.sendReports(m_runner, now);
+        it.sendInventory(m_runner);
+        it.sendWorkers(m_runner, now);
     }
 
     // Evacuations: the entry that was connected last may know less than others, so each change is
@@ -378,15 +348,8 @@
                       static_cast<double>(dataCentres.size()));
         m_runner.setEvacuated(dataCentres);
         for (auto &[address, it] : m_connections)
-            sendEvacuations(it);
-    }
-
-    void sendEvacuations(EntryConnection &it)
-    {
-        const EvacuationUpdate update{m_records.evacuations(), m_records.readUpTo()};
-        const bool isEmpty = update.evacuations.empty() && update.readUpTo == LogOffset{};
-        if (!isEmpty && it.entry && it.entry->protocol >= OperatorMessagesProtocol)
-            it.link->send(update);
+            if (it.entry)
+                it.sendEvacuations(m_records);
     }
 
     // An entry reports all upstreams of its configuration. Those without a worker here are left out
@@ -402,22 +365,6 @@
             log(*event);
     }
 
-    void sendInventory(EntryConnection &it)
-    {
-        TaskInventory inventory = m_runner.inventoryOf(it.entry->instance);
-        it.orphanFreeWorkers = inventory.orphanFreeWorkers;
-        it.link->send(std::move(inventory));
-    }
-
-    void sendLoadsTo(EntryConnection &it, const std::vector<WorkerLoad> &loads)
-    {
-        for (WorkerLoad load : loads) {
-            load.lastAssignmentNumber = m_runner.lastAssignmentNumberOf(it.entry->instance);
-            it.link->send(std::move(load));
-        }
-        it.loadVersion = m_runner.loadVersion();
-    }
-
     void sendLoads()
     {
         m_isLoadReportScheduled = false;
@@ -426,11 +373,11 @@
         const std::vector<std::string> orphanFreeWorkers = m_runner.orphanFreeWorkers();
         const std::vector<WorkerLoad> loads = m_runner.loads(m_loadsSentAt);
         for (auto &[address, it] : m_connections) {
-            if (!it.entry || isReleasing(it) || it.loadVersion == m_loadVersion)
+            if (!it.entry || it.isReleasing() || it.loadVersion == m_loadVersion)
                 continue;
             if (it.orphanFreeWorkers != orphanFreeWorkers)
-                sendInventory(it);
-            sendLoadsTo(it, loads);
+                it.sendInventory(m_runner);
+            it.sendLoads(m_runner, loads);
         }
     }
 
@@ -444,11 +391,9 @@
     {
         const auto connectedEntries
             = std::count_if(m_connections.begin(), m_connections.end(), [](const auto &connection) {
-                  return connection.second.entry && !isReleasing(connection.second);
+                  return connection.second.entry && !connection.second.isReleasing();
               });
-        it.link->send(
-            PeerHeartbeat{bootNow(), static_cast<std::uint32_t>(connectedEntries), demand});
-        it.sentDemand = demand;
+        it.sendHeartbeat(bootNow(), static_cast<std::uint32_t>(connectedEntries), demand);
     }
 
     void onHeartbeatTick()
--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -121,9 +121,8 @@
     void perform(const SendToEntries &effect)
     {
         for (auto &[id, it] : m_links)
-            if (it.peer && it.peer->role == Role::Entry
-                && it.peer->protocol >= firstProtocolOf(effect.message))
-                it.link->send(effect.message);
+            if (it.peer && it.peer->role == Role::Entry)
+                sendIfKnown(*it.link, *it.peer, effect.message);
     }
 
     void perform(LogEvent &effect) { log(effect); }
@@ -199,9 +198,8 @@
 
     void sendEvacuations(Link &it)
     {
-        if (m_operators.knowsEvacuations() && it.peer
-            && it.peer->protocol >= OperatorMessagesProtocol)
-            it.link->send(m_operators.evacuationUpdate());
+        if (m_operators.knowsEvacuations() && it.peer)
+            sendIfKnown(*it.link, *it.peer, m_operators.evacuationUpdate());
     }
 
     // Agents and other entries
@@ -368,11 +366,9 @@
             if (!it.dialled.empty())
                 m_selection.onOpened(it.dialled);
             m_operators.peerConnected(OperatorPeer{id}, hello);
-            if (hello.protocol >= CrashReportsProtocol)
-                for (CrashReport &report : m_dispatcher.crashReports(now))
-                    it.link->send(std::move(report));
-            if (hello.protocol >= OpenStartsProtocol)
-                it.link->send(m_dispatcher.openStarts(now));
+            for (CrashReport &report : m_dispatcher.crashReports(now))
+                sendIfKnown(*it.link, hello, std::move(report));
+            sendIfKnown(*it.link, hello, m_dispatcher.openStarts(now));
             return onEntryStarted({hello.address, hello.instance});
         }
         const auto [agent, isNew] = m_agentLinks.try_emplace(hello.instance, id);
--- a/src/dispatchmessages.h
+++ b/src/dispatchmessages.h
@@ -303,7 +303,9 @@
 {
     if (std::holds_alternative<OpenStartReport>(message))
         return OpenStartsProtocol;
-    return std::holds_alternative<CrashReport>(message) ? CrashReportsProtocol : 1;
+    if (std::holds_alternative<CrashReport>(message))
+        return CrashReportsProtocol;
+    return std::holds_alternative<EvacuationUpdate>(message) ? OperatorMessagesProtocol : 1;
 }
 
 } // namespace cactuscove
--- a/src/framedlink.h
+++ b/src/framedlink.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cactuscove {
@@ -72,6 +73,13 @@
     std::unique_ptr<Impl> m_impl;
 };
 
+// Sends a report (see firstProtocolOf()) unless the peer's protocol does not have it.
+inline void sendIfKnown(FramedLink &link, const PeerHello &peer, PeerMessage report)
+{
+    if (peer.protocol >= firstProtocolOf(report))
+        link.send(std::move(report));
+}
+
 // Accepts connections on one address.
 class FramedListener
 {
