Worker directory: one check of whether a task fits on a worker

findOnlyWorker(), which came with the open starts, was the third copy of the check of capacity and required label that fitsSomeWorker() and fitsOnlyEvacuated() have. All three call isFit() now. Behaviour as before.

--- a/src/workerdirectory.cpp
+++ b/src/workerdirectory.cpp
@@ -47,6 +47,12 @@
     return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
 }
 
+bool WorkerDirectory::isFit(const WorkerInfo &worker, const Request &request)
+{
+    return request.needs.fitsIn(worker.capacity)
+           && (request.requiredLabel.empty() || hasLabel(worker, request.requiredLabel));
+}
+
 WorkerDirectory::WorkerDirectory(std::uint64_t seed)
     : m_random(seed)
 {}
@@ -310,9 +316,7 @@
 {
     for (const auto &[key, worker] : m_workers)
         if (key.workerId == workerId && isUsable(key, worker, now)
-            && worker.info.upstream == request.upstream
-            && request.needs.fitsIn(worker.info.capacity)
-            && (request.requiredLabel.empty() || hasLabel(worker.info, request.requiredLabel)))
+            && worker.info.upstream == request.upstream && isFit(worker.info, request))
             return key;
     return std::nullopt;
 }
@@ -332,8 +336,7 @@
     for (const auto &[key, worker] : m_workers) {
         if (worker.info.upstream != request.upstream)
             continue;
-        if (request.needs.fitsIn(worker.info.capacity)
-            && (request.requiredLabel.empty() || hasLabel(worker.info, request.requiredLabel)))
+        if (isFit(worker.info, request))
             return true;
         isAnyKnown = true;
     }
@@ -344,8 +347,7 @@
 {
     bool isAnyEvacuated = false;
     for (const auto &[key, worker] : m_workers) {
-        if (worker.info.upstream != request.upstream || !request.needs.fitsIn(worker.info.capacity)
-            || (!request.requiredLabel.empty() && !hasLabel(worker.info, request.requiredLabel)))
+        if (worker.info.upstream != request.upstream || !isFit(worker.info, request))
             continue;
         if (!worker.isEvacuated)
             return false;
--- a/src/workerdirectory.h
+++ b/src/workerdirectory.h
@@ -196,6 +196,8 @@
     };
 
     static bool hasLabel(const WorkerInfo &worker, std::string_view label);
+    // The task could run on the worker if nothing else did; for workers of its upstream.
+    static bool isFit(const WorkerInfo &worker, const Request &request);
     // The one that the worker names, else that of its agent.
     const std::string &dataCentreOf(const WorkerKey &key, const Worker &worker) const;
     // The worker takes tasks, is not in an evacuated data centre, and its agent is in contact with
