Open starts: the jobs with a bound task are found in one place, without a copy of all waiting jobs

While any open start was known, placeBoundTasks() and giveUpBoundJobs() each copied the ranks of all waiting jobs at every input, to use those of the few with a bound task. ranksOfBoundJobs() copies only these, for both. Behaviour as before.

--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -301,6 +301,8 @@
     // Ends the jobs with such a task that would not end in time any more.
     void giveUpBoundJobs(TimePoint now, DispatcherOutbox &out);
     bool hasBoundTask(const Job &job, TimePoint now) const;
+    // Of the jobs with such a task that are not closing.
+    std::vector<Rank> ranksOfBoundJobs(TimePoint now) const;
     static TimePoint lastUsefulStart(const Job &job);
     // The agent, which is lost or does not answer, has not reported what became of the start of the
     // task.
--- a/src/jobdispatcheropenstarts.cpp
+++ b/src/jobdispatcheropenstarts.cpp
@@ -97,16 +97,23 @@
     return false;
 }
 
+std::vector<JobDispatcher::Rank> JobDispatcher::ranksOfBoundJobs(TimePoint now) const
+{
+    std::vector<Rank> ranks;
+    if (m_openStarts.isEmpty())
+        return ranks;
+    std::copy_if(m_ready.begin(), m_ready.end(), std::back_inserter(ranks),
+                 [&](const Rank &it) { return hasBoundTask(m_jobs.at(it.number), now); });
+    return ranks;
+}
+
 // Such a task is sent to its worker also while that has no room, and waits in its agent's queue. If
 // it may crash the worker, no task of another job runs beside it.
 void JobDispatcher::placeBoundTasks(TimePoint now, DispatcherOutbox &out)
 {
-    if (m_openStarts.isEmpty())
-        return;
-    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
-    for (const Rank &rank : ranks) {
+    for (const Rank &rank : ranksOfBoundJobs(now)) {
         Job &job = m_jobs.at(rank.number);
-        for (std::uint32_t i = 0; job.mayHaveOpenStarts && i < job.tasks.size(); ++i) {
+        for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
             const auto only = boundWorkerOf(job, i, now);
             const StartRule rule = only ? startRuleOf(job, i, now) : StartRule::Never;
             if (rule == StartRule::Never)
@@ -128,12 +135,9 @@
 
 void JobDispatcher::giveUpBoundJobs(TimePoint now, DispatcherOutbox &out)
 {
-    if (m_openStarts.isEmpty())
-        return;
-    const std::vector<Rank> ranks(m_ready.begin(), m_ready.end());
-    for (const Rank &rank : ranks) {
+    for (const Rank &rank : ranksOfBoundJobs(now)) {
         Job &job = m_jobs.at(rank.number);
-        if (now >= lastUsefulStart(job) && hasBoundTask(job, now))
+        if (now >= lastUsefulStart(job))
             beginClosing(rank.number, job, {JobOutcome::Unknown, "start_unanswered", {}}, now, out);
     }
 }
