Open starts: what an agent's protocol may not have is left out where it is sent

The dispatcher looked up the agent's protocol before it gave out an OpenStartReport, beside the check that the entry makes for other entries and the agent for its entries. The entry sends to agents by sendIfKnown() now, and the dispatcher knows no protocol. Behaviour as before.

--- a/src/dispatchentry.cpp
+++ b/src/dispatchentry.cpp
@@ -113,9 +113,11 @@
 
     void perform(SendToAgent &effect)
     {
-        const auto it = m_agentLinks.find(effect.agent);
-        if (it != m_agentLinks.end())
-            m_links.at(it->second).link->send(std::move(effect.message));
+        const auto found = m_agentLinks.find(effect.agent);
+        if (found == m_agentLinks.end())
+            return;
+        Link &it = m_links.at(found->second);
+        sendIfKnown(*it.link, *it.peer, std::move(effect.message));
     }
 
     void perform(const SendToEntries &effect)
--- a/src/jobdispatcher.h
+++ b/src/jobdispatcher.h
@@ -314,8 +314,9 @@
     bool isOwnSuspicion(const OpenStart &report);
     // To be called with open starts that are news: notes them in their jobs and passes them on.
     void spreadOpenStarts(OpenStartReport news, DispatcherOutbox &out);
-    void sendOpenStarts(Incarnation agent, const OpenStartReport &report,
-                        DispatcherOutbox &out) const;
+    // Sends the agent those that other processes have sent.
+    static void sendOpenStarts(Incarnation agent, const OpenStartReport &report,
+                               DispatcherOutbox &out);
     // A job of which an open start is known is not refused, as it may have run.
     JobOutcome outcomeOfRefusal(const BestEffortJob &job) const;
     // Sends the task to a worker; false if none has capacity for it.
--- a/src/jobdispatcheropenstarts.cpp
+++ b/src/jobdispatcheropenstarts.cpp
@@ -46,14 +46,12 @@
 }
 
 void JobDispatcher::sendOpenStarts(Incarnation agent, const OpenStartReport &report,
-                                   DispatcherOutbox &out) const
+                                   DispatcherOutbox &out)
 {
     OpenStartReport ofOthers;
     std::copy_if(report.starts.begin(), report.starts.end(), std::back_inserter(ofOthers.starts),
                  [&](const OpenStart &it) { return it.agent != agent; });
-    const auto to = m_agents.find(agent);
-    if (!ofOthers.starts.empty() && to != m_agents.end()
-        && to->second.protocol >= OpenStartsProtocol)
+    if (!ofOthers.starts.empty())
         out.emplace_back(SendToAgent{agent, std::move(ofOthers)});
 }
 
