system.late: the agent stays suspended until its worker runs the late start

The suspension ended 0.5 s after the worker was back, also on a machine where the late start had not been carried out by then, and the test would have passed without it. It waits for that run now, and stays suspended for as long as before after it.

--- a/tests/system/late_test.py
+++ b/tests/system/late_test.py
@@ -15,6 +15,7 @@
 TASK_MS = 3000
 DEADLINE_MS = 12000
 DOWN_S = 2.5  # the start is held back for less
+SUSPENDED_S = 0.5  # for which the agent stays suspended while its worker runs the late start
 
 
 class LateTest(dispatch_test.DispatchCase):
@@ -94,7 +95,8 @@
         time.sleep(DOWN_S - 0.2)
         agent.process.send_signal(signal.SIGSTOP)
         crashing.join()
-        time.sleep(0.5)
+        wait_until("run of the late start", lambda: worker.active)
+        time.sleep(SUSPENDED_S)
         agent.process.send_signal(signal.SIGCONT)
         thread.join()
 
